--- /dev/null
+++ b/internal/cfagent/targets.go
@@ -0,0 +1,152 @@
+package cfagent
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"cranberryford/pkg/cfadmit"
+	"cranberryford/pkg/cfcommon"
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfintent"
+)
+
+// targetSet is the targets that have announced themselves on this VM.
+type targetSet struct {
+	*cfcommon.Common
+	cfg     cfconfig.Agent
+	mu      sync.RWMutex
+	targets map[string]*localTarget
+	leaving bool
+}
+
+// localTarget is one target with its gate. There is one of each service.
+type localTarget struct {
+	target cfcore.Target
+	gate   *cfadmit.Gate
+	seen   time.Time
+}
+
+func newTargetSet(common *cfcommon.Common, cfg cfconfig.Agent) *targetSet {
+	return &targetSet{Common: common, cfg: cfg, targets: map[string]*localTarget{}}
+}
+
+// put takes an announcement and reports whether the set changed.
+func (s *targetSet) put(t cfcore.Target) (bool, error) {
+	if err := s.check(t); err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.targets[t.Service]
+	switch {
+	case old == nil && t.Leaving:
+		return false, nil
+	case old != nil && t.Leaving && old.target.Address != t.Address:
+		return false, nil // Another target took its place already.
+	case old == nil && len(s.targets) >= s.cfg.MaxTargets:
+		return false, cferror.New("announce", KindTarget, "there are %d targets on this VM already", len(s.targets))
+	case old == nil:
+		old = &localTarget{gate: cfadmit.NewGate(t.Slots, t.Connections, s.Clock)}
+		s.targets[t.Service] = old
+	}
+	changed := old.target != t
+	old.target = t
+	old.seen = s.Clock.Now()
+	old.gate.Resize(t.Slots, t.Connections)
+	old.gate.Leave(t.Leaving || s.leaving)
+	return changed, nil
+}
+
+func (s *targetSet) check(t cfcore.Target) error {
+	switch {
+	case !cfintent.ValidName(t.Service):
+		return cferror.New("announce", KindTarget, "Service: %q is not a name", t.Service)
+	case !t.Address.IsValid() || t.Address.Port() == 0:
+		return cferror.New("announce", KindTarget, "Address: must be an IP number and a port")
+	case t.Slots < 1 || t.Slots > s.cfg.MaxSlots:
+		return cferror.New("announce", KindTarget, "Slots: %d must be 1 to %d", t.Slots, s.cfg.MaxSlots)
+	case t.Connections < t.Slots || t.Connections > s.cfg.MaxConnections:
+		return cferror.New("announce", KindTarget, "Connections: %d must be Slots to %d", t.Connections, s.cfg.MaxConnections)
+	}
+	return nil
+}
+
+// get returns the target of a service, or nil.
+func (s *targetSet) get(service string) *localTarget {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.targets[service]
+}
+
+// list returns the targets in the order of their services.
+func (s *targetSet) list() []cfcore.Target {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]cfcore.Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		target := t.target
+		target.Leaving = target.Leaving || s.leaving
+		out = append(out, target)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// expire forgets targets that no longer announce themselves.
+func (s *targetSet) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.targets {
+		if s.Clock.Since(t.seen) > s.cfg.TargetTTL {
+			t.gate.Leave(true)
+			delete(s.targets, name)
+			s.Log.Info().Str("Service", name).Msg("target forgotten")
+		}
+	}
+}
+
+// leave closes all gates to new calls.
+func (s *targetSet) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for _, t := range s.targets {
+		t.gate.Leave(true)
+	}
+}
+
+// maxAnnouncementBytes bounds the body of an announcement.
+const maxAnnouncementBytes = 64 << 10
+
+// localHandler returns the HTTP interface for the targets on this VM.
+func (a *Agent) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /targets", a.announce)
+	mux.Handle("GET /metrics", a.metrics)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
+
+func (a *Agent) announce(w http.ResponseWriter, r *http.Request) {
+	var t cfcore.Target
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
+	if err := json.NewDecoder(body).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	changed, err := a.targets.put(t)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if changed {
+		a.Log.Info().Str("Service", t.Service).Stringer("Address", t.Address).Bool("Leaving", t.Leaving).Msg("target announced")
+		a.tell(r.Context(), targetsChanged{})
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/cfapp/common.go
@@ -0,0 +1,114 @@
+// Package cfapp wires the processes together: it makes the dependencies of each
+// role from its settings and runs it.
+package cfapp
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"cranberryford/pkg/cfcommon"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfwire"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindKey is a shared key that cannot be had.
+	KindKey Kind = "no shared key"
+	// KindSettings is a settings file that cannot be read.
+	KindSettings Kind = "cannot read settings"
+	// KindStart is a part of the process that cannot start.
+	KindStart Kind = "cannot start"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// EnvKey is the environment variable of the shared key.
+const EnvKey = "CRANBERRYFORD_KEY"
+
+// minKeyBytes is the least length of the shared key.
+const minKeyBytes = 16
+
+// metricsInterval is how often counters are handed to the metrics endpoint.
+const metricsInterval = time.Second
+
+// ReadKey reads the shared key from a file, or from the environment where no file
+// is named. The error never has the key in it.
+func ReadKey(file string) (cfwire.Key, error) {
+	data := []byte(os.Getenv(EnvKey))
+	from := "environment variable " + EnvKey
+	if file != "" {
+		var err error
+		if data, err = os.ReadFile(file); err != nil {
+			return cfwire.Key{}, cferror.Wrap("read key", KindKey, err)
+		}
+		from = "file " + file
+	}
+	data = bytes.TrimSpace(data)
+	if len(data) < minKeyBytes {
+		return cfwire.Key{}, cferror.New("read key", KindKey, "%s has %d bytes; at least %d are needed", from, len(data), minKeyBytes)
+	}
+	return cfwire.NewKey(data), nil
+}
+
+// Deps are what the caller of this package decides.
+type Deps struct {
+	Clock clockwork.Clock
+	// Logs is where log lines go.
+	Logs io.Writer
+	Key  cfwire.Key
+	Seed uint64
+}
+
+// NewCommon returns the common dependencies of one process, and the handler of
+// its metrics. The clean-up function stops the reporting.
+func NewCommon(d Deps, role, level string) (*cfcommon.Common, http.Handler, func(), error) {
+	lvl, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return nil, nil, nil, cferror.Wrap("new process", KindStart, err)
+	}
+	codec, err := cfrecord.NewCodec()
+	if err != nil {
+		return nil, nil, nil, cferror.Wrap("new process", KindStart, err)
+	}
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: newRegistry()})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "cranberryford", Tags: map[string]string{"role": role},
+		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	c := &cfcommon.Common{
+		Log:   zerolog.New(d.Logs).Level(lvl).With().Timestamp().Str("Role", role).Logger(),
+		Clock: d.Clock, Scope: scope, Codec: codec, Key: d.Key, Seed: d.Seed,
+	}
+	return c, reporter.HTTPHandler(), func() { _ = closer.Close() }, nil
+}
+
+// untilLeave runs a role until it ends by itself. The first signal begins a
+// graceful shutdown; the context ends the role at once.
+func untilLeave(ctx context.Context, leave <-chan struct{}, begin func(), run func(context.Context) error) error {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-leave:
+			begin()
+		case <-done:
+		}
+	}()
+	defer close(done)
+	return run(ctx)
+}
--- /dev/null
+++ b/internal/cfapp/roles.go
@@ -0,0 +1,70 @@
+package cfapp
+
+import (
+	"context"
+	"time"
+
+	"cranberryford/internal/cfagent"
+	"cranberryford/internal/cfentry"
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cfcore/cflog"
+	"cranberryford/pkg/cfcore/cfvm"
+	"cranberryford/pkg/cferror"
+)
+
+// logTimeout bounds one request to the platform's log.
+const logTimeout = 2 * time.Second
+
+// Role is a role that has been made and can run.
+type Role struct {
+	run     func(context.Context) error
+	leave   func()
+	cleanup func()
+	// Entry or Agent is the role itself.
+	Entry *cfentry.Entry
+	Agent *cfagent.Agent
+}
+
+// Run runs the role until it ends. A value on leave begins a graceful shutdown.
+func (r *Role) Run(ctx context.Context, leave <-chan struct{}) error {
+	defer r.cleanup()
+	return untilLeave(ctx, leave, r.leave, r.run)
+}
+
+// NewEntry makes an entry that listens already.
+func NewEntry(ctx context.Context, d Deps, cfg cfconfig.Entry) (*Role, error) {
+	common, metrics, stop, err := NewCommon(d, "entry", cfg.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	log, closeLog := cflog.New(cfg.Log, cfg.Stream, cfg.Source, logTimeout)
+	e, closeEntry, err := cfentry.New(ctx, common, cfg, log, metrics)
+	if err != nil {
+		closeLog()
+		stop()
+		return nil, cferror.Wrap("new entry", KindStart, err)
+	}
+	return &Role{
+		run: e.Run, leave: e.Leave, Entry: e,
+		cleanup: func() { closeEntry(); closeLog(); stop() },
+	}, nil
+}
+
+// NewAgent makes an agent that listens already.
+func NewAgent(ctx context.Context, d Deps, cfg cfconfig.Agent) (*Role, error) {
+	common, metrics, stop, err := NewCommon(d, "agent", cfg.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	vm, closeVM := cfvm.New(cfg.VM, cfg.VMTimeout)
+	a, closeAgent, err := cfagent.New(ctx, common, cfg, vm, metrics)
+	if err != nil {
+		closeVM()
+		stop()
+		return nil, cferror.Wrap("new agent", KindStart, err)
+	}
+	return &Role{
+		run: a.Run, leave: a.Leave, Agent: a,
+		cleanup: func() { closeAgent(); closeVM(); stop() },
+	}, nil
+}
--- /dev/null
+++ b/internal/cfcmd/client.go
@@ -0,0 +1,115 @@
+package cfcmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"cranberryford/internal/cfapi"
+	"cranberryford/pkg/cferror"
+)
+
+// envToken is the environment variable of the operator's token.
+const envToken = "CRANBERRYFORD_TOKEN"
+
+// client is what the operators' commands share.
+type client struct {
+	*output
+	entry     string
+	tokenFile string
+	json      bool
+	timeout   time.Duration
+}
+
+const clientHelp = `The token comes from -token-file, or from the environment variable
+CRANBERRYFORD_TOKEN.
+` + exitHelp
+
+// SetFlags adds the flags that all operators' commands have.
+func (c *client) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.entry, "entry", "127.0.0.1:7001", "an entry's Operators address")
+	f.StringVar(&c.tokenFile, "token-file", "", "file with the operator's token")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.DurationVar(&c.timeout, "timeout", 10*time.Second, "time to wait for the entry")
+}
+
+// TokenValue implements cfapi.SecuritySource.
+type tokenSource string
+
+// Token implements cfapi.SecuritySource.
+func (t tokenSource) Token(context.Context, cfapi.OperationName) (cfapi.Token, error) {
+	return cfapi.Token{Token: string(t)}, nil
+}
+
+func (c *client) connect() (*cfapi.Client, error) {
+	token := []byte(os.Getenv(envToken))
+	if c.tokenFile != "" {
+		var err error
+		if token, err = os.ReadFile(c.tokenFile); err != nil {
+			return nil, cferror.Wrap("token", KindUsage, err)
+		}
+	}
+	token = bytes.TrimSpace(token)
+	if len(token) == 0 {
+		return nil, cferror.New("token", KindUsage, "give -token-file, or set %s", envToken)
+	}
+	api, err := cfapi.NewClient("http://"+c.entry, tokenSource(token), cfapi.WithClient(&http.Client{Timeout: c.timeout}))
+	return api, cferror.Wrap("connect", KindUsage, err)
+}
+
+// run connects, calls f and turns its error into an exit code.
+func (c *client) run(ctx context.Context, f func(context.Context, *cfapi.Client) error) subcommands.ExitStatus {
+	api, err := c.connect()
+	if err != nil {
+		return c.fail(err)
+	}
+	if err := f(ctx, api); err != nil {
+		return c.fail(c.explain(err))
+	}
+	return subcommands.ExitSuccess
+}
+
+// explain gives an error of the API the kind that decides the exit code.
+func (c *client) explain(err error) error {
+	var problem *cfapi.ProblemStatusCode
+	var own *Error
+	switch {
+	case errors.As(err, &own):
+		return err
+	case !errors.As(err, &problem):
+		return cferror.Wrap("entry "+c.entry, KindUnreachable, err)
+	}
+	kind := KindFailed
+	switch problem.Response.Kind {
+	case cfapi.ProblemKindInvalid, cfapi.ProblemKindConflict, cfapi.ProblemKindNotFound:
+		kind = KindRefused
+	case cfapi.ProblemKindUnknown:
+		kind = KindUnknown
+	}
+	return cferror.New("entry "+c.entry, kind, "%s", problem.Response.Message)
+}
+
+// printJSON prints a value as indented JSON.
+func (c *client) printJSON(v any) error {
+	enc := json.NewEncoder(c.out)
+	enc.SetIndent("", "  ")
+	return cferror.Wrap("print", KindFailed, enc.Encode(v))
+}
+
+// newTable returns a table that prints to the command's output.
+func (o *output) newTable(header ...any) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(o.out)
+	t.SetStyle(table.StyleLight)
+	t.Style().Options.SeparateRows = false
+	t.AppendHeader(table.Row(header))
+	return t
+}
--- /dev/null
+++ b/internal/cfcmd/operate.go
@@ -0,0 +1,118 @@
+package cfcmd
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"cranberryford/internal/cfapi"
+	"cranberryford/pkg/cferror"
+)
+
+// confirmCmd accepts a plan.
+type confirmCmd struct{ client }
+
+// Name implements subcommands.Command.
+func (*confirmCmd) Name() string { return "confirm" }
+
+// Synopsis implements subcommands.Command.
+func (*confirmCmd) Synopsis() string { return "accept a plan" }
+
+// Usage implements subcommands.Command.
+func (*confirmCmd) Usage() string {
+	return `confirm [flags] PLAN
+Accept a plan that "plan" has shown. It is refused where something that it touches
+has changed since.
+Example: cranberryford confirm 1f0c2a7e-51b3
+` + clientHelp
+}
+
+// Execute implements subcommands.Command.
+func (c *confirmCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return c.fail(cferror.New("confirm", KindUsage, "name one plan"))
+	}
+	return c.run(ctx, func(ctx context.Context, api *cfapi.Client) error {
+		return c.confirmPlan(ctx, api, f.Arg(0))
+	})
+}
+
+// cancelCmd removes workloads.
+type cancelCmd struct {
+	client
+	yes bool
+}
+
+// Name implements subcommands.Command.
+func (*cancelCmd) Name() string { return "cancel" }
+
+// Synopsis implements subcommands.Command.
+func (*cancelCmd) Synopsis() string { return "plan to cancel workloads" }
+
+// Usage implements subcommands.Command.
+func (*cancelCmd) Usage() string {
+	return `cancel [flags] WORKLOAD...
+Make the plan that cancels workloads. With -yes it is confirmed at once.
+Example: cranberryford cancel -yes route-plan-49
+` + clientHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (c *cancelCmd) SetFlags(f *flag.FlagSet) {
+	c.client.SetFlags(f)
+	f.BoolVar(&c.yes, "yes", false, "confirm the plan at once")
+}
+
+// Execute implements subcommands.Command.
+func (c *cancelCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return c.fail(cferror.New("cancel", KindUsage, "name at least one workload"))
+	}
+	return c.run(ctx, func(ctx context.Context, api *cfapi.Client) error {
+		return c.plan(ctx, api, &cfapi.Intent{Remove: f.Args()}, c.yes)
+	})
+}
+
+// drainCmd drains workers.
+type drainCmd struct {
+	client
+	yes  bool
+	undo bool
+}
+
+// Name implements subcommands.Command.
+func (*drainCmd) Name() string { return "drain" }
+
+// Synopsis implements subcommands.Command.
+func (*drainCmd) Synopsis() string { return "plan to empty workers" }
+
+// Usage implements subcommands.Command.
+func (*drainCmd) Usage() string {
+	return `drain [flags] WORKER...
+Make the plan that moves all tasks off workers and gives them no new ones. With
+-undo they take tasks again; with -yes the plan is confirmed at once.
+Example: cranberryford drain -yes north-shore-1
+` + clientHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (c *drainCmd) SetFlags(f *flag.FlagSet) {
+	c.client.SetFlags(f)
+	f.BoolVar(&c.yes, "yes", false, "confirm the plan at once")
+	f.BoolVar(&c.undo, "undo", false, "let the workers take tasks again")
+}
+
+// Execute implements subcommands.Command.
+func (c *drainCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return c.fail(cferror.New("drain", KindUsage, "name at least one worker"))
+	}
+	in := &cfapi.Intent{Drain: f.Args()}
+	if c.undo {
+		in = &cfapi.Intent{Undrain: f.Args()}
+	}
+	return c.run(ctx, func(ctx context.Context, api *cfapi.Client) error {
+		return c.plan(ctx, api, in, c.yes)
+	})
+}
--- /dev/null
+++ b/internal/cfcmd/plan.go
@@ -0,0 +1,166 @@
+package cfcmd
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"cranberryford/internal/cfapi"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfintent"
+	"cranberryford/pkg/cfjson"
+)
+
+// planCmd makes the plan for an intent.
+type planCmd struct {
+	client
+	confirm bool
+}
+
+// Name implements subcommands.Command.
+func (*planCmd) Name() string { return "plan" }
+
+// Synopsis implements subcommands.Command.
+func (*planCmd) Synopsis() string { return "show what an intent would change" }
+
+// Usage implements subcommands.Command.
+func (*planCmd) Usage() string {
+	return `plan [flags] FILE
+Read an intent, JSON with comments, and show its plan. Nothing changes before
+the plan is confirmed.
+Example: cranberryford plan -entry 10.0.0.1:7001 samples/granite-spring/intent.jsonc
+` + clientHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (c *planCmd) SetFlags(f *flag.FlagSet) {
+	c.client.SetFlags(f)
+	f.BoolVar(&c.confirm, "yes", false, "confirm the plan at once")
+}
+
+// Execute implements subcommands.Command.
+func (c *planCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return c.fail(cferror.New("plan", KindUsage, "name one intent file"))
+	}
+	in, err := readIntent(f.Arg(0))
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.run(ctx, func(ctx context.Context, api *cfapi.Client) error {
+		return c.plan(ctx, api, in, c.confirm)
+	})
+}
+
+// readIntent reads an intent and checks it as far as that needs no entry.
+func readIntent(file string) (*cfapi.Intent, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, cferror.Wrap("plan", KindUsage, err)
+	}
+	var in cfintent.Intent
+	doc := cfjson.Decode(file, data, &in)
+	if doc.Err() == nil {
+		for _, fault := range in.WithDefaults().Check() {
+			doc.Add(fault.Key, "%s", fault.Message)
+		}
+	}
+	if err := doc.Err(); err != nil {
+		return nil, cferror.Wrap("plan", KindRefused, err)
+	}
+	return intentTo(&in), nil
+}
+
+// plan makes a plan, prints it, and confirms it where that is asked for.
+func (c *client) plan(ctx context.Context, api *cfapi.Client, in *cfapi.Intent, confirm bool) error {
+	p, err := api.MakePlan(ctx, in)
+	if err != nil {
+		return err
+	}
+	if !confirm {
+		return c.printPlan(p)
+	}
+	if err := c.printPlan(p); err != nil {
+		return err
+	}
+	return c.confirmPlan(ctx, api, p.ID)
+}
+
+func (c *client) printPlan(p *cfapi.Plan) error {
+	if c.json {
+		return c.printJSON(p)
+	}
+	t := c.newTable("Step", "Subject", "Detail")
+	for _, s := range p.Steps {
+		t.AppendRow([]any{s.Action, s.Subject, s.Detail})
+	}
+	t.Render()
+	c.printf("Plan %s by %s, for the state at offset %d. Confirm it: cranberryford confirm %s\n", p.ID, p.Who, p.Base, p.ID)
+	return nil
+}
+
+func (c *client) confirmPlan(ctx context.Context, api *cfapi.Client, id string) error {
+	res, err := api.ConfirmPlan(ctx, cfapi.ConfirmPlanParams{Plan: id})
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return c.printJSON(res)
+	}
+	c.printf("Plan %s is in force since offset %d.\n", res.Plan, res.Offset)
+	return nil
+}
+
+// intentTo turns an intent into one of the API.
+func intentTo(in *cfintent.Intent) *cfapi.Intent {
+	out := &cfapi.Intent{Remove: in.Remove, Restart: in.Restart}
+	for i := range in.Workloads {
+		out.Workloads = append(out.Workloads, workloadTo(&in.Workloads[i]))
+	}
+	for _, t := range in.Teams {
+		out.Teams = append(out.Teams, cfapi.Team{Name: t.Name, Quota: resourcesTo(t.Quota)})
+	}
+	out.Drain = texts(in.Drain)
+	out.Undrain = texts(in.Undrain)
+	out.Forget = texts(in.Forget)
+	return out
+}
+
+func texts[T ~string](in []T) []string {
+	var out []string
+	for _, s := range in {
+		out = append(out, string(s))
+	}
+	return out
+}
+
+func workloadTo(w *cfcore.Workload) cfapi.Workload {
+	out := cfapi.Workload{
+		Name: w.Name, Class: string(w.Class), Team: w.Team,
+		Resources: resourcesTo(w.Resources), Permissions: texts(w.Permissions),
+	}
+	if w.Replicas != 0 {
+		out.Replicas = cfapi.NewOptInt(w.Replicas)
+	}
+	if w.Timeout != 0 {
+		out.Timeout = cfapi.NewOptDuration(w.Timeout)
+	}
+	if w.Duration != 0 {
+		out.Duration = cfapi.NewOptDuration(w.Duration)
+	}
+	if w.MaxFailures != 0 {
+		out.MaxFailures = cfapi.NewOptInt(w.MaxFailures)
+	}
+	return out
+}
+
+func resourcesTo(r cfcore.Resources) cfapi.Resources {
+	return cfapi.Resources{
+		MilliCores:   cfapi.NewOptInt64(r.MilliCores),
+		MemoryMB:     cfapi.NewOptInt64(r.MemoryMB),
+		Accelerators: cfapi.NewOptInt64(r.Accelerators),
+	}
+}
--- /dev/null
+++ b/internal/cfcmd/settings.go
@@ -0,0 +1,181 @@
+package cfcmd
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cferror"
+)
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// settingsCmd checks and shows settings.
+type settingsCmd struct {
+	*output
+	markdown bool
+}
+
+// Name implements subcommands.Command.
+func (*settingsCmd) Name() string { return "settings" }
+
+// Synopsis implements subcommands.Command.
+func (*settingsCmd) Synopsis() string { return "check and show settings" }
+
+// Usage implements subcommands.Command.
+func (*settingsCmd) Usage() string {
+	return `settings check ROLE FILE: say everything that is wrong with a settings file
+settings print ROLE FILE: print the settings in force, defaults included
+settings [-markdown] keys ROLE: print every key with its default, unit and meaning
+ROLE is entry or agent.
+Example: cranberryford settings check entry samples/granite-spring/entry.jsonc
+` + exitHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (c *settingsCmd) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.markdown, "markdown", false, "print keys as a Markdown table")
+}
+
+// Execute implements subcommands.Command.
+func (c *settingsCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(f.Args()); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *settingsCmd) run(args []string) error {
+	usage := cferror.New("settings", KindUsage, "give check, print or keys, then entry or agent, then a file; see: cranberryford help settings")
+	if len(args) < 2 || (args[1] != roleEntry && args[1] != roleAgent) {
+		return usage
+	}
+	if args[0] == "keys" && len(args) == 2 {
+		c.keys(args[1])
+		return nil
+	}
+	if len(args) != 3 || (args[0] != "check" && args[0] != "print") {
+		return usage
+	}
+	cfg, err := load(args[1], args[2])
+	if err != nil {
+		return err
+	}
+	if args[0] == "check" {
+		c.printf("%s: no faults\n", args[2])
+		return nil
+	}
+	for _, line := range effective("", reflect.ValueOf(cfg)) {
+		c.printf("%s\n", line)
+	}
+	return nil
+}
+
+func load(role, file string) (any, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, cferror.Wrap("settings", KindUsage, err)
+	}
+	if role == roleEntry {
+		cfg, err := cfconfig.LoadEntry(file, data)
+		return cfg, cferror.Wrap("settings", KindRefused, err)
+	}
+	cfg, err := cfconfig.LoadAgent(file, data)
+	return cfg, cferror.Wrap("settings", KindRefused, err)
+}
+
+// effective prints each key with its value. The hash of a token stays hidden.
+func effective(prefix string, v reflect.Value) []string {
+	var out []string
+	for i := 0; i < v.NumField(); i++ {
+		name := prefix + v.Type().Field(i).Name
+		f := v.Field(i)
+		switch {
+		case f.Kind() == reflect.Struct && f.Type().PkgPath() == v.Type().PkgPath():
+			out = append(out, effective(name+".", f)...)
+		case f.Type() == reflect.TypeFor[[]cfconfig.Token]():
+			out = append(out, name+": "+tokenNames(f.Interface().([]cfconfig.Token)))
+		default:
+			out = append(out, fmt.Sprintf("%s: %v", name, f.Interface()))
+		}
+	}
+	return out
+}
+
+func tokenNames(tokens []cfconfig.Token) string {
+	names := make([]string, len(tokens))
+	for i, t := range tokens {
+		names[i] = t.Name + " [hidden]"
+	}
+	return strings.Join(names, ", ")
+}
+
+func (c *settingsCmd) keys(role string) {
+	var cfg any = cfconfig.DefaultEntry()
+	if role == roleAgent {
+		cfg = cfconfig.DefaultAgent()
+	}
+	t := c.newTable("Key", "Type", "Default", "Meaning")
+	for _, k := range cfconfig.Describe(cfg) {
+		t.AppendRow([]any{k.Path, k.Type, k.Default, k.Meaning})
+	}
+	if c.markdown {
+		t.RenderMarkdown()
+		return
+	}
+	t.Render()
+}
+
+// tokenCmd makes an operator's token.
+type tokenCmd struct{ *output }
+
+// tokenBytes is the length of a new token before its encoding.
+const tokenBytes = 24
+
+// Name implements subcommands.Command.
+func (*tokenCmd) Name() string { return "token" }
+
+// Synopsis implements subcommands.Command.
+func (*tokenCmd) Synopsis() string { return "make an operator's token" }
+
+// Usage implements subcommands.Command.
+func (*tokenCmd) Usage() string {
+	return `token NAME
+Make a new token: print it once, and the line for the Tokens of an entry's settings,
+which has only its hash.
+Example: cranberryford token alice
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*tokenCmd) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *tokenCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return c.fail(cferror.New("token", KindUsage, "name one operator"))
+	}
+	raw := make([]byte, tokenBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return c.fail(cferror.Wrap("token", KindFailed, err))
+	}
+	token := hex.EncodeToString(raw)
+	c.printf("token: %s\nsettings: {\"Name\": %q, \"Hash\": %q}\n", token, f.Arg(0), HashToken(token))
+	return subcommands.ExitSuccess
+}
+
+// HashToken returns what settings hold of a token.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/cfentry/callers.go
@@ -0,0 +1,322 @@
+package cfentry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfroute"
+	"cranberryford/pkg/cfwire"
+)
+
+// Headers of the callers' interface.
+const (
+	// HeaderVerdict says what is known of the request: Answered, NotRun or Unknown.
+	HeaderVerdict = "Cranberryford-Verdict"
+	// HeaderTimeout is the time that the caller waits, such as "1.5s".
+	HeaderTimeout = "Cranberryford-Timeout"
+	// HeaderReason says why a request was not answered.
+	HeaderReason = "Cranberryford-Reason"
+	// HeaderRepeated is set on an answer that was kept from an earlier request.
+	HeaderRepeated = "Cranberryford-Repeated"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
+
+// maxKeyLength bounds an idempotency key, in bytes.
+const maxKeyLength = 200
+
+// hopHeaders concern one connection only. Source: RFC 9110, section 7.6.1.
+var hopHeaders = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// addressGate bounds the open requests of each caller address.
+type addressGate struct {
+	limit int
+	mu    sync.Mutex
+	open  map[string]int
+}
+
+func newAddressGate(limit int) *addressGate {
+	return &addressGate{limit: limit, open: map[string]int{}}
+}
+
+func (g *addressGate) enter(addr string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open[addr] >= g.limit {
+		return false
+	}
+	g.open[addr]++
+	return true
+}
+
+func (g *addressGate) leave(addr string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open[addr]--
+	if g.open[addr] == 0 {
+		delete(g.open, addr)
+	}
+}
+
+func (e *Entry) callersHandler() http.Handler { return http.HandlerFunc(e.serveCaller) }
+
+// serveCaller passes one request to a target of the service that the first
+// segment of the path names.
+func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	addr, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		addr = r.RemoteAddr
+	}
+	if !e.gate.enter(addr) {
+		e.refuse(w, http.StatusTooManyRequests, "too many open requests of this address")
+		return
+	}
+	defer e.gate.leave(addr)
+	name, path := splitService(r)
+	svc := e.router.Service(name)
+	if svc == nil {
+		e.refuse(w, http.StatusNotFound, "there is no service "+strconv.Quote(name))
+		return
+	}
+	timeout, err := e.timeout(r, svc)
+	if err != nil {
+		e.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.cfg.Limits.MaxBodyBytes))
+	if err != nil {
+		e.refuseBody(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	call := &cfwire.Call{Service: name, Method: r.Method, Path: path, Header: forwarded(r), Body: body}
+	e.answer(ctx, w, svc, call, r.Header.Get(HeaderKey))
+}
+
+// splitService returns the service that a request is for, and the path and query
+// that its target sees.
+func splitService(r *http.Request) (name, path string) {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/")
+	name, path, _ = strings.Cut(rest, "/")
+	path = "/" + path
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return name, path
+}
+
+func (e *Entry) timeout(r *http.Request, svc *cfroute.Service) (time.Duration, error) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return svc.Timeout, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > e.cfg.Limits.MaxTimeout {
+		return 0, errors.Newf("%s: %q must be a time with its unit, above 0 and at most %s", HeaderTimeout, text, e.cfg.Limits.MaxTimeout)
+	}
+	return d, nil
+}
+
+func (e *Entry) refuseBody(w http.ResponseWriter, err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		e.refuse(w, http.StatusRequestEntityTooLarge, "the body is larger than "+strconv.FormatInt(large.Limit, 10)+" bytes")
+		return
+	}
+	e.refuse(w, http.StatusBadRequest, "the body did not come in whole")
+}
+
+// forwarded returns the headers that the target sees.
+func forwarded(r *http.Request) http.Header {
+	h := r.Header.Clone()
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		h.Del(strings.TrimSpace(name))
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	h.Set("X-Forwarded-For", r.RemoteAddr)
+	h.Set("X-Forwarded-Host", r.Host)
+	return h
+}
+
+// answer runs a call and writes what became of it. A call with a key that is not
+// idempotent runs only after its key is claimed on the log.
+func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, svc *cfroute.Service, call *cfwire.Call, key string) {
+	if key == "" || cfroute.Idempotent(call.Method) {
+		e.write(w, e.router.Do(ctx, svc, call).Answer)
+		return
+	}
+	if len(key) > maxKeyLength {
+		e.refuse(w, http.StatusBadRequest, HeaderKey+": is longer than "+strconv.Itoa(maxKeyLength)+" bytes")
+		return
+	}
+	e.answerKeyed(ctx, w, svc, call, key)
+}
+
+// write writes an answer whole, or says why there is none.
+func (e *Entry) write(w http.ResponseWriter, a *cfwire.Answer) {
+	e.Scope.Tagged(map[string]string{"verdict": string(a.Verdict)}).Counter("requests").Inc(1)
+	if a.Verdict != cfwire.VerdictAnswered {
+		e.writeError(w, a)
+		return
+	}
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	for _, name := range hopHeaders {
+		if name != "Connection" || !e.leaving.Load() {
+			h.Del(name)
+		}
+	}
+	if e.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	h.Set(HeaderVerdict, string(cfwire.VerdictAnswered))
+	if len(a.Body) > 0 {
+		// A caller can tell a broken answer from a whole one by its length.
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func (e *Entry) writeError(w http.ResponseWriter, a *cfwire.Answer) {
+	status := http.StatusBadGateway
+	if a.Verdict == cfwire.VerdictNotRun {
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", "1")
+	}
+	problem(w, status, a.Verdict, a.Reason)
+}
+
+// refuse answers a request that was not sent to a target.
+func (e *Entry) refuse(w http.ResponseWriter, status int, reason string) {
+	e.Scope.Tagged(map[string]string{"verdict": string(cfwire.VerdictNotRun)}).Counter("requests").Inc(1)
+	problem(w, status, cfwire.VerdictNotRun, reason)
+}
+
+func problem(w http.ResponseWriter, status int, v cfwire.Verdict, reason string) {
+	w.Header().Set(HeaderVerdict, string(v))
+	w.Header().Set(HeaderReason, reason)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, string(v)+": "+reason+"\n")
+}
+
+// answerKeyed claims a key, runs the call, and keeps its answer under the key.
+func (e *Entry) answerKeyed(ctx context.Context, w http.ResponseWriter, svc *cfroute.Service, call *cfwire.Call, key string) {
+	claim := &cfrecord.KeyClaim{
+		Claim: cfrecord.BatchID(uuid.New()), Service: svc.Name, Key: key, Print: fingerprint(call),
+	}
+	held, err := e.claimKey(ctx, claim)
+	if err != nil {
+		e.refuse(w, http.StatusServiceUnavailable, "the key cannot be claimed: "+err.Error())
+		return
+	}
+	if held != nil {
+		e.repeat(w, held, claim)
+		return
+	}
+	a := e.router.Do(ctx, svc, call).Answer
+	e.settle(ctx, claim, a)
+	e.write(w, a)
+}
+
+// claimKey claims a key on the log. It returns the key where it is held already.
+func (e *Entry) claimKey(ctx context.Context, claim *cfrecord.KeyClaim) (*heldKey, error) {
+	if held, err := e.lookUp(ctx, claim); held != nil || err != nil {
+		return held, err
+	}
+	claimCtx, cancel := context.WithTimeout(ctx, e.cfg.Keyed.ClaimTimeout)
+	defer cancel()
+	res, err := e.change(claimCtx, cfrecord.Record{KeyClaim: claim})
+	if err != nil {
+		if cferror.Is(err, KindUnknown) {
+			e.tell(context.WithoutCancel(ctx), claimAbandoned{claim: claim})
+		}
+		return nil, err
+	}
+	if res.outcomes[0].Void != "" {
+		return e.lookUp(ctx, claim)
+	}
+	return nil, nil
+}
+
+// heldKey is a key that another request has claimed.
+type heldKey struct {
+	print  uint64
+	answer *cfrecord.Answer
+}
+
+func (e *Entry) lookUp(ctx context.Context, claim *cfrecord.KeyClaim) (*heldKey, error) {
+	var out *heldKey
+	err := e.ask(ctx, func(c *control) {
+		if c.state() == nil {
+			return
+		}
+		if k := c.state().Key(claim.Service, claim.Key); k != nil {
+			out = &heldKey{print: k.Print, answer: k.Answer}
+		}
+	})
+	return out, err
+}
+
+// repeat answers a request whose key is held, without running it.
+func (e *Entry) repeat(w http.ResponseWriter, held *heldKey, claim *cfrecord.KeyClaim) {
+	switch {
+	case held.print != claim.Print:
+		e.refuse(w, http.StatusUnprocessableEntity, "the key was used for another request")
+	case held.answer == nil:
+		problem(w, http.StatusConflict, cfwire.VerdictUnknown, "a request with this key was sent and its answer is not known")
+	case held.answer.Dropped:
+		problem(w, http.StatusConflict, cfwire.VerdictUnknown, "a request with this key was answered; its answer was too large to keep")
+	default:
+		w.Header().Set(HeaderRepeated, "true")
+		h := http.Header{}
+		if held.answer.ContentType != "" {
+			h.Set("Content-Type", held.answer.ContentType)
+		}
+		e.write(w, &cfwire.Answer{
+			Verdict: cfwire.VerdictAnswered, Status: held.answer.Status, Header: h, Body: held.answer.Body,
+		})
+	}
+}
+
+// settle keeps an answer under its key, or gives the key back where the call did
+// not run. Nothing waits for it: a key without an answer is answered as unknown.
+func (e *Entry) settle(ctx context.Context, claim *cfrecord.KeyClaim, a *cfwire.Answer) {
+	var r cfrecord.Record
+	switch a.Verdict {
+	case cfwire.VerdictNotRun:
+		r.KeyRelease = &cfrecord.KeyRelease{Claim: claim.Claim, Service: claim.Service, Key: claim.Key}
+	case cfwire.VerdictAnswered:
+		kept := cfrecord.Answer{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: a.Body}
+		if len(a.Body) > e.cfg.Keyed.MaxAnswerBytes {
+			kept = cfrecord.Answer{Status: a.Status, Dropped: true}
+		}
+		r.KeyAnswer = &cfrecord.KeyAnswer{Claim: claim.Claim, Service: claim.Service, Key: claim.Key, Answer: kept}
+	default:
+		return
+	}
+	e.tell(context.WithoutCancel(ctx), submitted{sub: &submission{records: []cfrecord.Record{r}}})
+}
--- /dev/null
+++ b/internal/cfentry/convert.go
@@ -0,0 +1,166 @@
+package cfentry
+
+import (
+	"cranberryford/internal/cfapi"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cffold"
+	"cranberryford/pkg/cfintent"
+	"cranberryford/pkg/cfrecord"
+)
+
+// intentOf turns an intent of the API into one of the scheduler.
+func intentOf(in *cfapi.Intent) cfintent.Intent {
+	out := cfintent.Intent{
+		Remove: in.Remove, Restart: in.Restart,
+		Drain: ids[cfcore.WorkerID](in.Drain), Undrain: ids[cfcore.WorkerID](in.Undrain),
+		Forget: ids[cfcore.EntryID](in.Forget),
+	}
+	for i := range in.Workloads {
+		out.Workloads = append(out.Workloads, workloadOf(&in.Workloads[i]))
+	}
+	for _, t := range in.Teams {
+		out.Teams = append(out.Teams, cfcore.Team{Name: t.Name, Quota: resourcesOf(t.Quota)})
+	}
+	return out
+}
+
+func ids[T ~string](in []string) []T {
+	var out []T
+	for _, s := range in {
+		out = append(out, T(s))
+	}
+	return out
+}
+
+func workloadOf(w *cfapi.Workload) cfcore.Workload {
+	return cfcore.Workload{
+		Name: w.Name, Class: cfcore.Class(w.Class), Team: w.Team, Replicas: w.Replicas.Or(0),
+		Resources: resourcesOf(w.Resources), Timeout: w.Timeout.Or(0), Duration: w.Duration.Or(0),
+		MaxFailures: w.MaxFailures.Or(0), Permissions: ids[cfcore.Permission](w.Permissions),
+	}
+}
+
+func resourcesOf(r cfapi.Resources) cfcore.Resources {
+	return cfcore.Resources{
+		MilliCores: r.MilliCores.Or(0), MemoryMB: r.MemoryMB.Or(0), Accelerators: r.Accelerators.Or(0),
+	}
+}
+
+func resourcesTo(r cfcore.Resources) cfapi.Resources {
+	return cfapi.Resources{
+		MilliCores:   cfapi.NewOptInt64(r.MilliCores),
+		MemoryMB:     cfapi.NewOptInt64(r.MemoryMB),
+		Accelerators: cfapi.NewOptInt64(r.Accelerators),
+	}
+}
+
+func planTo(p *cfrecord.Plan) *cfapi.Plan {
+	out := &cfapi.Plan{ID: string(p.ID), Who: p.Who, At: p.At, Base: int64(p.Base), Touches: p.Touches}
+	for _, s := range p.Steps {
+		out.Steps = append(out.Steps, cfapi.Step{Action: s.Action, Subject: s.Subject, Detail: s.Detail})
+	}
+	return out
+}
+
+func eventsTo(in []cffold.Event) []cfapi.Event {
+	out := make([]cfapi.Event, len(in))
+	for i, e := range in {
+		out[i] = cfapi.Event{
+			Offset: int64(e.Offset), At: e.At, Who: e.Who, What: e.What, Subject: e.Subject,
+			Plan: optString(string(e.Plan)), Cause: optString(e.Cause),
+		}
+	}
+	return out
+}
+
+func optString(s string) cfapi.OptString {
+	if s == "" {
+		return cfapi.OptString{}
+	}
+	return cfapi.NewOptString(s)
+}
+
+func taskTo(t *cffold.Task) cfapi.Task {
+	out := cfapi.Task{
+		ID: string(t.ID), Status: string(t.Status), Evictions: t.Evictions, Failures: t.Failures,
+		Since: t.Since, Reason: optString(t.Reason), Checkpoint: optString(t.Checkpoint),
+	}
+	if t.Status.OnWorker() {
+		out.Worker = cfapi.NewOptString(string(t.Worker))
+		out.Assignment = cfapi.NewOptInt64(int64(t.Assignment))
+	}
+	return out
+}
+
+// status describes the state for operators.
+func (c *control) status() *cfapi.Status {
+	s := c.state()
+	out := &cfapi.Status{
+		Entry: string(c.id), Offset: int64(s.Offset), Epoch: int64(s.Epoch),
+		MemberVersion: int64(s.MemberVersion), LogHealthy: c.logHealthy,
+		Entries: []cfapi.EntryStatus{}, Workers: []cfapi.WorkerStatus{}, Workloads: []cfapi.WorkloadStatus{},
+	}
+	for _, m := range s.Members {
+		out.Entries = append(out.Entries, cfapi.EntryStatus{
+			ID: string(m.Entry), Peer: m.Peer.String(), DataCentre: m.DataCentre, Planner: m.Entry == s.Planner,
+		})
+	}
+	targets := c.targetsByWorker()
+	for _, id := range sortedNames(s.Workers) {
+		out.Workers = append(out.Workers, workerTo(s.Workers[id], targets[id]))
+	}
+	for _, name := range sortedNames(s.Workloads) {
+		out.Workloads = append(out.Workloads, workloadTo(s, s.Workloads[name]))
+	}
+	return out
+}
+
+func (c *control) targetsByWorker() map[cfcore.WorkerID][]string {
+	out := map[cfcore.WorkerID][]string{}
+	for _, s := range c.sortedSessions() {
+		names := []string{}
+		for _, t := range s.report.Targets {
+			if !t.Leaving {
+				names = append(names, t.Service)
+			}
+		}
+		out[s.worker] = names
+	}
+	return out
+}
+
+func workerTo(w *cffold.Worker, targets []string) cfapi.WorkerStatus {
+	state := "Up"
+	switch {
+	case w.Barred:
+		state = "Barred"
+	case w.Draining:
+		state = "Draining"
+	case w.Quarantined:
+		state = "Quarantined"
+	}
+	if targets == nil {
+		targets = []string{}
+	}
+	return cfapi.WorkerStatus{
+		ID: string(w.ID), DataCentre: w.DataCentre, Rack: w.Rack, State: state, Reason: optString(w.Reason),
+		Capacity: resourcesTo(w.Capacity), Used: resourcesTo(w.Used), Tasks: len(w.Tasks), Targets: targets,
+	}
+}
+
+func workloadTo(s *cffold.State, w *cffold.Workload) cfapi.WorkloadStatus {
+	out := cfapi.WorkloadStatus{
+		Name: w.Spec.Name, Class: string(w.Spec.Class), Team: w.Spec.Team, Plan: string(w.Plan),
+		Replicas: w.Spec.Replicas, Tasks: []cfapi.Task{},
+	}
+	if w.Removed {
+		out.Removed = cfapi.NewOptBool(true)
+	}
+	for i := 0; ; i++ {
+		t := s.Tasks[cfcore.NewTaskID(w.Spec.Name, i)]
+		if t == nil {
+			return out
+		}
+		out.Tasks = append(out.Tasks, taskTo(t))
+	}
+}
--- /dev/null
+++ b/internal/cfentry/fingerprint.go
@@ -0,0 +1,18 @@
+package cfentry
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cranberryford/pkg/cfwire"
+)
+
+// fingerprint returns a hash of what a request asks for.
+func fingerprint(c *cfwire.Call) uint64 {
+	h := xxhash.New()
+	for _, part := range [][]byte{[]byte(c.Method), []byte(c.Path), c.Body} {
+		// The hash takes all that it is given.
+		_, _ = h.Write(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/cfentry/peers.go
@@ -0,0 +1,350 @@
+package cfentry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cffold"
+	"cranberryford/pkg/cfgrant"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfwire"
+)
+
+// joinPause is the time between two attempts to become a member.
+const joinPause = 2 * time.Second
+
+// dialPeers keeps a connection to every entry that the settings or the log name.
+func (c *control) dialPeers(ctx context.Context) {
+	want := map[netip.AddrPort]bool{}
+	for _, a := range c.cfg.Entries {
+		want[a] = true
+	}
+	if s := c.state(); s != nil {
+		for _, list := range [][]cfrecord.Member{s.Members, s.Candidates} {
+			for _, m := range list {
+				want[m.Peer] = true
+			}
+		}
+	}
+	delete(want, c.Inner())
+	delete(want, c.Advertised())
+	for a := range want {
+		if c.peers[a] == nil {
+			peerCtx, cancel := context.WithCancel(ctx)
+			c.peers[a] = cancel
+			c.peerLoop++
+			go func() { c.peerDial(peerCtx, a); c.peerDone <- struct{}{} }()
+		}
+	}
+	for a, cancel := range c.peers {
+		if !want[a] {
+			cancel()
+			delete(c.peers, a)
+		}
+	}
+}
+
+// peerDial keeps one connection to another entry open until the context ends.
+func (e *Entry) peerDial(ctx context.Context, addr netip.AddrPort) {
+	for ctx.Err() == nil {
+		if err := e.peerConn(ctx, addr); err != nil {
+			e.Scope.Counter("peer_connections_lost").Inc(1)
+		}
+		if !e.sleep(ctx, e.cfg.Lease.Poll) {
+			return
+		}
+	}
+}
+
+// peerConn polls another entry until the connection ends, or an answer is late.
+func (e *Entry) peerConn(ctx context.Context, addr netip.AddrPort) error {
+	conn, cleanup, err := cfwire.Dial(ctx, addr, e.options(cfwire.RolePeer))
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sent := make(chan sentPoll, 64)
+	ended := make(chan struct{})
+	go func() { defer close(ended); defer cancel(); e.pollLoop(ctx, conn, sent) }()
+	defer func() { cancel(); <-ended }()
+	open := map[uint64]time.Time{}
+	for {
+		m, err := conn.Receive(ctx)
+		if err != nil {
+			return err
+		}
+		for len(sent) > 0 {
+			p := <-sent
+			open[p.seq] = p.at
+		}
+		e.peerMessage(ctx, conn, m, open)
+	}
+}
+
+// sentPoll is a question that was sent.
+type sentPoll struct {
+	seq uint64
+	at  time.Time
+}
+
+// pollLoop asks regularly, and ends when the other entry has been silent for long.
+func (e *Entry) pollLoop(ctx context.Context, conn *cfwire.Conn, sent chan<- sentPoll) {
+	tick := e.Clock.NewTicker(e.cfg.Lease.Poll)
+	defer tick.Stop()
+	for seq := uint64(1); ; seq++ {
+		// The time is taken before the message exists: an answer can only count
+		// for shorter than it is valid.
+		p := sentPoll{seq: seq, at: e.Clock.Now()}
+		select {
+		case sent <- p:
+		case <-ctx.Done():
+			return
+		}
+		if conn.Send(&cfwire.Message{Poll: &cfwire.Poll{Seq: seq}}) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-conn.Done():
+			return
+		case <-tick.Chan():
+		}
+		if conn.Silence() > e.cfg.Lease.Grant {
+			return
+		}
+	}
+}
+
+func (e *Entry) peerMessage(ctx context.Context, conn *cfwire.Conn, m *cfwire.Message, open map[uint64]time.Time) {
+	switch {
+	case m.PollAnswer != nil:
+		at, ok := open[m.PollAnswer.Seq]
+		if !ok {
+			return
+		}
+		delete(open, m.PollAnswer.Seq)
+		e.tell(ctx, polled{answer: m.PollAnswer, sentAt: at, conn: conn})
+	case m.StateAnswer != nil:
+		s, err := cffold.Decode(e.Codec, m.StateAnswer.Data)
+		if err != nil {
+			e.Scope.Counter("states_undecodable").Inc(1)
+			return
+		}
+		e.tell(ctx, stateCame{state: s})
+	}
+}
+
+// innerHandler accepts connections of other entries and of agents.
+func (e *Entry) innerHandler(ctx context.Context) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(cfwire.Path, func(w http.ResponseWriter, r *http.Request) {
+		e.conns.Add(1)
+		defer e.conns.Done()
+		conn, cleanup, err := cfwire.Accept(ctx, w, r, e.options(cfwire.RoleEntry))
+		if err != nil {
+			e.Scope.Counter("handshakes_failed").Inc(1)
+			return
+		}
+		defer cleanup()
+		e.serveConn(ctx, conn)
+	})
+	return mux
+}
+
+func (e *Entry) serveConn(ctx context.Context, conn *cfwire.Conn) {
+	switch conn.Peer().Role {
+	case cfwire.RolePeer:
+		e.servePeer(ctx, conn)
+	case cfwire.RoleControl:
+		e.serveControl(ctx, conn)
+	case cfwire.RoleTraffic:
+		e.serveTraffic(ctx, conn)
+	}
+}
+
+func (e *Entry) servePeer(ctx context.Context, conn *cfwire.Conn) {
+	for {
+		m, err := conn.Receive(ctx)
+		if err != nil {
+			return
+		}
+		switch {
+		case m.Poll != nil:
+			e.tell(ctx, pollAsked{conn: conn, poll: m.Poll})
+		case m.StateRequest != nil:
+			e.tell(ctx, stateAsked{conn: conn, have: m.StateRequest.Have})
+		}
+	}
+}
+
+// pollAsked answers another entry. An entry without a state has nothing to say.
+func (c *control) pollAsked(ev pollAsked) {
+	s := c.state()
+	a := &cfwire.PollAnswer{Seq: ev.poll.Seq, Entry: c.id}
+	if s != nil {
+		a.Offset, a.Version, a.Epoch = s.Offset, s.MemberVersion, s.Epoch
+		a.Member = s.IsMember(c.id)
+		a.Planning = s.Planner == c.id && !c.leaving.Load()
+		a.Barred = c.barred()
+	}
+	c.reply(ev.conn.Send(&cfwire.Message{PollAnswer: a}))
+}
+
+// reply counts a message that could not be sent: the other end asks again.
+func (c *control) reply(err error) {
+	if err != nil {
+		c.Scope.Counter("replies_unsent").Inc(1)
+	}
+}
+
+// polled takes over what another entry said.
+func (c *control) polled(ev polled) {
+	a := ev.answer
+	c.grants.Put(a.Entry, cfgrant.Answer{
+		SentAt: ev.sentAt, Offset: a.Offset, Version: a.Version, Member: a.Member, Barred: a.Barred,
+	})
+	s := c.state()
+	if a.Planning && s != nil && a.Epoch >= s.Epoch {
+		c.plannerHeard = c.Clock.Now()
+	}
+	behind := s == nil || (a.Offset > s.Offset && (!c.logHealthy || !c.reader.Current()))
+	if behind && a.Offset > 0 {
+		c.reply(ev.conn.Send(&cfwire.Message{StateRequest: &cfwire.StateRequest{Have: c.offset()}}))
+	}
+}
+
+func (c *control) offset() cfcore.Offset {
+	if c.state() == nil {
+		return 0
+	}
+	return c.state().Offset
+}
+
+// stateAsked gives the whole state to an entry that cannot read the log.
+func (c *control) stateAsked(ev stateAsked) {
+	if c.offset() <= ev.have {
+		return
+	}
+	data, err := c.state().Encode(c.Codec)
+	if err != nil {
+		c.Log.Error().Err(err).Msg("state cannot be encoded")
+		return
+	}
+	c.reply(ev.conn.Send(&cfwire.Message{StateAnswer: &cfwire.StateAnswer{Offset: c.offset(), Data: data}}))
+}
+
+// stateCame takes over a newer state of another entry. An older one changes nothing.
+func (c *control) stateCame(ev stateCame) {
+	if !c.reader.Load(ev.state) {
+		return
+	}
+	c.Log.Info().Uint64("Offset", uint64(ev.state.Offset)).Msg("state taken over from another entry")
+	for w := range c.state().Workers {
+		c.changedAt[w] = c.state().Offset
+	}
+	c.afterFold()
+}
+
+// join asks for membership until the log names this entry.
+func (c *control) join() {
+	s := c.state()
+	if s == nil || !c.logHealthy || c.leaving.Load() || s.IsMember(c.id) || c.isCandidate() {
+		return
+	}
+	if c.Clock.Since(c.joinedAt) < joinPause {
+		return
+	}
+	c.joinedAt = c.Clock.Now()
+	c.submit(&submission{records: []cfrecord.Record{{Candidate: &cfrecord.Candidate{Member: cfrecord.Member{
+		Entry: c.id, Peer: c.Advertised(), DataCentre: c.cfg.DataCentre,
+	}}}}})
+}
+
+func (c *control) isCandidate() bool {
+	for _, m := range c.state().Candidates {
+		if m.Entry == c.id {
+			return true
+		}
+	}
+	return false
+}
+
+// rank spreads the entries' claims in time, so that seldom two claim at once.
+func (c *control) rank() time.Duration {
+	s := c.state()
+	for i, m := range s.Members {
+		if m.Entry == c.id {
+			return time.Duration(i)
+		}
+	}
+	return time.Duration(len(s.Members)) + time.Duration(c.rand.IntN(3))
+}
+
+// plan makes this entry the planner where there is none, and decides where it is.
+func (c *control) plan() {
+	s := c.state()
+	if s == nil || !c.logHealthy || !c.reader.Current() || c.plannerBusy || c.leaving.Load() {
+		return
+	}
+	if s.Planner != c.id {
+		c.claim()
+		return
+	}
+	c.setPlanning(true)
+	began := c.Clock.Now()
+	records := c.planner.Decide(c.input())
+	c.Scope.Timer("decide").Record(c.Clock.Since(began))
+	if len(records) == 0 {
+		return
+	}
+	c.plannerBusy = true
+	c.submit(&submission{records: records, planner: true})
+}
+
+// claim claims the next epoch where the planner has been silent for long. The
+// fold lets one claim win.
+func (c *control) claim() {
+	s := c.state()
+	wait := c.cfg.Planner.PlannerSilence + c.rank()*c.cfg.Lease.Poll
+	if s.Epoch == 0 {
+		wait = c.rank() * c.cfg.Lease.Poll
+	}
+	if c.Clock.Since(c.plannerHeard) < wait {
+		return
+	}
+	c.plannerBusy = true
+	c.submit(&submission{planner: true, records: []cfrecord.Record{{Claim: &cfrecord.Claim{
+		Epoch: s.Epoch + 1, Entry: c.id,
+	}}}})
+}
+
+// snapshot writes the state to the log, well inside the log's retention.
+func (c *control) snapshot() {
+	s := c.state()
+	if s == nil || !c.planning || !c.logHealthy {
+		return
+	}
+	old := c.Clock.Since(c.snapshotTime) >= c.cfg.Planner.SnapshotAge
+	if s.Offset < c.snapshotAt+cfcore.Offset(c.cfg.Planner.SnapshotEvery) && !old {
+		return
+	}
+	data, err := s.Encode(c.Codec)
+	if err != nil {
+		c.Log.Error().Err(err).Msg("state cannot be encoded")
+		return
+	}
+	c.snapshotAt, c.snapshotTime = s.Offset, c.Clock.Now()
+	c.Scope.Counter("snapshots").Inc(1)
+	c.Scope.Gauge("snapshot_bytes").Update(float64(len(data)))
+	for _, r := range cffold.Split(cfrecord.BatchID(uuid.New()), s.Offset, data) {
+		c.submit(&submission{records: []cfrecord.Record{r}, bytes: len(r.Snapshot.Data)})
+	}
+}
--- /dev/null
+++ b/pkg/cfconfig/load.go
@@ -0,0 +1,173 @@
+package cfconfig
+
+import (
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+
+	"cranberryford/pkg/cfintent"
+	"cranberryford/pkg/cfjson"
+)
+
+// LoadEntry reads an entry's settings from the text of a file.
+func LoadEntry(name string, data []byte) (Entry, error) {
+	cfg := DefaultEntry()
+	doc := cfjson.Decode(name, data, &cfg)
+	check(doc, cfg)
+	checkLease(doc, cfg.Lease)
+	checkDistinct(doc, map[string]netip.AddrPort{
+		"Callers": cfg.Callers, "Operators": cfg.Operators, "Inner": cfg.Inner, "Log": cfg.Log,
+	})
+	checkPeers(doc, cfg)
+	if cfg.Routing.Beat*3 > cfg.Routing.Suspect {
+		doc.Add("Routing.Beat", "%s must be at most a third of Routing.Suspect, %s", cfg.Routing.Beat, cfg.Routing.Suspect)
+	}
+	return cfg, doc.Err()
+}
+
+// LoadAgent reads an agent's settings from the text of a file.
+func LoadAgent(name string, data []byte) (Agent, error) {
+	cfg := DefaultAgent()
+	doc := cfjson.Decode(name, data, &cfg)
+	check(doc, cfg)
+	checkLease(doc, cfg.Lease)
+	checkDistinct(doc, map[string]netip.AddrPort{"VM": cfg.VM, "Local": cfg.Local})
+	checkUnique(doc, "Entries", cfg.Entries)
+	if cfg.Beat*3 > cfg.Suspect {
+		doc.Add("Beat", "%s must be at most a third of Suspect, %s", cfg.Beat, cfg.Suspect)
+	}
+	return cfg, doc.Err()
+}
+
+func checkPeers(doc *cfjson.Document, cfg Entry) {
+	checkUnique(doc, "Entries", cfg.Entries)
+	for i, a := range cfg.Entries {
+		if a == cfg.Inner {
+			doc.Add(index("Entries", i), "%s is this entry's own Inner address", a)
+		}
+	}
+	names := map[string]bool{}
+	for i, t := range cfg.Tokens {
+		if names[t.Name] {
+			doc.Add(index("Tokens", i)+".Name", "%q is given twice", t.Name)
+		}
+		names[t.Name] = true
+	}
+}
+
+func checkLease(doc *cfjson.Document, l Lease) {
+	if l.Ask*3 > l.Grant {
+		doc.Add("Lease.Ask", "%s must be at most a third of Lease.Grant, %s", l.Ask, l.Grant)
+	}
+	if l.Poll*3 > l.Grant {
+		doc.Add("Lease.Poll", "%s must be at most a third of Lease.Grant, %s", l.Poll, l.Grant)
+	}
+}
+
+func checkDistinct(doc *cfjson.Document, addrs map[string]netip.AddrPort) {
+	seen := map[netip.AddrPort]string{}
+	for _, key := range sortedKeys(addrs) {
+		a := addrs[key]
+		if !a.IsValid() || a.Port() == 0 {
+			continue
+		}
+		if other, ok := seen[a]; ok {
+			doc.Add(key, "%s is the address of %s too", a, other)
+		}
+		seen[a] = key
+	}
+}
+
+func checkUnique(doc *cfjson.Document, key string, list []netip.AddrPort) {
+	seen := map[netip.AddrPort]bool{}
+	for i, a := range list {
+		if seen[a] {
+			doc.Add(index(key, i), "%s is given twice", a)
+		}
+		seen[a] = true
+	}
+}
+
+// check runs the validator over the settings and turns what it finds into faults.
+func check(doc *cfjson.Document, cfg any) {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	mustRegister(v, "cfname", func(f validator.FieldLevel) bool { return cfintent.ValidName(f.Field().String()) })
+	mustRegister(v, "addr", func(f validator.FieldLevel) bool { return f.Field().String() != "" })
+	// To the validator an address is its text, and empty where it is not set.
+	v.RegisterCustomTypeFunc(func(f reflect.Value) any {
+		if a, ok := f.Interface().(netip.AddrPort); ok && a.IsValid() {
+			return a.String()
+		}
+		return ""
+	}, netip.AddrPort{})
+	var faults validator.ValidationErrors
+	if !errors.As(v.Struct(cfg), &faults) {
+		return
+	}
+	for _, f := range faults {
+		key := f.StructNamespace()
+		doc.Add(key[strings.Index(key, ".")+1:], "%v %s", f.Value(), rule(f))
+	}
+}
+
+// mustRegister panics only where the tag's name itself is wrong.
+func mustRegister(v *validator.Validate, tag string, f validator.Func) {
+	if err := v.RegisterValidation(tag, f); err != nil {
+		panic(err)
+	}
+}
+
+// rule says what is allowed in place of what the fault names.
+func rule(f validator.FieldError) string {
+	switch f.Tag() {
+	case "cfname":
+		return "must be a name of a-z, 0-9, '-' and '.'"
+	case "addr":
+		return `must be an IP number and a port, such as "10.0.0.1:7000"`
+	case "min":
+		return "must be at least " + f.Param()
+	case "max":
+		return "must be at most " + f.Param()
+	case "oneof":
+		return "must be one of " + f.Param()
+	case "len":
+		return "must have " + f.Param() + " characters"
+	}
+	return "must be " + f.Tag()
+}
+
+func index(key string, i int) string { return key + "[" + itoa(i) + "]" }
+
+// Key is the description of one settings key.
+type Key struct {
+	Path    string
+	Type    string
+	Default string
+	Allowed string
+	Meaning string
+}
+
+// Describe returns every key of a settings struct, with its default.
+func Describe(cfg any) []Key {
+	return describe("", reflect.ValueOf(cfg))
+}
+
+func describe(prefix string, v reflect.Value) []Key {
+	var out []Key
+	for i := 0; i < v.NumField(); i++ {
+		f := v.Type().Field(i)
+		path := prefix + f.Name
+		if f.Type.Kind() == reflect.Struct && f.Type.PkgPath() == v.Type().PkgPath() {
+			out = append(out, describe(path+".", v.Field(i))...)
+			continue
+		}
+		out = append(out, Key{
+			Path: path, Type: typeName(f.Type), Default: defaultText(v.Field(i)),
+			Allowed: f.Tag.Get("validate"), Meaning: f.Tag.Get("doc"),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/cfcore/cflog/client.go
@@ -0,0 +1,116 @@
+// Package cflog reaches the platform's log service over HTTP.
+package cflog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfnet"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindUnreachable is a log service that gives no answer. An append may have
+	// taken effect all the same.
+	KindUnreachable Kind = "log service unreachable"
+	// KindRefused is an answer with an error status.
+	KindRefused Kind = "log service refused"
+	// KindAnswer is an answer that cannot be read.
+	KindAnswer Kind = "bad answer of the log service"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// maxAnswerBytes bounds one answer of the log service.
+const maxAnswerBytes = 256 << 20
+
+// Appended is the log service's answer to an append.
+type Appended struct {
+	Offset cfcore.Offset
+}
+
+// Client is a cfcore.Log over HTTP.
+type Client struct {
+	http *http.Client
+	base string
+	// timeout bounds one request, beyond the wait that it asks for.
+	timeout time.Duration
+}
+
+// New returns a client of one stream, which connects from source. The clean-up function closes its idle
+// connections.
+func New(addr netip.AddrPort, stream string, source netip.Addr, timeout time.Duration) (*Client, func()) {
+	t := cfnet.Transport(source)
+	c := &Client{
+		http:    &http.Client{Transport: t},
+		base:    fmt.Sprintf("http://%s/streams/%s/entries", addr, url.PathEscape(stream)),
+		timeout: timeout,
+	}
+	return c, t.CloseIdleConnections
+}
+
+var _ cfcore.Log = (*Client)(nil)
+
+// Append implements cfcore.Log.
+func (c *Client) Append(ctx context.Context, data []byte) (cfcore.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base, bytes.NewReader(data))
+	if err != nil {
+		return 0, cferror.Wrap("append", KindUnreachable, err)
+	}
+	req.Header.Set("Content-Type", "application/cbor")
+	var out Appended
+	if err := c.do("append", req, &out); err != nil {
+		return 0, err
+	}
+	return out.Offset, nil
+}
+
+// Read implements cfcore.Log.
+func (c *Client) Read(ctx context.Context, from cfcore.Offset, wait time.Duration) (cfcore.LogPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	q := url.Values{}
+	q.Set("From", strconv.FormatUint(uint64(from), 10))
+	q.Set("Wait", wait.String())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"?"+q.Encode(), nil)
+	if err != nil {
+		return cfcore.LogPage{}, cferror.Wrap("read", KindUnreachable, err)
+	}
+	var page cfcore.LogPage
+	if err := c.do("read", req, &page); err != nil {
+		return cfcore.LogPage{}, err
+	}
+	return page, nil
+}
+
+func (c *Client) do(op string, req *http.Request, out any) error {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return cferror.Wrap(op, KindUnreachable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return cferror.Wrap(op, KindUnreachable, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return cferror.New(op, KindRefused, "status %d: %.200s", resp.StatusCode, body)
+	}
+	return cferror.Wrap(op, KindAnswer, json.Unmarshal(body, out))
+}
--- /dev/null
+++ b/pkg/cfcore/cfvm/client.go
@@ -0,0 +1,127 @@
+// Package cfvm reaches the platform's worker on the agent's own VM over HTTP.
+package cfvm
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindUnreachable is a worker that gives no answer.
+	KindUnreachable Kind = "worker unreachable"
+	// KindRefused is an answer with an error status.
+	KindRefused Kind = "worker refused"
+	// KindAnswer is an answer that cannot be read.
+	KindAnswer Kind = "bad answer of the worker"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// maxAnswerBytes bounds one answer of the worker.
+const maxAnswerBytes = 16 << 20
+
+// RenewRequest moves the lapse of leases.
+type RenewRequest struct {
+	Until time.Duration
+	Runs  []cfcore.Assignment
+}
+
+// RunsRequest names runs.
+type RunsRequest struct {
+	Runs []cfcore.Assignment
+}
+
+// Client is a cfcore.VM over HTTP.
+type Client struct {
+	http    *http.Client
+	base    string
+	timeout time.Duration
+}
+
+// New returns a client of the worker at addr. The clean-up function closes its
+// idle connections.
+func New(addr netip.AddrPort, timeout time.Duration) (*Client, func()) {
+	t := &http.Transport{MaxIdleConnsPerHost: 2}
+	c := &Client{http: &http.Client{Transport: t}, base: "http://" + addr.String(), timeout: timeout}
+	return c, t.CloseIdleConnections
+}
+
+var _ cfcore.VM = (*Client)(nil)
+
+// Report implements cfcore.VM.
+func (c *Client) Report(ctx context.Context) (cfcore.VMReport, error) {
+	var out cfcore.VMReport
+	err := c.do(ctx, "report", http.MethodGet, "/report", nil, &out)
+	return out, err
+}
+
+// Start implements cfcore.VM.
+func (c *Client) Start(ctx context.Context, spec cfcore.RunSpec) error {
+	return c.do(ctx, "start", http.MethodPost, "/start", spec, nil)
+}
+
+// Renew implements cfcore.VM.
+func (c *Client) Renew(ctx context.Context, until time.Duration, runs []cfcore.Assignment) error {
+	return c.do(ctx, "renew", http.MethodPost, "/renew", RenewRequest{Until: until, Runs: runs}, nil)
+}
+
+// Stop implements cfcore.VM.
+func (c *Client) Stop(ctx context.Context, a cfcore.Assignment) error {
+	return c.do(ctx, "stop", http.MethodPost, "/stop", RunsRequest{Runs: []cfcore.Assignment{a}}, nil)
+}
+
+// Forget implements cfcore.VM.
+func (c *Client) Forget(ctx context.Context, runs []cfcore.Assignment) error {
+	return c.do(ctx, "forget", http.MethodPost, "/forget", RunsRequest{Runs: runs}, nil)
+}
+
+func (c *Client) do(ctx context.Context, op, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body, err := encode(in)
+	if err != nil {
+		return cferror.Wrap(op, KindRefused, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return cferror.Wrap(op, KindUnreachable, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return cferror.Wrap(op, KindUnreachable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return cferror.Wrap(op, KindUnreachable, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return cferror.New(op, KindRefused, "status %d: %.200s", resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	return cferror.Wrap(op, KindAnswer, json.Unmarshal(data, out))
+}
+
+func encode(in any) (io.Reader, error) {
+	if in == nil {
+		return http.NoBody, nil
+	}
+	data, err := json.Marshal(in)
+	return bytes.NewReader(data), err
+}
--- /dev/null
+++ b/pkg/cfcore/log.go
@@ -0,0 +1,32 @@
+package cfcore
+
+import (
+	"context"
+	"time"
+)
+
+// LogEntry is one entry of the platform's log.
+type LogEntry struct {
+	Offset Offset
+	Data   []byte
+}
+
+// LogPage is the answer to one read of the log.
+type LogPage struct {
+	// First is the offset of the oldest entry that the log still keeps.
+	First Offset
+	// Next is the offset that the next append will get.
+	Next    Offset
+	Entries []LogEntry
+}
+
+// Log is the platform's append-only log. There is no conditional append, and
+// the answer of an append that took effect may be lost.
+type Log interface {
+	// Append adds data as one entry and returns its offset. After an error the
+	// entry may still have been added.
+	Append(ctx context.Context, data []byte) (Offset, error)
+	// Read returns entries from offset from on. It waits up to wait for the
+	// first one, and returns an empty page when none came.
+	Read(ctx context.Context, from Offset, wait time.Duration) (LogPage, error)
+}
--- /dev/null
+++ b/pkg/cfcore/policy.go
@@ -0,0 +1,50 @@
+package cfcore
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Choice is one target that a call could go to, as a picker sees it.
+type Choice struct {
+	// Usable is false where the target must not be chosen.
+	Usable bool
+	// InFlight is the number of calls that this entry has open to the target.
+	InFlight int
+	// Slots is the number of calls that the target executes at the same time.
+	Slots int
+	// Latency is the moving average of the target's answers.
+	Latency time.Duration
+}
+
+// Picker chooses a target for a call. It is used by many goroutines.
+type Picker interface {
+	// Pick returns one of the n choices that at describes, or -1 where none is
+	// usable. It looks at as few as it needs.
+	Pick(r *rand.Rand, n int, at func(i int) Choice) int
+}
+
+// Slot is one worker that a task could be placed on, as a placer sees it.
+type Slot struct {
+	Worker     WorkerID
+	DataCentre string
+	Rack       string
+	Capacity   Resources
+	Free       Resources
+	// Peers is the number of tasks of the same workload on the worker, and
+	// RackPeers the number in its rack.
+	Peers     int
+	RackPeers int
+	// Services and Batches count the running tasks of these classes.
+	Services int
+	Batches  int
+	// Harm is the slowdown expected from the neighbours: 0 for none.
+	Harm float64
+}
+
+// Placer chooses a worker for a task.
+type Placer interface {
+	// Place returns a position in slots, all of which can hold the task. The
+	// list is not empty.
+	Place(w *Workload, slots []Slot) int
+}
--- /dev/null
+++ b/pkg/cfintent/check.go
@@ -0,0 +1,160 @@
+package cfintent
+
+import (
+	"fmt"
+	"regexp"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// Fault is one thing that is wrong with an intent.
+type Fault struct {
+	// Key is the path of the key, for example "Workloads[2].Replicas".
+	Key     string
+	Message string
+}
+
+// String returns the fault in the form "Key: message".
+func (f Fault) String() string { return f.Key + ": " + f.Message }
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+const nameRule = "must be 1 to 100 of a-z, 0-9, '-' and '.', beginning and ending with a letter or digit"
+
+// ValidName reports whether s can name a workload, team, worker or data centre.
+func ValidName(s string) bool {
+	return len(s) <= MaxNameLength && namePattern.MatchString(s)
+}
+
+// Check returns everything that is wrong with an intent by itself. The intent has
+// its defaults already.
+func (in Intent) Check() []Fault {
+	c := &checker{}
+	if in.Empty() {
+		c.add("Intent", "asks for nothing")
+	}
+	if len(in.Workloads) > MaxWorkloads {
+		c.add("Workloads", "at most %d in one intent", MaxWorkloads)
+		return c.faults
+	}
+	c.workloads(in.Workloads)
+	c.names("Remove", in.Remove)
+	c.names("Restart", in.Restart)
+	c.teams(in.Teams)
+	c.overlaps(in)
+	return c.faults
+}
+
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) workloads(ws []cfcore.Workload) {
+	seen := map[string]bool{}
+	for i := range ws {
+		key := fmt.Sprintf("Workloads[%d]", i)
+		c.workload(key, &ws[i])
+		if seen[ws[i].Name] {
+			c.add(key+".Name", "%q is given twice", ws[i].Name)
+		}
+		seen[ws[i].Name] = true
+	}
+}
+
+func (c *checker) workload(key string, w *cfcore.Workload) {
+	if !ValidName(w.Name) {
+		c.add(key+".Name", "%q %s", w.Name, nameRule)
+	}
+	if !w.Class.Valid() {
+		c.add(key+".Class", "%q must be Service, Batch or Watch", w.Class)
+	}
+	if !ValidName(w.Team) {
+		c.add(key+".Team", "%q %s", w.Team, nameRule)
+	}
+	if w.Replicas < 1 || w.Replicas > MaxReplicas {
+		c.add(key+".Replicas", "%d must be 1 to %d", w.Replicas, MaxReplicas)
+	}
+	c.resources(key+".Resources", w.Resources)
+	c.times(key, w)
+	for i, p := range w.Permissions {
+		if !p.Valid() {
+			c.add(fmt.Sprintf("%s.Permissions[%d]", key, i), "%q must be Restart, Move or Evict", p)
+		}
+	}
+}
+
+func (c *checker) resources(key string, r cfcore.Resources) {
+	if !r.Valid() {
+		c.add(key, "%s must not be negative", r)
+	}
+	if r.MilliCores <= 0 {
+		c.add(key+".MilliCores", "must be at least 1")
+	}
+	if r.MemoryMB <= 0 {
+		c.add(key+".MemoryMB", "must be at least 1")
+	}
+}
+
+func (c *checker) times(key string, w *cfcore.Workload) {
+	if w.Timeout < 0 {
+		c.add(key+".Timeout", "%s must not be negative", w.Timeout)
+	}
+	if w.Duration < 0 {
+		c.add(key+".Duration", "%s must not be negative", w.Duration)
+	}
+	if w.MaxFailures < 0 {
+		c.add(key+".MaxFailures", "%d must not be negative", w.MaxFailures)
+	}
+	if w.Class != cfcore.ClassService && w.Timeout != 0 {
+		c.add(key+".Timeout", "is for the class Service only")
+	}
+	if w.Class != cfcore.ClassBatch && w.Duration != 0 {
+		c.add(key+".Duration", "is for the class Batch only")
+	}
+}
+
+func (c *checker) names(key string, names []string) {
+	for i, n := range names {
+		if !ValidName(n) {
+			c.add(fmt.Sprintf("%s[%d]", key, i), "%q %s", n, nameRule)
+		}
+	}
+}
+
+func (c *checker) teams(teams []cfcore.Team) {
+	for i, t := range teams {
+		key := fmt.Sprintf("Teams[%d]", i)
+		if !ValidName(t.Name) {
+			c.add(key+".Name", "%q %s", t.Name, nameRule)
+		}
+		if !t.Quota.Valid() {
+			c.add(key+".Quota", "%s must not be negative", t.Quota)
+		}
+	}
+}
+
+// overlaps refuses an intent that asks for two things of one subject.
+func (c *checker) overlaps(in Intent) {
+	created := map[string]bool{}
+	for _, w := range in.Workloads {
+		created[w.Name] = true
+	}
+	for i, n := range in.Remove {
+		if created[n] {
+			c.add(fmt.Sprintf("Remove[%d]", i), "%q is in Workloads too", n)
+		}
+	}
+	drained := map[cfcore.WorkerID]bool{}
+	for _, w := range in.Drain {
+		drained[w] = true
+	}
+	for i, w := range in.Undrain {
+		if drained[w] {
+			c.add(fmt.Sprintf("Undrain[%d]", i), "%q is in Drain too", w)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/cfjson/decode.go
@@ -0,0 +1,249 @@
+// Package cfjson reads JSON with comments into Go values, and says of every fault
+// at once in which line and at which key it is and what is allowed there.
+package cfjson
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"cranberryford/pkg/cferror"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindFaults is a file with faults.
+	KindFaults Kind = "faults"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// Fault is one fault of a file.
+type Fault struct {
+	// Line is the line of the key, from 1.
+	Line    int
+	Key     string
+	Message string
+}
+
+// Document is a decoded file.
+type Document struct {
+	Name   string
+	lines  map[string]int
+	faults []Fault
+	data   []byte
+}
+
+// Decode reads data into the struct that out points to. Faults are collected in
+// the document.
+func Decode(name string, data []byte, out any) *Document {
+	d := &Document{Name: name, lines: map[string]int{}, data: data}
+	v, err := hujson.Parse(data)
+	if err != nil {
+		d.faults = append(d.faults, Fault{Line: 1, Message: err.Error()})
+		return d
+	}
+	d.value("", &v, reflect.ValueOf(out).Elem())
+	return d
+}
+
+// Add adds a fault at a key. The line is that of the key, or of the nearest key
+// above it that the file has.
+func (d *Document) Add(key, format string, args ...any) {
+	d.faults = append(d.faults, Fault{Line: d.line(key), Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// Faults returns the faults in the order of their lines.
+func (d *Document) Faults() []Fault {
+	sort.SliceStable(d.faults, func(i, j int) bool { return d.faults[i].Line < d.faults[j].Line })
+	return d.faults
+}
+
+// Err returns one error that lists all faults, or nil.
+func (d *Document) Err() error {
+	faults := d.Faults()
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = fmt.Sprintf("%s:%d: %s", d.Name, f.Line, f.text())
+	}
+	return cferror.New("read "+d.Name, KindFaults, "%d found\n%s", len(faults), strings.Join(lines, "\n"))
+}
+
+func (f Fault) text() string {
+	if f.Key == "" {
+		return f.Message
+	}
+	return f.Key + ": " + f.Message
+}
+
+func (d *Document) line(key string) int {
+	for key != "" {
+		if n, ok := d.lines[key]; ok {
+			return n
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+	return 1
+}
+
+func (d *Document) lineAt(offset int) int {
+	return 1 + strings.Count(string(d.data[:min(offset, len(d.data))]), "\n")
+}
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
+	addrType     = reflect.TypeFor[netip.Addr]()
+)
+
+func (d *Document) value(key string, v *hujson.Value, out reflect.Value) {
+	d.lines[key] = d.lineAt(v.StartOffset)
+	switch {
+	case out.Type() == durationType:
+		d.duration(key, v, out)
+	case out.Type() == addrPortType:
+		d.addrPort(key, v, out)
+	case out.Type() == addrType:
+		d.addr(key, v, out)
+	case out.Kind() == reflect.Struct:
+		d.object(key, v, out)
+	case out.Kind() == reflect.Slice:
+		d.array(key, v, out)
+	default:
+		d.literal(key, v, out)
+	}
+}
+
+func (d *Document) object(key string, v *hujson.Value, out reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.Add(key, "must be an object in braces")
+		return
+	}
+	seen := map[string]bool{}
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		path := join(key, name)
+		d.lines[path] = d.lineAt(m.Name.StartOffset)
+		field := out.FieldByName(name)
+		switch {
+		case !field.IsValid() || !field.CanSet():
+			d.Add(path, "unknown key; allowed are %s", strings.Join(fieldNames(out.Type()), ", "))
+		case seen[name]:
+			d.Add(path, "is given twice")
+		default:
+			d.value(path, &m.Value, field)
+		}
+		seen[name] = true
+	}
+}
+
+func join(key, name string) string {
+	if key == "" {
+		return name
+	}
+	return key + "." + name
+}
+
+func fieldNames(t reflect.Type) []string {
+	out := make([]string, 0, t.NumField())
+	for i := 0; i < t.NumField(); i++ {
+		if t.Field(i).IsExported() {
+			out = append(out, t.Field(i).Name)
+		}
+	}
+	return out
+}
+
+func (d *Document) array(key string, v *hujson.Value, out reflect.Value) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.Add(key, "must be a list in brackets")
+		return
+	}
+	list := reflect.MakeSlice(out.Type(), len(arr.Elements), len(arr.Elements))
+	for i := range arr.Elements {
+		d.value(fmt.Sprintf("%s[%d]", key, i), &arr.Elements[i], list.Index(i))
+	}
+	out.Set(list)
+}
+
+func (d *Document) text(v *hujson.Value) (string, bool) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '"' {
+		return "", false
+	}
+	return lit.String(), true
+}
+
+func (d *Document) duration(key string, v *hujson.Value, out reflect.Value) {
+	s, ok := d.text(v)
+	t, err := time.ParseDuration(s)
+	if !ok || err != nil {
+		d.Add(key, `must be a time with its unit, such as "250ms", "3s" or "10m"`)
+		return
+	}
+	out.SetInt(int64(t))
+}
+
+func (d *Document) addrPort(key string, v *hujson.Value, out reflect.Value) {
+	s, ok := d.text(v)
+	a, err := netip.ParseAddrPort(s)
+	if !ok || err != nil {
+		d.Add(key, `must be an IP number and a port, such as "10.0.0.1:7000"`)
+		return
+	}
+	out.Set(reflect.ValueOf(a))
+}
+
+func (d *Document) addr(key string, v *hujson.Value, out reflect.Value) {
+	s, ok := d.text(v)
+	a, err := netip.ParseAddr(s)
+	if !ok || err != nil {
+		d.Add(key, `must be an IP number, such as "10.0.0.1"`)
+		return
+	}
+	out.Set(reflect.ValueOf(a))
+}
+
+func (d *Document) literal(key string, v *hujson.Value, out reflect.Value) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok {
+		d.Add(key, "must be a single value")
+		return
+	}
+	switch out.Kind() {
+	case reflect.String:
+		d.set(key, lit.Kind() == '"', "a text in quotes", func() { out.SetString(lit.String()) })
+	case reflect.Bool:
+		d.set(key, lit.Kind() == 't' || lit.Kind() == 'f', "true or false", func() { out.SetBool(lit.Bool()) })
+	case reflect.Int, reflect.Int64:
+		whole := lit.Kind() == '0' && !strings.ContainsAny(string(lit), ".eE")
+		d.set(key, whole, "a whole number", func() { out.SetInt(lit.Int()) })
+	case reflect.Float64:
+		d.set(key, lit.Kind() == '0', "a number", func() { out.SetFloat(lit.Float()) })
+	default:
+		d.Add(key, "cannot be set")
+	}
+}
+
+func (d *Document) set(key string, ok bool, want string, f func()) {
+	if !ok {
+		d.Add(key, "must be %s", want)
+		return
+	}
+	f()
+}
--- /dev/null
+++ b/pkg/cfrecord/codec.go
@@ -0,0 +1,53 @@
+package cfrecord
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"cranberryford/pkg/cferror"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindEncode is a value that cannot be encoded.
+	KindEncode Kind = "cannot encode"
+	// KindDecode is data that is not a value of this package.
+	KindDecode Kind = "cannot decode"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// Codec encodes and decodes values in CBOR. The encoding is deterministic.
+type Codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+// NewCodec returns a codec. Times are encoded with nanoseconds, in UTC.
+func NewCodec() (*Codec, error) {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339NanoUTC
+	enc, err := opts.EncMode()
+	if err != nil {
+		return nil, cferror.Wrap("new codec", KindEncode, err)
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: 1 << 22, MaxMapPairs: 1 << 22}.DecMode()
+	if err != nil {
+		return nil, cferror.Wrap("new codec", KindDecode, err)
+	}
+	return &Codec{enc: enc, dec: dec}, nil
+}
+
+// Marshal encodes v.
+func (c *Codec) Marshal(v any) ([]byte, error) {
+	data, err := c.enc.Marshal(v)
+	return data, cferror.Wrap("marshal", KindEncode, err)
+}
+
+// Unmarshal decodes data into v.
+func (c *Codec) Unmarshal(data []byte, v any) error {
+	return cferror.Wrap("unmarshal", KindDecode, c.dec.Unmarshal(data, v))
+}
--- /dev/null
+++ b/pkg/cfschedule/workers.go
@@ -0,0 +1,197 @@
+package cfschedule
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cffold"
+	"cranberryford/pkg/cfrecord"
+)
+
+func (d *decision) sortedViews() []*WorkerView {
+	out := make([]*WorkerView, 0, len(d.in.Workers))
+	for _, v := range d.in.Workers {
+		out = append(out, v)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
+	return out
+}
+
+func (d *decision) sortedWorkers() []*cffold.Worker {
+	out := make([]*cffold.Worker, 0, len(d.s.Workers))
+	for _, w := range d.s.Workers {
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// fresh reports whether a worker was heard of lately.
+func (d *decision) fresh(v *WorkerView) bool {
+	return d.in.Now.Sub(v.HeardAt) < d.settings.Silence
+}
+
+// worker folds one agent's report into records.
+func (d *decision) worker(v *WorkerView) {
+	if !d.fresh(v) {
+		return
+	}
+	w := d.s.Workers[v.Worker]
+	if w == nil || w.Instance != v.Instance {
+		d.newInstance(w, v)
+		return
+	}
+	d.runs(v)
+	if w.Barred && len(w.Tasks) == 0 {
+		d.add(cfrecord.Record{Unbar: &cfrecord.Unbar{Epoch: d.s.Epoch, Worker: w.ID}})
+	}
+}
+
+// newInstance announces a worker. A new instance is proof that the runs of the
+// one before have ended.
+func (d *decision) newInstance(old *cffold.Worker, v *WorkerView) {
+	if old != nil {
+		for _, a := range sortedAssignments(old) {
+			d.ended(a, cfcore.RunLapsed, "", "its VM was replaced")
+		}
+	}
+	d.add(cfrecord.Record{WorkerUp: &cfrecord.WorkerUp{
+		Epoch: d.s.Epoch, Worker: v.Worker, Instance: v.Instance,
+		DataCentre: v.DataCentre, Rack: v.Rack, Capacity: v.Capacity,
+	}})
+}
+
+func sortedAssignments(w *cffold.Worker) []cfcore.Assignment {
+	out := make([]cfcore.Assignment, 0, len(w.Tasks))
+	for _, a := range w.Tasks {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (d *decision) ended(a cfcore.Assignment, state cfcore.RunState, checkpoint, reason string) {
+	d.add(cfrecord.Record{Ended: &cfrecord.Ended{
+		Epoch: d.s.Epoch, Assignment: a, State: state, Checkpoint: checkpoint, Reason: reason,
+	}})
+}
+
+// runs records the ends and the checkpoints that an agent reports.
+func (d *decision) runs(v *WorkerView) {
+	for i := range v.Runs {
+		r := &v.Runs[i]
+		t := d.s.Tasks[r.Task]
+		if t == nil || !t.Status.OnWorker() || t.Assignment != r.Assignment || t.Worker != v.Worker {
+			continue
+		}
+		switch {
+		case r.State.Ended():
+			d.ended(r.Assignment, r.State, r.Checkpoint, r.Reason)
+		case r.Checkpoint != "" && r.Checkpoint != t.Checkpoint:
+			d.add(cfrecord.Record{Checkpoint: &cfrecord.Checkpoint{
+				Epoch: d.s.Epoch, Assignment: r.Assignment, Checkpoint: r.Checkpoint,
+			}})
+		}
+	}
+}
+
+// silent bars a worker that is not heard of, and ends its runs when its last
+// lease must have lapsed.
+func (d *decision) silent(w *cffold.Worker) {
+	v := d.in.Workers[w.ID]
+	if v != nil && d.fresh(v) {
+		delete(d.firstSeen, w.ID)
+		return
+	}
+	if !w.Barred {
+		d.bar(w, v)
+		return
+	}
+	if len(w.Tasks) > 0 && d.lapsed(w) {
+		for _, a := range sortedAssignments(w) {
+			d.ended(a, cfcore.RunLapsed, "", "its worker is silent and its lease has lapsed")
+		}
+	}
+}
+
+func (d *decision) bar(w *cffold.Worker, v *WorkerView) {
+	since, ok := d.firstSeen[w.ID]
+	if !ok {
+		// A planner that never heard the worker waits for as long as one that
+		// has just lost it.
+		since = d.in.Now
+		d.firstSeen[w.ID] = since
+	}
+	if v != nil && v.HeardAt.After(since) {
+		since = v.HeardAt
+	}
+	if silence := d.in.Now.Sub(since); silence >= d.settings.Silence {
+		reason := fmt.Sprintf("silent for %s", silence.Round(100*time.Millisecond))
+		d.add(cfrecord.Record{Bar: &cfrecord.Bar{Epoch: d.s.Epoch, Worker: w.ID, Reason: reason}})
+	}
+}
+
+// lapsed reports whether the eviction wait is over for a barred worker.
+func (d *decision) lapsed(w *cffold.Worker) bool {
+	l, ok := d.listedAt[w.ID]
+	if !ok || l.bar != w.BarredAt {
+		if !d.in.Entries.Reached(d.view(), d.s.Offset, w.BarredAt) {
+			return false
+		}
+		d.listedAt[w.ID] = listed{bar: w.BarredAt, at: d.in.Now}
+		return false
+	}
+	return d.in.Now.Sub(l.at) >= d.settings.Timing.EvictionWait()
+}
+
+// drain asks for the end of what runs on a worker that an operator drains, or
+// whose VM shuts down.
+func (d *decision) drain(w *cffold.Worker) {
+	v := d.in.Workers[w.ID]
+	leaving := v != nil && v.Leaving
+	if !w.Draining && !leaving {
+		return
+	}
+	reason, permission := "its worker is drained", cfcore.Permission("")
+	if !w.Draining {
+		reason, permission = "its VM shuts down", cfcore.PermitMove
+	}
+	for _, a := range sortedAssignments(w) {
+		t := d.s.Tasks[d.s.Assigned[a]]
+		if t.Status == cffold.TaskAssigned && d.permitted(t, permission) {
+			d.add(cfrecord.Record{Stop: &cfrecord.Stop{
+				Epoch: d.s.Epoch, Assignment: a, Permission: permission, Reason: reason,
+			}})
+		}
+	}
+}
+
+func (d *decision) permitted(t *cffold.Task, p cfcore.Permission) bool {
+	return p == "" || d.s.Workloads[t.Workload].Spec.Permits(p)
+}
+
+// quarantine keeps new tasks away from a worker on which different workloads fail
+// in a row, and lets it try again after a while.
+func (d *decision) quarantine(w *cffold.Worker) {
+	if !w.Quarantined {
+		delete(d.quarantinedAt, w.ID)
+		if len(w.FailStreak) >= d.settings.QuarantineAfter {
+			reason := fmt.Sprintf("%d workloads failed in a row: %v", len(w.FailStreak), w.FailStreak)
+			d.add(cfrecord.Record{Quarantine: &cfrecord.Quarantine{Epoch: d.s.Epoch, Worker: w.ID, Reason: reason}})
+		}
+		return
+	}
+	at, ok := d.quarantinedAt[w.ID]
+	if !ok {
+		d.quarantinedAt[w.ID] = d.in.Now
+		return
+	}
+	if d.in.Now.Sub(at) >= d.settings.QuarantineFor {
+		delete(d.quarantinedAt, w.ID)
+		d.add(cfrecord.Record{Quarantine: &cfrecord.Quarantine{
+			Epoch: d.s.Epoch, Worker: w.ID, Lifted: true, Reason: "probe after quarantine",
+		}})
+	}
+}
