--- a/internal/cfcmd/client.go
+++ b/internal/cfcmd/client.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
-	"github.com/jedib0t/go-pretty/v6/table"
 
 	"cranberryford/internal/cfapi"
 	"cranberryford/pkg/cferror"
@@ -41,7 +40,7 @@
 	f.DurationVar(&c.timeout, "timeout", 10*time.Second, "time to wait for the entry")
 }
 
-// TokenValue implements cfapi.SecuritySource.
+// tokenSource is an operator's token.
 type tokenSource string
 
 // Token implements cfapi.SecuritySource.
@@ -99,17 +98,7 @@
 
 // printJSON prints a value as indented JSON.
 func (c *client) printJSON(v any) error {
-	enc := json.NewEncoder(c.out)
+	enc := json.NewEncoder(c.Out)
 	enc.SetIndent("", "  ")
 	return cferror.Wrap("print", KindFailed, enc.Encode(v))
 }
-
-// newTable returns a table that prints to the command's output.
-func (o *output) newTable(header ...any) table.Writer {
-	t := table.NewWriter()
-	t.SetOutputMirror(o.out)
-	t.SetStyle(table.StyleLight)
-	t.Style().Options.SeparateRows = false
-	t.AppendHeader(table.Row(header))
-	return t
-}
--- a/internal/cfcmd/demo.go
+++ b/internal/cfcmd/demo.go
@@ -33,7 +33,7 @@
 
 // Execute implements subcommands.Command.
 func (c *demoCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := cfdemo.Run(ctx, c.out); err != nil {
+	if err := cfdemo.Run(ctx, c.Out); err != nil {
 		return c.fail(err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/cfcmd/plan.go
+++ b/internal/cfcmd/plan.go
@@ -8,7 +8,7 @@
 	"github.com/google/subcommands"
 
 	"cranberryford/internal/cfapi"
-	"cranberryford/pkg/cfcore"
+	"cranberryford/internal/cfconvert"
 	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfintent"
 	"cranberryford/pkg/cfjson"
@@ -71,7 +71,7 @@
 	if err := doc.Err(); err != nil {
 		return nil, cferror.Wrap("plan", KindRefused, err)
 	}
-	return intentTo(&in), nil
+	return cfconvert.IntentTo(&in), nil
 }
 
 // plan makes a plan, prints it, and confirms it where that is asked for.
@@ -93,12 +93,7 @@
 	if c.json {
 		return c.printJSON(p)
 	}
-	t := c.newTable("Step", "Subject", "Detail")
-	for _, s := range p.Steps {
-		t.AppendRow([]any{s.Action, s.Subject, s.Detail})
-	}
-	t.Render()
-	c.printf("Plan %s by %s, for the state at offset %d. Confirm it: cranberryford confirm %s\n", p.ID, p.Who, p.Base, p.ID)
+	c.Plan(p)
 	return nil
 }
 
@@ -110,57 +105,6 @@
 	if c.json {
 		return c.printJSON(res)
 	}
-	c.printf("Plan %s is in force since offset %d.\n", res.Plan, res.Offset)
+	c.Confirmation(res)
 	return nil
 }
-
-// intentTo turns an intent into one of the API.
-func intentTo(in *cfintent.Intent) *cfapi.Intent {
-	out := &cfapi.Intent{Remove: in.Remove, Restart: in.Restart}
-	for i := range in.Workloads {
-		out.Workloads = append(out.Workloads, workloadTo(&in.Workloads[i]))
-	}
-	for _, t := range in.Teams {
-		out.Teams = append(out.Teams, cfapi.Team{Name: t.Name, Quota: resourcesTo(t.Quota)})
-	}
-	out.Drain = texts(in.Drain)
-	out.Undrain = texts(in.Undrain)
-	out.Forget = texts(in.Forget)
-	return out
-}
-
-func texts[T ~string](in []T) []string {
-	var out []string
-	for _, s := range in {
-		out = append(out, string(s))
-	}
-	return out
-}
-
-func workloadTo(w *cfcore.Workload) cfapi.Workload {
-	out := cfapi.Workload{
-		Name: w.Name, Class: string(w.Class), Team: w.Team,
-		Resources: resourcesTo(w.Resources), Permissions: texts(w.Permissions),
-	}
-	if w.Replicas != 0 {
-		out.Replicas = cfapi.NewOptInt(w.Replicas)
-	}
-	if w.Timeout != 0 {
-		out.Timeout = cfapi.NewOptDuration(w.Timeout)
-	}
-	if w.Duration != 0 {
-		out.Duration = cfapi.NewOptDuration(w.Duration)
-	}
-	if w.MaxFailures != 0 {
-		out.MaxFailures = cfapi.NewOptInt(w.MaxFailures)
-	}
-	return out
-}
-
-func resourcesTo(r cfcore.Resources) cfapi.Resources {
-	return cfapi.Resources{
-		MilliCores:   cfapi.NewOptInt64(r.MilliCores),
-		MemoryMB:     cfapi.NewOptInt64(r.MemoryMB),
-		Accelerators: cfapi.NewOptInt64(r.Accelerators),
-	}
-}
--- a/internal/cfcmd/register.go
+++ b/internal/cfcmd/register.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"cranberryford/internal/cfprint"
 	"cranberryford/pkg/cferror"
 )
 
@@ -46,14 +47,10 @@
 
 // output is where a command prints.
 type output struct {
-	out io.Writer
+	cfprint.Printer
 	err io.Writer
 }
 
-// printf prints a line for the operator. That the terminal may be gone is nothing
-// that a command can do anything about.
-func (o *output) printf(format string, args ...any) { _, _ = fmt.Fprintf(o.out, format, args...) }
-
 // fail prints an error and returns the exit code of its kind.
 func (o *output) fail(err error) subcommands.ExitStatus {
 	_, _ = fmt.Fprintf(o.err, "cranberryford: %v\n", err)
@@ -74,7 +71,7 @@
 func Register(flags *flag.FlagSet, out, errs io.Writer) *subcommands.Commander {
 	c := subcommands.NewCommander(flags, "cranberryford")
 	c.Output, c.Error = out, errs
-	o := &output{out: out, err: errs}
+	o := &output{Printer: cfprint.Printer{Out: out}, err: errs}
 	for _, cmd := range []subcommands.Command{
 		c.HelpCommand(), c.FlagsCommand(), c.CommandsCommand(),
 	} {
--- a/internal/cfcmd/settings.go
+++ b/internal/cfcmd/settings.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"reflect"
-	"strconv"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -18,8 +17,6 @@
 	"cranberryford/pkg/cferror"
 )
 
-func itoa(n int64) string { return strconv.FormatInt(n, 10) }
-
 // settingsCmd checks and shows settings.
 type settingsCmd struct {
 	*output
@@ -72,11 +69,11 @@
 		return err
 	}
 	if args[0] == "check" {
-		c.printf("%s: no faults\n", args[2])
+		c.Printf("%s: no faults\n", args[2])
 		return nil
 	}
 	for _, line := range effective("", reflect.ValueOf(cfg)) {
-		c.printf("%s\n", line)
+		c.Printf("%s\n", line)
 	}
 	return nil
 }
@@ -125,7 +122,7 @@
 	if role == roleAgent {
 		cfg = cfconfig.DefaultAgent()
 	}
-	t := c.newTable("Key", "Type", "Default", "Meaning")
+	t := c.Table("Key", "Type", "Default", "Meaning")
 	for _, k := range cfconfig.Describe(cfg) {
 		t.AppendRow([]any{k.Path, k.Type, k.Default, k.Meaning})
 	}
@@ -170,7 +167,7 @@
 		return c.fail(cferror.Wrap("token", KindFailed, err))
 	}
 	token := hex.EncodeToString(raw)
-	c.printf("token: %s\nsettings: {\"Name\": %q, \"Hash\": %q}\n", token, f.Arg(0), HashToken(token))
+	c.Printf("token: %s\nsettings: {\"Name\": %q, \"Hash\": %q}\n", token, f.Arg(0), HashToken(token))
 	return subcommands.ExitSuccess
 }
 
--- a/internal/cfcmd/show.go
+++ b/internal/cfcmd/show.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"flag"
-	"strings"
-	"time"
 
 	"github.com/google/subcommands"
 
@@ -39,45 +37,11 @@
 		if c.json {
 			return c.printJSON(s)
 		}
-		c.printStatus(s)
+		c.Status(s)
 		return nil
 	})
 }
 
-func (o *output) printStatus(s *cfapi.Status) {
-	log := "readable"
-	if !s.LogHealthy {
-		log = "NOT readable"
-	}
-	o.printf("Entry %s: offset %d, epoch %d, log %s\n", s.Entry, s.Offset, s.Epoch, log)
-	t := o.newTable("Entry", "Peer", "Data centre", "Planner")
-	for _, e := range s.Entries {
-		t.AppendRow([]any{e.ID, e.Peer, e.DataCentre, e.Planner})
-	}
-	t.Render()
-	t = o.newTable("Worker", "Data centre", "Rack", "State", "Cores", "Memory MB", "Tasks", "Targets")
-	for _, w := range s.Workers {
-		t.AppendRow([]any{
-			w.ID, w.DataCentre, w.Rack, w.State, ofCapacity(w.Used.MilliCores, w.Capacity.MilliCores),
-			ofCapacity(w.Used.MemoryMB, w.Capacity.MemoryMB), w.Tasks, strings.Join(w.Targets, " "),
-		})
-	}
-	t.Render()
-	t = o.newTable("Task", "Class", "Team", "Status", "Worker", "Evictions", "Failures", "Reason")
-	for _, w := range s.Workloads {
-		for i := range w.Tasks {
-			k := &w.Tasks[i]
-			t.AppendRow([]any{k.ID, w.Class, w.Team, k.Status, k.Worker.Or(""), k.Evictions, k.Failures, k.Reason.Or("")})
-		}
-	}
-	t.Render()
-}
-
-// ofCapacity prints a used amount and its whole.
-func ofCapacity(used, capacity cfapi.OptInt64) string {
-	return itoa(used.Or(0)) + "/" + itoa(capacity.Or(0))
-}
-
 // explainCmd tells a task's story.
 type explainCmd struct{ client }
 
@@ -108,39 +72,11 @@
 		if c.json {
 			return c.printJSON(e)
 		}
-		c.printExplanation(e)
+		c.Explanation(e)
 		return nil
 	})
 }
 
-func (o *output) printExplanation(e *cfapi.Explanation) {
-	t := &e.Task
-	where := "on no worker"
-	if w, ok := t.Worker.Get(); ok {
-		where = "on " + w
-	}
-	o.printf("%s is %s, %s, since %s. %s\n", t.ID, t.Status, where, t.Since.Format(time.RFC3339), t.Reason.Or(""))
-	o.printf("It is a %s of plan %s, which permits: %s.\n", e.Class, e.Plan, orNothing(e.Permissions))
-	o.printEvents(e.Events)
-}
-
-func orNothing(list []string) string {
-	if len(list) == 0 {
-		return "nothing"
-	}
-	return strings.Join(list, ", ")
-}
-
-func (o *output) printEvents(events []cfapi.Event) {
-	t := o.newTable("Offset", "Time", "Who", "Plan", "What", "Subject", "Cause")
-	for _, e := range events {
-		t.AppendRow([]any{
-			e.Offset, e.At.Format(time.RFC3339), e.Who, e.Plan.Or(""), e.What, e.Subject, e.Cause.Or(""),
-		})
-	}
-	t.Render()
-}
-
 // auditCmd shows the audit trail.
 type auditCmd struct {
 	client
@@ -177,7 +113,7 @@
 		if c.json {
 			return c.printJSON(events)
 		}
-		c.printEvents(events)
+		c.Events(events)
 		return nil
 	})
 }
--- a/internal/cfentry/convert.go
+++ b/internal/cfentry/convert.go
@@ -2,58 +2,12 @@
 
 import (
 	"cranberryford/internal/cfapi"
+	"cranberryford/internal/cfconvert"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cffold"
-	"cranberryford/pkg/cfintent"
 	"cranberryford/pkg/cfrecord"
 )
 
-// intentOf turns an intent of the API into one of the scheduler.
-func intentOf(in *cfapi.Intent) cfintent.Intent {
-	out := cfintent.Intent{
-		Remove: in.Remove, Restart: in.Restart,
-		Drain: ids[cfcore.WorkerID](in.Drain), Undrain: ids[cfcore.WorkerID](in.Undrain),
-		Forget: ids[cfcore.EntryID](in.Forget),
-	}
-	for i := range in.Workloads {
-		out.Workloads = append(out.Workloads, workloadOf(&in.Workloads[i]))
-	}
-	for _, t := range in.Teams {
-		out.Teams = append(out.Teams, cfcore.Team{Name: t.Name, Quota: resourcesOf(t.Quota)})
-	}
-	return out
-}
-
-func ids[T ~string](in []string) []T {
-	var out []T
-	for _, s := range in {
-		out = append(out, T(s))
-	}
-	return out
-}
-
-func workloadOf(w *cfapi.Workload) cfcore.Workload {
-	return cfcore.Workload{
-		Name: w.Name, Class: cfcore.Class(w.Class), Team: w.Team, Replicas: w.Replicas.Or(0),
-		Resources: resourcesOf(w.Resources), Timeout: w.Timeout.Or(0), Duration: w.Duration.Or(0),
-		MaxFailures: w.MaxFailures.Or(0), Permissions: ids[cfcore.Permission](w.Permissions),
-	}
-}
-
-func resourcesOf(r cfapi.Resources) cfcore.Resources {
-	return cfcore.Resources{
-		MilliCores: r.MilliCores.Or(0), MemoryMB: r.MemoryMB.Or(0), Accelerators: r.Accelerators.Or(0),
-	}
-}
-
-func resourcesTo(r cfcore.Resources) cfapi.Resources {
-	return cfapi.Resources{
-		MilliCores:   cfapi.NewOptInt64(r.MilliCores),
-		MemoryMB:     cfapi.NewOptInt64(r.MemoryMB),
-		Accelerators: cfapi.NewOptInt64(r.Accelerators),
-	}
-}
-
 func planTo(p *cfrecord.Plan) *cfapi.Plan {
 	out := &cfapi.Plan{ID: string(p.ID), Who: p.Who, At: p.At, Base: int64(p.Base), Touches: p.Touches}
 	for _, s := range p.Steps {
@@ -144,7 +98,7 @@
 	}
 	return cfapi.WorkerStatus{
 		ID: string(w.ID), DataCentre: w.DataCentre, Rack: w.Rack, State: state, Reason: optString(w.Reason),
-		Capacity: resourcesTo(w.Capacity), Used: resourcesTo(w.Used), Tasks: len(w.Tasks), Targets: targets,
+		Capacity: cfconvert.ResourcesTo(w.Capacity), Used: cfconvert.ResourcesTo(w.Used), Tasks: len(w.Tasks), Targets: targets,
 	}
 }
 
--- a/internal/cfentry/operators.go
+++ b/internal/cfentry/operators.go
@@ -13,6 +13,7 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"cranberryford/internal/cfapi"
+	"cranberryford/internal/cfconvert"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cffold"
@@ -78,7 +79,7 @@
 			return
 		}
 		plan, planErr = cfplan.Make(c.state(), cfplan.Request{
-			ID: cfcore.PlanID(uuid.NewString()[:13]), Who: who(ctx), At: o.Clock.Now(), Intent: intentOf(req),
+			ID: cfcore.PlanID(uuid.NewString()[:13]), Who: who(ctx), At: o.Clock.Now(), Intent: cfconvert.IntentOf(req),
 		})
 	})
 	if err = errors.CombineErrors(planErr, err); err != nil {
--- /dev/null
+++ b/internal/cfprint/print.go
@@ -0,0 +1,121 @@
+// Package cfprint prints what the operators' API returns, for people.
+package cfprint
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"cranberryford/internal/cfapi"
+)
+
+// Printer prints to one place.
+type Printer struct {
+	Out io.Writer
+}
+
+// Printf prints text. That the reader may be gone is nothing that a command can
+// do anything about.
+func (p *Printer) Printf(format string, args ...any) { _, _ = fmt.Fprintf(p.Out, format, args...) }
+
+// Table returns a table with a header.
+func (p *Printer) Table(header ...any) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(p.Out)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row(header))
+	return t
+}
+
+// Plan prints a plan.
+func (p *Printer) Plan(plan *cfapi.Plan) {
+	t := p.Table("Step", "Subject", "Detail")
+	for _, s := range plan.Steps {
+		t.AppendRow([]any{s.Action, s.Subject, s.Detail})
+	}
+	t.Render()
+	p.Printf("Plan %s by %s, for the state at offset %d. Nothing changes before it is confirmed:\n  cranberryford confirm %s\n",
+		plan.ID, plan.Who, plan.Base, plan.ID)
+}
+
+// Confirmation prints that a plan is in force.
+func (p *Printer) Confirmation(c *cfapi.Confirmation) {
+	p.Printf("Plan %s is in force since offset %d.\n", c.Plan, c.Offset)
+}
+
+// Status prints the state.
+func (p *Printer) Status(s *cfapi.Status) {
+	log := "readable"
+	if !s.LogHealthy {
+		log = "NOT readable"
+	}
+	p.Printf("Entry %s: offset %d, epoch %d, log %s\n", s.Entry, s.Offset, s.Epoch, log)
+	t := p.Table("Entry", "Peer", "Data centre", "Planner")
+	for _, e := range s.Entries {
+		t.AppendRow([]any{e.ID, e.Peer, e.DataCentre, e.Planner})
+	}
+	t.Render()
+	t = p.Table("Worker", "Data centre", "Rack", "State", "Millicores", "Memory MB", "Tasks", "Targets")
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		t.AppendRow([]any{
+			w.ID, w.DataCentre, w.Rack, w.State, ofCapacity(w.Used.MilliCores, w.Capacity.MilliCores),
+			ofCapacity(w.Used.MemoryMB, w.Capacity.MemoryMB), w.Tasks, strings.Join(w.Targets, " "),
+		})
+	}
+	t.Render()
+	p.Tasks(s.Workloads)
+}
+
+// Tasks prints the tasks of workloads.
+func (p *Printer) Tasks(ws []cfapi.WorkloadStatus) {
+	t := p.Table("Task", "Class", "Team", "Status", "Worker", "Evictions", "Failures", "Reason")
+	for i := range ws {
+		w := &ws[i]
+		for j := range w.Tasks {
+			k := &w.Tasks[j]
+			t.AppendRow([]any{k.ID, w.Class, w.Team, k.Status, k.Worker.Or(""), k.Evictions, k.Failures, k.Reason.Or("")})
+		}
+	}
+	t.Render()
+}
+
+// ofCapacity prints a used amount and its whole.
+func ofCapacity(used, capacity cfapi.OptInt64) string {
+	return strconv.FormatInt(used.Or(0), 10) + "/" + strconv.FormatInt(capacity.Or(0), 10)
+}
+
+// Explanation prints a task's story.
+func (p *Printer) Explanation(e *cfapi.Explanation) {
+	t := &e.Task
+	where := "on no worker"
+	if w, ok := t.Worker.Get(); ok {
+		where = "on " + w
+	}
+	p.Printf("%s is %s, %s, since %s. %s\n", t.ID, t.Status, where, t.Since.Format(time.RFC3339), t.Reason.Or(""))
+	p.Printf("It is a %s of plan %s, which permits: %s.\n", e.Class, e.Plan, orNothing(e.Permissions))
+	p.Events(e.Events)
+}
+
+func orNothing(list []string) string {
+	if len(list) == 0 {
+		return "nothing"
+	}
+	return strings.Join(list, ", ")
+}
+
+// Events prints lines of the audit trail.
+func (p *Printer) Events(events []cfapi.Event) {
+	t := p.Table("Offset", "Time", "Who", "Plan", "What", "Subject", "Cause")
+	for i := range events {
+		e := &events[i]
+		t.AppendRow([]any{
+			e.Offset, e.At.Format(time.TimeOnly), e.Who, e.Plan.Or(""), e.What, e.Subject, e.Cause.Or(""),
+		})
+	}
+	t.Render()
+}
