--- a/cmd/cfstandin/main.go
+++ b/cmd/cfstandin/main.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"cranberryford/internal/cfstandin"
@@ -52,7 +53,9 @@
 	go func() { served <- s.Serve(l) }()
 	<-ctx.Done()
 	_ = s.Close()
-	_ = <-served
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
 	return nil
 }
 
--- /dev/null
+++ b/integration/path/path_test.go
@@ -0,0 +1,34 @@
+package path
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cranberryford/internal/cfdriver"
+	"cranberryford/pkg/cffold"
+)
+
+var _ = Describe("the whole path", func() {
+	It("serves a call, completes a job once and keeps a watch running", func() {
+		c := cfdriver.New(cfdriver.Shape{Net: 10, Entries: 2, VMs: 3})
+		c.Accept(0, cfdriver.Intent(cfdriver.Service("dispatch", 2),
+			cfdriver.Batch("route-plan", 2, 2*time.Second), cfdriver.Watch("fountains", 1)))
+
+		c.Eventually(10*time.Second, "a call is answered", func() bool {
+			return c.Call(1, "POST", "/dispatch/bookings", "filter check").Verdict == "Answered"
+		})
+		r := c.Call(0, "POST", "/dispatch/bookings?Day=2", "filter check")
+		Expect(r.Status).To(Equal(200))
+		Expect(r.Body).To(Equal("filter check"))
+
+		c.Eventually(15*time.Second, "the job is done", func() bool {
+			return c.Count(1, "route-plan", cffold.TaskDone) == 2
+		})
+		Expect(c.Running("fountains")).To(HaveLen(1))
+		Expect(c.Runs("route-plan/0", "Done")).To(Equal(1))
+		Expect(c.Runs("route-plan/1", "Done")).To(Equal(1))
+		c.CheckHistory()
+	})
+})
--- a/internal/cfagent/calls.go
+++ b/internal/cfagent/calls.go
@@ -50,9 +50,9 @@
 
 // execute runs a call at its target, or refuses it.
 func (a *Agent) execute(ctx context.Context, c *cfwire.Call) *cfwire.Answer {
-	t := a.targets.get(c.Service)
+	t := a.targets.get(c.Service, c.Target)
 	if t == nil {
-		return &cfwire.Answer{ID: c.ID, Verdict: cfwire.VerdictNotRun, Reason: "no target of the service on this VM"}
+		return &cfwire.Answer{ID: c.ID, Verdict: cfwire.VerdictNotRun, Reason: "the target is no longer on this VM"}
 	}
 	deadline, _ := ctx.Deadline()
 	done, refusal := t.gate.Enter(ctx, deadline)
--- a/internal/cfagent/targets.go
+++ b/internal/cfagent/targets.go
@@ -1,9 +1,11 @@
 package cfagent
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
-	"sort"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +22,19 @@
 	*cfcommon.Common
 	cfg     cfconfig.Agent
 	mu      sync.RWMutex
-	targets map[string]*localTarget
+	targets map[targetKey]*localTarget
 	leaving bool
 }
 
-// localTarget is one target with its gate. There is one of each service.
+// targetKey names a target on this VM.
+type targetKey struct {
+	service string
+	address netip.AddrPort
+}
+
+func keyOf(t cfcore.Target) targetKey { return targetKey{t.Service, t.Address} }
+
+// localTarget is one target with its gate.
 type localTarget struct {
 	target cfcore.Target
 	gate   *cfadmit.Gate
@@ -32,7 +42,7 @@
 }
 
 func newTargetSet(common *cfcommon.Common, cfg cfconfig.Agent) *targetSet {
-	return &targetSet{Common: common, cfg: cfg, targets: map[string]*localTarget{}}
+	return &targetSet{Common: common, cfg: cfg, targets: map[targetKey]*localTarget{}}
 }
 
 // put takes an announcement and reports whether the set changed.
@@ -42,17 +52,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.targets[t.Service]
+	old := s.targets[keyOf(t)]
 	switch {
 	case old == nil && t.Leaving:
 		return false, nil
-	case old != nil && t.Leaving && old.target.Address != t.Address:
-		return false, nil // Another target took its place already.
 	case old == nil && len(s.targets) >= s.cfg.MaxTargets:
 		return false, cferror.New("announce", KindTarget, "there are %d targets on this VM already", len(s.targets))
 	case old == nil:
 		old = &localTarget{gate: cfadmit.NewGate(t.Slots, t.Connections, s.Clock)}
-		s.targets[t.Service] = old
+		s.targets[keyOf(t)] = old
 	}
 	changed := old.target != t
 	old.target = t
@@ -76,14 +84,14 @@
 	return nil
 }
 
-// get returns the target of a service, or nil.
-func (s *targetSet) get(service string) *localTarget {
+// get returns a target, or nil.
+func (s *targetSet) get(service string, address netip.AddrPort) *localTarget {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.targets[service]
+	return s.targets[targetKey{service, address}]
 }
 
-// list returns the targets in the order of their services.
+// list returns the targets in the order of their services and addresses.
 func (s *targetSet) list() []cfcore.Target {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -93,7 +101,9 @@
 		target.Leaving = target.Leaving || s.leaving
 		out = append(out, target)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	slices.SortFunc(out, func(a, b cfcore.Target) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Address.Compare(b.Address))
+	})
 	return out
 }
 
@@ -101,11 +111,11 @@
 func (s *targetSet) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for name, t := range s.targets {
+	for key, t := range s.targets {
 		if s.Clock.Since(t.seen) > s.cfg.TargetTTL {
 			t.gate.Leave(true)
-			delete(s.targets, name)
-			s.Log.Info().Str("Service", name).Msg("target forgotten")
+			delete(s.targets, key)
+			s.Log.Info().Str("Service", key.service).Stringer("Address", key.address).Msg("target forgotten")
 		}
 	}
 }
--- a/internal/cfdemo/demo.go
+++ b/internal/cfdemo/demo.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cranberryford/internal/cfapi"
 	"cranberryford/internal/cfprint"
 	"cranberryford/pkg/cferror"
@@ -81,7 +83,7 @@
 		stepCtx, cancel := context.WithTimeout(ctx, stepTimeout)
 		err := step(stepCtx)
 		cancel()
-		if err != nil {
+		if err = errors.CombineErrors(err, f.failure()); err != nil {
 			return err
 		}
 	}
--- a/internal/cfdemo/fleet.go
+++ b/internal/cfdemo/fleet.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"cranberryford/internal/cfapi"
@@ -56,6 +57,24 @@
 	hosts   []*host
 	api     *cfapi.Client
 	wg      sync.WaitGroup
+	mu      sync.Mutex
+	err     error
+}
+
+// failed keeps the first error of a part of the fleet.
+func (f *fleet) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err == nil {
+		f.err = err
+	}
+}
+
+// failure returns the first error of a part of the fleet, or nil.
+func (f *fleet) failure() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
 }
 
 // host is a VM with its agent.
@@ -123,7 +142,9 @@
 		go func() { done <- s.Serve(l) }()
 		<-ctx.Done()
 		_ = s.Close()
-		_ = <-done
+		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+			f.failed(err)
+		}
 	}()
 }
 
@@ -166,8 +187,9 @@
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
-		// A role that fails shows in the step of the story that needs it.
-		_ = role.Run(ctx, nil)
+		if err := role.Run(ctx, nil); err != nil {
+			f.failed(err)
+		}
 	}()
 }
 
--- a/integration/proxy_test.go
+++ b/internal/cfdriver/proxy.go
@@ -1,4 +1,4 @@
-package integration
+package cfdriver
 
 import (
 	"context"
@@ -9,33 +9,33 @@
 	"time"
 )
 
-// fault is what a proxy does to the connections of one source.
-type fault string
+// Fault is what a proxy does to the connections of one source.
+type Fault string
 
 const (
-	// pass forwards everything.
-	pass fault = "pass"
-	// cut closes connections and refuses new ones.
-	cut fault = "cut"
-	// silent keeps connections open and forwards nothing.
-	silent fault = "silent"
-	// silentOld does so to the connections that are open now, for good; new ones
+	// Pass forwards everything.
+	Pass Fault = "pass"
+	// Cut closes connections and refuses new ones.
+	Cut Fault = "cut"
+	// Silent keeps connections open and forwards nothing.
+	Silent Fault = "silent"
+	// SilentOld does so to the connections that are open now, for good; new ones
 	// work.
-	silentOld fault = "silentOld"
-	// slow delays what it forwards.
-	slow fault = "slow"
+	SilentOld Fault = "silentOld"
+	// Slow delays what it forwards.
+	Slow Fault = "slow"
 )
 
-// slowBy is the delay of the fault slow.
+// slowBy is the delay of the fault Slow.
 const slowBy = 300 * time.Millisecond
 
-// proxy stands before one process and treats connections by their source.
-type proxy struct {
+// Proxy stands before one process and treats connections by their source.
+type Proxy struct {
 	listener net.Listener
 	target   netip.AddrPort
 
 	mu     sync.Mutex
-	faults map[netip.Addr]fault
+	faults map[netip.Addr]Fault
 	conns  map[*proxied]bool
 }
 
@@ -48,58 +48,58 @@
 	stuck bool
 }
 
-// anySource stands for all sources without a fault of their own.
-var anySource = netip.Addr{}
+// AnySource stands for all sources without a fault of their own.
+var AnySource = netip.Addr{}
 
-func newProxy(listen, target netip.AddrPort) (*proxy, func(), error) {
+func newProxy(listen, target netip.AddrPort) (*Proxy, func(), error) {
 	l, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &proxy{listener: l, target: target, faults: map[netip.Addr]fault{}, conns: map[*proxied]bool{}}
+	p := &Proxy{listener: l, target: target, faults: map[netip.Addr]Fault{}, conns: map[*proxied]bool{}}
 	done := make(chan struct{})
 	go func() { defer close(done); p.acceptLoop() }()
 	return p, func() { _ = l.Close(); p.closeAll(); <-done }, nil
 }
 
-func (p *proxy) addr() netip.AddrPort {
+func (p *Proxy) addr() netip.AddrPort {
 	return netip.MustParseAddrPort(p.listener.Addr().String())
 }
 
-// set changes what happens to the connections of a source; anySource means all.
-func (p *proxy) set(source netip.Addr, f fault) {
+// Set changes what happens to the connections of a source; AnySource means all.
+func (p *Proxy) Set(source netip.Addr, f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f == silentOld {
+	if f == SilentOld {
 		for c := range p.conns {
-			if source == anySource || c.source == source {
+			if source == AnySource || c.source == source {
 				c.stuck = true
 			}
 		}
 		return
 	}
 	p.faults[source] = f
-	if f != cut {
+	if f != Cut {
 		return
 	}
 	for c := range p.conns {
-		if p.faultOf(c.source) == cut {
+		if p.faultOf(c.source) == Cut {
 			c.close()
 		}
 	}
 }
 
 // faultOf needs the lock.
-func (p *proxy) faultOf(source netip.Addr) fault {
-	for _, s := range []netip.Addr{source, anySource} {
-		if f, ok := p.faults[s]; ok && f != pass {
+func (p *Proxy) faultOf(source netip.Addr) Fault {
+	for _, s := range []netip.Addr{source, AnySource} {
+		if f, ok := p.faults[s]; ok && f != Pass {
 			return f
 		}
 	}
-	return pass
+	return Pass
 }
 
-func (p *proxy) acceptLoop() {
+func (p *Proxy) acceptLoop() {
 	for {
 		in, err := p.listener.Accept()
 		if err != nil {
@@ -109,12 +109,12 @@
 	}
 }
 
-func (p *proxy) serve(in net.Conn) {
+func (p *Proxy) serve(in net.Conn) {
 	source := netip.MustParseAddrPort(in.RemoteAddr().String()).Addr()
 	p.mu.Lock()
 	f := p.faultOf(source)
 	p.mu.Unlock()
-	if f == cut {
+	if f == Cut {
 		_ = in.Close()
 		return
 	}
@@ -139,7 +139,7 @@
 
 // pump forwards one direction until an end closes. What comes in while the
 // connection is silent is lost, as in a network device that has lost track of it.
-func (p *proxy) pump(c *proxied, from io.Reader, to io.Writer) {
+func (p *Proxy) pump(c *proxied, from io.Reader, to io.Writer) {
 	defer c.close()
 	buf := make([]byte, 64<<10)
 	for {
@@ -165,20 +165,20 @@
 	}
 }
 
-func (p *proxy) forwards(c *proxied) bool {
+func (p *Proxy) forwards(c *proxied) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !c.stuck && p.faultOf(c.source) != silent
+	return !c.stuck && p.faultOf(c.source) != Silent
 }
 
 // markStuck keeps a connection silent after bytes of it were lost.
-func (p *proxy) markStuck(c *proxied) {
+func (p *Proxy) markStuck(c *proxied) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.stuck = true
 }
 
-func (p *proxy) waitForwards(c *proxied) {
+func (p *Proxy) waitForwards(c *proxied) {
 	for !p.forwards(c) {
 		p.mu.Lock()
 		closed := !p.conns[c] || c.stuck
@@ -191,13 +191,13 @@
 	}
 }
 
-func (p *proxy) delayed(c *proxied) bool {
+func (p *Proxy) delayed(c *proxied) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faultOf(c.source) == slow
+	return p.faultOf(c.source) == Slow
 }
 
-func (p *proxy) closeAll() {
+func (p *Proxy) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
--- a/internal/cfentry/agents.go
+++ b/internal/cfentry/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -121,7 +122,7 @@
 		Capacity: a.Capacity, Runs: s.report.Runs, HeardAt: c.Clock.Now(), Leaving: a.Leaving,
 	}
 	for _, t := range s.report.Targets {
-		if b := c.backends[backendKey{s.agent, t.Service}]; b != nil {
+		if b := c.backends[backendKey{s.agent, t.Service, t.Address}]; b != nil {
 			c.router.Heard(b)
 		}
 	}
@@ -187,6 +188,7 @@
 type backendKey struct {
 	agent   cfcore.InstanceID
 	service string
+	address netip.AddrPort
 }
 
 // publish builds the routing table again where something in it has changed.
@@ -240,7 +242,7 @@
 	}
 	for _, t := range s.report.Targets {
 		svc := table.Services[t.Service]
-		key := backendKey{s.agent, t.Service}
+		key := backendKey{s.agent, t.Service, t.Address}
 		if svc == nil || t.Leaving || kept[key] != nil {
 			continue
 		}
--- a/internal/cfstandin/vm.go
+++ b/internal/cfstandin/vm.go
@@ -189,8 +189,13 @@
 }
 
 func (v *VM) note(r *vmRun, what string) {
+	at := v.clock.Now()
+	if what == string(cfcore.RunLapsed) {
+		// A worker that was frozen executed nothing since its last tick.
+		at = v.started.Add(r.lastTick)
+	}
 	l := HistoryLine{
-		At: v.clock.Now(), Assignment: r.spec.Assignment, Task: r.spec.Task, What: what, Progress: r.progress,
+		At: at, Assignment: r.spec.Assignment, Task: r.spec.Task, What: what, Progress: r.progress,
 	}
 	v.history = append(v.history, l)
 	if v.hooks.Record != nil {
--- a/pkg/cfroute/router.go
+++ b/pkg/cfroute/router.go
@@ -94,6 +94,7 @@
 		res.Attempts++
 		res.Worker = b.Worker
 		call.ID = cfwire.CallID(uuid.New())
+		call.Target = b.Target.Address
 		res.Answer = r.attempt(ctx, svc, b, call)
 		if res.Answer.Verdict == cfwire.VerdictAnswered || ctx.Err() != nil {
 			return res
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -157,7 +158,9 @@
 type Call struct {
 	ID      CallID
 	Service string
-	Method  string
+	// Target is the target on the agent's VM.
+	Target netip.AddrPort
+	Method string
 	// Path is the path with the query, as the target sees it.
 	Path   string
 	Header http.Header
