Refuse calls that wait and would end too late, when their turn comes

Cause: in an overload every queued call was let in just before its deadline, ran, and ended too late: slots were spent on calls that nobody waited for any more. Ruled out: a wrong order (all callers have the same timeout, so by deadline is by arrival); a wrong average (the held slots measure the true time now). Change: the gate keeps the mean deviation of call times too, and refuses a waiter whose expected end, with two deviations, is past its deadline. A free slot always lets a call in, so that averages cannot get stuck.

--- a/pkg/cfadmit/gate.go
+++ b/pkg/cfadmit/gate.go
@@ -28,9 +28,13 @@
 	RefusedLeaving Refusal = "target is leaving"
 )
 
-// timeShare is the weight of a new call in the moving average of call times.
+// timeShare is the weight of a new call in the moving averages of call times.
 const timeShare = 0.1
 
+// spreadFactor is how many mean deviations beyond the average a call may take
+// before it counts as late.
+const spreadFactor = 2
+
 // Gate bounds the calls at one target. Up to slots execute at the same time, and
 // up to connections are open in all; those that wait are let in by deadline.
 type Gate struct {
@@ -42,8 +46,11 @@
 	executing   int
 	queue       waitQueue
 	leaving     bool
-	average     time.Duration
-	seq         uint64
+	// average and spread are the moving averages of the time of a call and of its
+	// deviation from that.
+	average time.Duration
+	spread  time.Duration
+	seq     uint64
 }
 
 // NewGate returns a gate with nothing behind it.
@@ -85,52 +92,56 @@
 		return g.leaver(), Admitted
 	}
 	select {
-	case <-w.admitted:
-		return g.leaver(), Admitted
+	case <-w.decided:
 	case <-ctx.Done():
 		if g.abandon(w) {
 			return nil, RefusedGone
 		}
-		return g.leaver(), Admitted
 	}
+	if w.refused {
+		return nil, RefusedLate
+	}
+	return g.leaver(), Admitted
 }
 
 // join takes a free slot, in which case it returns no waiter, or queues the call.
 func (g *Gate) join(deadline time.Time) (*waiter, Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
 	switch {
 	case g.leaving:
 		return nil, RefusedLeaving
 	case g.executing+len(g.queue) >= g.connections:
 		return nil, RefusedFull
-	case now.Add(g.expected(deadline)).After(deadline):
-		return nil, RefusedLate
-	}
-	if g.executing < g.slots {
+	case g.executing < g.slots:
+		// A free slot costs nobody anything; its call also renews the averages.
 		g.executing++
 		return nil, Admitted
+	case g.late(deadline, g.wait(deadline)):
+		return nil, RefusedLate
 	}
 	g.seq++
-	w := &waiter{deadline: deadline, seq: g.seq, admitted: make(chan struct{})}
+	w := &waiter{deadline: deadline, seq: g.seq, decided: make(chan struct{})}
 	heap.Push(&g.queue, w)
 	return w, Admitted
 }
 
-// expected estimates when a call that joins now would end: those that wait with
+// late reports whether a call that is let in after wait would end too late.
+func (g *Gate) late(deadline time.Time, wait time.Duration) bool {
+	end := g.clock.Now().Add(wait + g.average + spreadFactor*g.spread)
+	return g.average > 0 && end.After(deadline)
+}
+
+// wait estimates when a call that joins now would be let in: those that wait with
 // an earlier deadline go first.
-func (g *Gate) expected(deadline time.Time) time.Duration {
-	if g.executing < g.slots {
-		return 0
-	}
+func (g *Gate) wait(deadline time.Time) time.Duration {
 	ahead := 1
 	for _, w := range g.queue {
 		if !w.deadline.After(deadline) {
 			ahead++
 		}
 	}
-	return g.average*time.Duration(ahead)/time.Duration(max(1, g.slots)) + g.average
+	return g.average * time.Duration(ahead) / time.Duration(max(1, g.slots))
 }
 
 func (g *Gate) leaver() func() {
@@ -145,15 +156,23 @@
 	if g.average == 0 {
 		g.average = took
 	}
-	g.average += time.Duration(timeShare * float64(took-g.average))
+	off := took - g.average
+	g.average += time.Duration(timeShare * float64(off))
+	g.spread += time.Duration(timeShare * float64(off.Abs()-g.spread))
 	g.admitNext()
 }
 
+// admitNext lets in those that wait, and refuses those that would end too late:
+// a slot that is spent on them is lost to the others.
 func (g *Gate) admitNext() {
 	for g.executing < g.slots && len(g.queue) > 0 {
 		w := heap.Pop(&g.queue).(*waiter)
-		g.executing++
-		close(w.admitted)
+		if g.late(w.deadline, 0) {
+			w.refused = true
+		} else {
+			g.executing++
+		}
+		close(w.decided)
 	}
 }
 
@@ -172,7 +191,9 @@
 type waiter struct {
 	deadline time.Time
 	seq      uint64
-	admitted chan struct{}
+	// decided is closed when the call is let in, or refused.
+	decided chan struct{}
+	refused bool
 	// index is the position in the queue, or -1 outside it.
 	index int
 }
