--- a/pkg/cfconfig/load.go
+++ b/pkg/cfconfig/load.go
@@ -1,6 +1,7 @@
 package cfconfig
 
 import (
+	"fmt"
 	"net/netip"
 	"reflect"
 	"strings"
@@ -109,7 +110,10 @@
 	}
 	for _, f := range faults {
 		key := f.StructNamespace()
-		doc.Add(key[strings.Index(key, ".")+1:], "%v %s", f.Value(), rule(f))
+		key = key[strings.Index(key, ".")+1:]
+		if !doc.Has(key) {
+			doc.Add(key, "%s%s", given(f.Value()), rule(f))
+		}
 	}
 }
 
@@ -120,6 +124,14 @@
 	}
 }
 
+// given quotes a value, where there is one.
+func given(v any) string {
+	if text := fmt.Sprint(v); text != "" {
+		return text + " "
+	}
+	return ""
+}
+
 // rule says what is allowed in place of what the fault names.
 func rule(f validator.FieldError) string {
 	switch f.Tag() {
--- a/pkg/cfjson/decode.go
+++ b/pkg/cfjson/decode.go
@@ -62,6 +62,17 @@
 	d.faults = append(d.faults, Fault{Line: d.line(key), Key: key, Message: fmt.Sprintf(format, args...)})
 }
 
+// Has reports whether a key has a fault already. A file that cannot be parsed has
+// one at every key.
+func (d *Document) Has(key string) bool {
+	for _, f := range d.faults {
+		if f.Key == key || f.Key == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Faults returns the faults in the order of their lines.
 func (d *Document) Faults() []Fault {
 	sort.SliceStable(d.faults, func(i, j int) bool { return d.faults[i].Line < d.faults[j].Line })
--- /dev/null
+++ b/pkg/cfplan/plan_test.go
@@ -0,0 +1,109 @@
+package cfplan_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cffold"
+	"cranberryford/pkg/cfintent"
+	"cranberryford/pkg/cfplan"
+	"cranberryford/pkg/cfrecord"
+)
+
+var at = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func quota(cores int64) cfcore.Team {
+	return cfcore.Team{Name: "granite-spring", Quota: cfcore.Resources{MilliCores: cores, MemoryMB: 1000}}
+}
+
+func workload(name string, c cfcore.Class, replicas int) cfcore.Workload {
+	return cfcore.Workload{
+		Name: name, Class: c, Team: "granite-spring", Replicas: replicas,
+		Resources: cfcore.Resources{MilliCores: 100, MemoryMB: 10}, Permissions: []cfcore.Permission{cfcore.PermitRestart},
+	}
+}
+
+// fleet returns a state with one worker, the service "dispatch" and the batch job
+// "route-plan".
+func fleet(t *testing.T) *cffold.State {
+	t.Helper()
+	s := cffold.NewState()
+	s.Apply(1, &cfrecord.Batch{ID: cfrecord.BatchID{1}, At: at, By: "p", Records: []cfrecord.Record{
+		{Claim: &cfrecord.Claim{Epoch: 1, Entry: "p"}},
+		{WorkerUp: &cfrecord.WorkerUp{Epoch: 1, Worker: "vm-1", Instance: "i", Capacity: cfcore.Resources{MilliCores: 1000, MemoryMB: 100}}},
+	}})
+	plan, err := cfplan.Make(s, cfplan.Request{ID: "first", Who: "alice", At: at, Intent: cfintent.Intent{
+		Teams:     []cfcore.Team{quota(2000)},
+		Workloads: []cfcore.Workload{workload("dispatch", cfcore.ClassService, 2), workload("route-plan", cfcore.ClassBatch, 3)},
+	}})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s.Apply(2, &cfrecord.Batch{ID: cfrecord.BatchID{2}, At: at, By: "p", Records: []cfrecord.Record{
+		{Planned: &cfrecord.Planned{Plan: *plan}}, {Confirmed: &cfrecord.Confirmed{Plan: plan.ID}},
+	}})
+	return s
+}
+
+func text(p *cfrecord.Plan) string {
+	var b strings.Builder
+	for _, s := range p.Steps {
+		fmt.Fprintf(&b, "%s | %s | %s\n", s.Action, s.Subject, s.Detail)
+	}
+	fmt.Fprintf(&b, "base %d touches %v\n", p.Base, p.Touches)
+	return b.String()
+}
+
+func TestPlans(t *testing.T) {
+	held := workload("relay", cfcore.ClassWatch, 1)
+	held.Permissions = nil
+	slower := workload("dispatch", cfcore.ClassService, 4)
+	slower.Timeout = 5 * time.Second
+	for name, in := range map[string]cfintent.Intent{
+		"create":       {Workloads: []cfcore.Workload{workload("bulletin", cfcore.ClassBatch, 2), held}},
+		"change":       {Workloads: []cfcore.Workload{slower}, Teams: []cfcore.Team{quota(3000)}},
+		"remove_drain": {Remove: []string{"route-plan"}, Drain: []cfcore.WorkerID{"vm-1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, err := cfplan.Make(fleet(t), cfplan.Request{ID: "p", Who: "alice", At: at, Intent: in})
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			goldie.New(t).Assert(t, name, []byte(text(p)))
+		})
+	}
+}
+
+func TestRefusedIntents(t *testing.T) {
+	huge := workload("huge", cfcore.ClassBatch, 1)
+	huge.Resources.MilliCores = 5000
+	bigger := workload("dispatch", cfcore.ClassService, 2)
+	bigger.Resources.MemoryMB = 20
+	for name, c := range map[string]struct {
+		in   cfintent.Intent
+		want string
+	}{
+		"empty":            {cfintent.Intent{}, "asks for nothing"},
+		"never fits":       {cfintent.Intent{Workloads: []cfcore.Workload{huge}}, "can never run"},
+		"over quota":       {cfintent.Intent{Workloads: []cfcore.Workload{workload("more", cfcore.ClassBatch, 20)}}, "quota"},
+		"other class":      {cfintent.Intent{Workloads: []cfcore.Workload{workload("dispatch", cfcore.ClassBatch, 2)}}, "cannot become"},
+		"other size":       {cfintent.Intent{Workloads: []cfcore.Workload{bigger}}, "cannot change"},
+		"unknown workload": {cfintent.Intent{Remove: []string{"nothing"}}, "no workload"},
+		"unknown worker":   {cfintent.Intent{Drain: []cfcore.WorkerID{"nothing"}}, "no worker"},
+		"unknown team":     {cfintent.Intent{Workloads: []cfcore.Workload{{Name: "x", Class: cfcore.ClassWatch, Team: "other", Replicas: 1, Resources: cfcore.Resources{MilliCores: 1, MemoryMB: 1}}}}, "no team"},
+		"bad name":         {cfintent.Intent{Workloads: []cfcore.Workload{workload("No Name", cfcore.ClassWatch, 1)}}, "must be 1 to 100"},
+		"both ways":        {cfintent.Intent{Workloads: []cfcore.Workload{workload("dispatch", cfcore.ClassService, 2)}, Remove: []string{"dispatch"}}, "is in Workloads too"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := cfplan.Make(fleet(t), cfplan.Request{ID: "p", At: at, Intent: c.in})
+			g.Expect(cferror.Is(err, cfplan.KindInvalid)).To(BeTrue())
+			g.Expect(err).To(MatchError(ContainSubstring(c.want)))
+		})
+	}
+	_, err := cfplan.Make(fleet(t), cfplan.Request{ID: "p", At: at, Intent: cfintent.Intent{Teams: []cfcore.Team{quota(2000)}}})
+	NewWithT(t).Expect(cferror.Is(err, cfplan.KindNothing)).To(BeTrue())
+}
--- /dev/null
+++ b/pkg/cfroute/router_test.go
@@ -0,0 +1,197 @@
+package cfroute_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfcore/cfpick"
+	"cranberryford/pkg/cfroute"
+	"cranberryford/pkg/cfwire"
+)
+
+// fakeConn answers calls as its script says.
+type fakeConn struct {
+	link    *cfroute.Link
+	script  func(*cfwire.Call) *cfwire.Answer
+	mu      sync.Mutex
+	silence time.Duration
+	sent    []*cfwire.Call
+	done    chan struct{}
+}
+
+func (c *fakeConn) Send(m *cfwire.Message) error {
+	if m.Call == nil {
+		return nil
+	}
+	c.mu.Lock()
+	c.sent = append(c.sent, m.Call)
+	c.mu.Unlock()
+	if a := c.script(m.Call); a != nil {
+		a.ID = m.Call.ID
+		go c.link.Deliver(a)
+	}
+	return nil
+}
+
+func (c *fakeConn) Silence() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silence
+}
+
+func (c *fakeConn) Done() <-chan struct{} { return c.done }
+
+func (c *fakeConn) calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sent)
+}
+
+func verdict(v cfwire.Verdict, busy bool) func(*cfwire.Call) *cfwire.Answer {
+	return func(*cfwire.Call) *cfwire.Answer { return &cfwire.Answer{Verdict: v, Busy: busy, Status: 200} }
+}
+
+// rig is a router with one service.
+type rig struct {
+	router *cfroute.Router
+	svc    *cfroute.Service
+	conns  []*fakeConn
+}
+
+func newRig(scripts ...func(*cfwire.Call) *cfwire.Answer) *rig {
+	r := &rig{svc: &cfroute.Service{Name: "s", Timeout: time.Second, Ejected: &atomic.Int64{}}}
+	r.router = cfroute.New(cfroute.Settings{
+		Stale: time.Minute, Suspect: 60 * time.Millisecond, EjectPercent: 50, EjectAfter: 3,
+		EjectFor: time.Minute, RetryPercent: 10,
+	}, cfpick.TwoChoices{}, clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 1)), tally.NoopScope)
+	for _, script := range scripts {
+		l := cfroute.NewLink("w", "i", 60*time.Millisecond)
+		c := &fakeConn{link: l, script: script, done: make(chan struct{})}
+		l.Add(c)
+		b := &cfroute.Backend{Service: "s", Link: l, Target: cfcore.Target{Slots: 1}}
+		r.router.Heard(b)
+		r.svc.Backends = append(r.svc.Backends, b)
+		r.conns = append(r.conns, c)
+	}
+	return r
+}
+
+func (r *rig) do(method string) cfroute.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	return r.router.Do(ctx, r.svc, &cfwire.Call{Method: method})
+}
+
+func TestRetries(t *testing.T) {
+	answered, notRun := cfwire.VerdictAnswered, cfwire.VerdictNotRun
+	for name, c := range map[string]struct {
+		first  cfwire.Verdict
+		method string
+		want   cfwire.Verdict
+		sent   int
+	}{
+		"NotRun is retried for POST":      {notRun, "POST", answered, 2},
+		"Unknown is not retried for POST": {cfwire.VerdictUnknown, "POST", cfwire.VerdictUnknown, 1},
+		"Unknown is retried for GET":      {cfwire.VerdictUnknown, "GET", answered, 2},
+		"Answered is not retried":         {answered, "GET", answered, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var n atomic.Int64
+			script := func(*cfwire.Call) *cfwire.Answer {
+				if n.Add(1) == 1 {
+					return &cfwire.Answer{Verdict: c.first}
+				}
+				return &cfwire.Answer{Verdict: answered}
+			}
+			r := newRig(script, script)
+			g.Expect(r.do(c.method).Answer.Verdict).To(Equal(c.want))
+			g.Expect(int(n.Load())).To(Equal(c.sent))
+		})
+	}
+}
+
+func TestNoTarget(t *testing.T) {
+	NewWithT(t).Expect(newRig().do("GET").Answer.Verdict).To(Equal(cfwire.VerdictNotRun))
+}
+
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(verdict(cfwire.VerdictNotRun, true), verdict(cfwire.VerdictNotRun, true), verdict(cfwire.VerdictNotRun, true))
+	const calls = 1000
+	for range calls {
+		r.do("POST")
+	}
+	sent := 0
+	for _, c := range r.conns {
+		sent += c.calls()
+	}
+	// A tenth, and the few that the budget begins with.
+	g.Expect(sent).To(BeNumerically("<=", calls+calls/10+10))
+}
+
+func TestEjection(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(verdict(cfwire.VerdictUnknown, false), verdict(cfwire.VerdictAnswered, false), verdict(cfwire.VerdictAnswered, false))
+	for range 100 {
+		r.do("POST")
+	}
+	g.Expect(r.conns[0].calls()).To(BeNumerically("<=", 3), "it fails and is ejected")
+	all := newRig(verdict(cfwire.VerdictUnknown, false), verdict(cfwire.VerdictUnknown, false))
+	for range 100 {
+		all.do("POST")
+	}
+	g.Expect(all.conns[0].calls()+all.conns[1].calls()).To(BeNumerically(">", 90), "not more than a share is ejected")
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(func(*cfwire.Call) *cfwire.Answer { return nil })
+	first := r.conns[0]
+	second := &fakeConn{link: first.link, script: verdict(cfwire.VerdictAnswered, false), done: make(chan struct{})}
+	go func() {
+		time.Sleep(30 * time.Millisecond)
+		first.mu.Lock()
+		first.silence = time.Second
+		first.mu.Unlock()
+		first.link.Add(second)
+	}()
+	g.Expect(r.do("POST").Answer.Verdict).To(Equal(cfwire.VerdictAnswered))
+	g.Expect(second.sent[0].ID).To(Equal(first.sent[0].ID), "the agent can tell that it is the same call")
+}
+
+func TestLateAndDoubledAnswersAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	l := cfroute.NewLink("w", "i", time.Second)
+	g.Expect(l.Deliver(&cfwire.Answer{ID: cfwire.CallID{7}})).To(BeFalse())
+}
+
+func BenchmarkDo(b *testing.B) {
+	for _, n := range []int{3, 11, 50, 200} {
+		b.Run(time.Duration(n).String()[:len(time.Duration(n).String())-2]+"-targets", func(b *testing.B) {
+			scripts := make([]func(*cfwire.Call) *cfwire.Answer, n)
+			for i := range scripts {
+				scripts[i] = verdict(cfwire.VerdictAnswered, false)
+			}
+			r := newRig(scripts...)
+			for _, c := range r.conns {
+				c.script = scripts[0]
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+			defer cancel()
+			b.ReportAllocs()
+			for b.Loop() {
+				r.router.Do(ctx, r.svc, &cfwire.Call{Method: "POST"})
+			}
+		})
+	}
+}
