Learn how much batch work slows services, and place by it; measure the policies

Cause: placement ignored which tasks sit together; no policy was measured. Change: a filter learns the slowdown of each pair from lagged measurements; placing weighs it, and a batch task waits up to 2 min for a place below a slowdown of 2. cfmeasure policies writes docs/MEASUREMENTS.md.

--- /dev/null
+++ b/internal/cfbench/report.go
@@ -0,0 +1,117 @@
+package cfbench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"cranberryford/pkg/cferror"
+)
+
+// KindWrite is a page that cannot be written.
+const KindWrite Kind = "cannot write"
+
+// filePerm is the mode of the pages.
+const filePerm = 0o644
+
+// WritePolicies measures the policies and writes MEASUREMENTS.md and its plots.
+func WritePolicies(ctx context.Context, dir string, seed uint64) error {
+	routing, err := Routing(ctx, seed)
+	if err != nil {
+		return err
+	}
+	var placement []PlacementResult
+	for s := seed; s < seed+placementSeeds; s++ {
+		some, err := Placement(s)
+		if err != nil {
+			return err
+		}
+		for i := range some {
+			some[i].Scenario = fmt.Sprintf("%s, seed %d", some[i].Scenario, s)
+		}
+		placement = append(placement, some...)
+	}
+	text := policiesPage(routing, placement, seed)
+	if err := write(dir, "MEASUREMENTS.md", text); err != nil {
+		return err
+	}
+	return plotPlacement(filepath.Join(dir, "placement.svg"), placement)
+}
+
+// placementSeeds is the number of seeds that placement is measured on.
+const placementSeeds = 3
+
+func write(dir, name, text string) error {
+	return cferror.Wrap("write "+name, KindWrite, os.WriteFile(filepath.Join(dir, name), []byte(text), filePerm))
+}
+
+func policiesPage(routing []RoutingResult, placement []PlacementResult, seed uint64) string {
+	var b strings.Builder
+	b.WriteString("# Measurements of the policies\n\nMade by `go run ./cmd/cfmeasure policies docs`")
+	fmt.Fprintf(&b, " with seed %d. What the figures mean, and what misses its target, is in\n[DESIGN.md](DESIGN.md).\n\n", seed)
+	fmt.Fprintf(&b, "## Sending calls\n\n%d entries send to %d targets of %d slots with calls of %s; timeout %s. Small fakes in one\nprocess, with the real router and gates. Goodput is in calls a second; capacity is %.0f.\n\n",
+		routeEntries, routeTargets, routeSlots, routeWork, routeTimeout, capacity)
+	t := table.NewWriter()
+	t.AppendHeader(table.Row{"Scenario", "Policy", "p50 ms", "p99 ms", "p99.9 ms", "Goodput", "Refused %", "Late %", "Extra attempts %"})
+	for _, r := range routing {
+		t.AppendRow(table.Row{r.Scenario, r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), fmt.Sprintf("%.0f", r.Goodput), pct(r.Refused), pct(r.Late), pct(r.Extra)})
+	}
+	b.WriteString(t.RenderMarkdown())
+	fmt.Fprintf(&b, "\n\n## Placing tasks\n\n%d workers, two services of 5 replicas, %d batch workloads whose harm to the services is drawn\nat random and hidden from the policies; measurements lag by %d s; %d s in all. The real fold, scheduler\nand learning. p99 is that of the services' calls.\n\n",
+		simWorkers, simBatches, simLag, simTicks)
+	t = table.NewWriter()
+	t.AppendHeader(table.Row{"Scenario", "Policy", "p50 ms", "p99 ms", "p99.9 ms", "Batch done", "Evictions"})
+	for _, r := range placement {
+		t.AppendRow(table.Row{r.Scenario, r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), r.Done, r.Evictions})
+	}
+	b.WriteString(t.RenderMarkdown())
+	b.WriteString("\n\n![p99 of services by placement](placement.svg)\n")
+	return b.String()
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond)) }
+
+func pct(x float64) string { return fmt.Sprintf("%.1f", 100*x) }
+
+// plotPlacement draws the services' p99 under each placement policy.
+func plotPlacement(file string, results []PlacementResult) error {
+	p := plot.New()
+	p.Title.Text = "p99 of services by placement"
+	p.Y.Label.Text = "ms"
+	p.Legend.Top = true
+	var names []string
+	width := vg.Points(4)
+	for i, policy := range placementPolicies {
+		var values plotter.Values
+		for _, r := range results {
+			if r.Policy != policy.name {
+				continue
+			}
+			values = append(values, float64(r.P99)/float64(time.Millisecond))
+			if i == 0 {
+				names = append(names, r.Scenario)
+			}
+		}
+		bars, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return cferror.Wrap("plot", KindWrite, err)
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = width * vg.Length(i-len(placementPolicies)/2)
+		p.Add(bars)
+		p.Legend.Add(policy.name, bars)
+	}
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = 0.9
+	p.X.Tick.Label.XAlign = -1
+	return cferror.Wrap("plot", KindWrite, p.Save(26*vg.Centimeter, 14*vg.Centimeter, file))
+}
--- a/internal/cfentry/agents.go
+++ b/internal/cfentry/agents.go
@@ -262,6 +262,6 @@
 func (c *control) input() cfschedule.Input {
 	return cfschedule.Input{
 		Self: c.id, State: c.state(), Workers: c.workers, Entries: c.grants,
-		Now: c.Clock.Now(), Rand: c.rand,
+		Now: c.Clock.Now(), Rand: c.rand, Harm: c.harm,
 	}
 }
--- a/internal/cfentry/control.go
+++ b/internal/cfentry/control.go
@@ -10,6 +10,7 @@
 	"cranberryford/pkg/cfcore/cfplace"
 	"cranberryford/pkg/cffold"
 	"cranberryford/pkg/cfgrant"
+	"cranberryford/pkg/cfharm"
 	"cranberryford/pkg/cfrecord"
 	"cranberryford/pkg/cfroute"
 	"cranberryford/pkg/cfschedule"
@@ -23,6 +24,14 @@
 	planner *cfschedule.Scheduler
 	rand    *rand.Rand
 
+	// harm is what is learnt of how much batch work slows services.
+	harm *cfharm.Model
+	// placedAt is when the tasks of a worker changed last, observedAt when the
+	// targets were measured last, with the answers that each had given by then.
+	placedAt   map[cfcore.WorkerID]time.Time
+	observedAt time.Time
+	answers    map[*cfroute.Backend]int64
+
 	// logHealthy is set while the log can be read.
 	logHealthy bool
 
@@ -73,8 +82,11 @@
 			Timing: timing, Silence: p.Silence, EntrySilence: p.EntrySilence, MaxBatch: p.MaxBatch,
 			HeadroomPercent: p.HeadroomPercent, QuarantineAfter: p.QuarantineAfter,
 			QuarantineFor: p.QuarantineFor, RetryAfter: p.RetryAfter,
+			HarmLimit: p.HarmLimit, HarmWait: p.HarmWait,
 		}, placer),
 		rand:     e.Rand(streamControl),
+		harm:     cfharm.NewModel(harmLag),
+		placedAt: map[cfcore.WorkerID]time.Time{}, answers: map[*cfroute.Backend]int64{},
 		sessions: map[*session]bool{}, workers: map[cfcore.WorkerID]*cfschedule.WorkerView{},
 		changedAt: map[cfcore.WorkerID]cfcore.Offset{}, links: map[cfcore.InstanceID]*cfroute.Link{},
 		backends: map[backendKey]*cfroute.Backend{}, services: map[string]*cfroute.Service{},
@@ -157,6 +169,7 @@
 	c.plan()
 	c.snapshot()
 	c.publish()
+	c.observe()
 }
 
 // setLogHealthy notes whether the log can be read.
@@ -248,6 +261,7 @@
 	}
 	for w := range s.Dirty {
 		c.changedAt[w] = s.Offset
+		c.placedAt[w] = c.Clock.Now()
 		delete(s.Dirty, w)
 	}
 	if s.Epoch != c.epochSeen {
--- a/pkg/cfconfig/entry.go
+++ b/pkg/cfconfig/entry.go
@@ -59,6 +59,8 @@
 	QuarantineAfter int           `validate:"min=1,max=16" doc:"different workloads that fail in a row before a worker is quarantined"`
 	QuarantineFor   time.Duration `validate:"min=1s,max=24h" doc:"time before a quarantined worker is tried again"`
 	RetryAfter      time.Duration `validate:"min=10ms,max=1h" doc:"time before a failed task starts again"`
+	HarmLimit       float64       `validate:"min=0,max=100" doc:"slowdown of a worker's services, as a share of their time alone, above which a batch task waits for another place; 0 for no limit"`
+	HarmWait        time.Duration `validate:"min=0s,max=24h" doc:"longest time that a batch task waits for a place below HarmLimit"`
 	SnapshotEvery   int           `validate:"min=10,max=10000000" doc:"log entries between two snapshots; well inside the log's retention"`
 	SnapshotAge     time.Duration `validate:"min=1s,max=24h" doc:"time between two snapshots; well inside the log's retention"`
 	AppendTimeout   time.Duration `validate:"min=100ms,max=5m" doc:"time after which an append that gets no answer is given up"`
@@ -105,7 +107,7 @@
 		Planner: Planner{
 			Tick: 50 * time.Millisecond, Silence: 2 * time.Second, EntrySilence: 10 * time.Second,
 			PlannerSilence: 3 * time.Second, MaxBatch: 1000, HeadroomPercent: 10,
-			QuarantineAfter: 3, QuarantineFor: time.Minute, RetryAfter: time.Second,
+			QuarantineAfter: 3, QuarantineFor: time.Minute, RetryAfter: time.Second, HarmLimit: 2, HarmWait: 2 * time.Minute,
 			SnapshotEvery: 2000, SnapshotAge: 10 * time.Minute, AppendTimeout: 5 * time.Second, Placement: "Spread",
 		},
 		Routing: Routing{
--- a/pkg/cfcore/cfplace/cfplace.go
+++ b/pkg/cfcore/cfplace/cfplace.go
@@ -35,7 +35,8 @@
 }
 
 func spreadScore(w *cfcore.Workload, s *cfcore.Slot) float64 {
-	score := harmWeight * s.Harm
+	// The tail suffers most where harm meets harm.
+	score := harmWeight * s.Harm * (1 + 2*s.TotalHarm + s.Harm)
 	score += fillWeight * fill(s)
 	if w.Class != cfcore.ClassBatch {
 		score += peerWeight*float64(s.Peers) + rackPeerWeight*float64(s.RackPeers)
--- a/pkg/cfcore/policy.go
+++ b/pkg/cfcore/policy.go
@@ -35,11 +35,19 @@
 	// RackPeers the number in its rack.
 	Peers     int
 	RackPeers int
-	// Services and Batches count the running tasks of these classes.
-	Services int
-	Batches  int
-	// Harm is the slowdown expected from the neighbours: 0 for none.
-	Harm float64
+	// Harm is the slowdown that the task is expected to add, and TotalHarm the one
+	// that is there without it: 0 for none.
+	Harm      float64
+	TotalHarm float64
+}
+
+// Harm tells how much batch tasks slow services on the same worker, as a share of
+// the services' time alone. Tasks are counted by workload.
+type Harm interface {
+	// Added returns what one more task of w would add.
+	Added(w *Workload, services, batches map[string]int) float64
+	// Total returns what the batch tasks add that are there.
+	Total(services, batches map[string]int) float64
 }
 
 // Placer chooses a worker for a task.
--- a/pkg/cfroute/backend.go
+++ b/pkg/cfroute/backend.go
@@ -24,12 +24,15 @@
 	failures atomic.Int64
 	// ejectedAt is when the target was ejected, or zero.
 	ejectedAt atomic.Int64
+	// answers counts whole answers.
+	answers atomic.Int64
 	// heardAt is when its agent last reported.
 	heardAt atomic.Int64
 }
 
 // succeeded counts a whole answer.
 func (b *Backend) succeeded(took time.Duration) {
+	b.answers.Add(1)
 	b.failures.Store(0)
 	b.ejectedAt.Store(0)
 	old := b.latency.Load()
@@ -44,6 +47,9 @@
 // Latency returns the moving average of the target's answers.
 func (b *Backend) Latency() time.Duration { return time.Duration(b.latency.Load()) }
 
+// Answers returns how many whole answers the target has given.
+func (b *Backend) Answers() int64 { return b.answers.Load() }
+
 // InFlight returns the number of calls that are open to the target.
 func (b *Backend) InFlight() int { return int(b.inFlight.Load()) }
 
--- a/pkg/cfschedule/place.go
+++ b/pkg/cfschedule/place.go
@@ -15,8 +15,19 @@
 type room struct {
 	slot     cfcore.Slot
 	instance cfcore.InstanceID
-	// peers counts the tasks on the worker by workload.
-	peers map[string]int
+	// services, batches and watches count the tasks on the worker by workload.
+	services, batches, watches map[string]int
+}
+
+// tasks returns the counts of a class.
+func (r *room) tasks(c cfcore.Class) map[string]int {
+	switch c {
+	case cfcore.ClassService:
+		return r.services
+	case cfcore.ClassBatch:
+		return r.batches
+	}
+	return r.watches
 }
 
 // place assigns the tasks that wait.
@@ -32,7 +43,7 @@
 			return
 		}
 		w := &d.s.Workloads[t.Workload].Spec
-		r := d.choose(w, rooms, racks)
+		r := d.choose(t, w, rooms, racks)
 		if r == nil {
 			d.makeRoom(w)
 			continue
@@ -59,27 +70,20 @@
 }
 
 func (d *decision) newRoom(w *cffold.Worker) *room {
-	r := &room{instance: w.Instance, peers: map[string]int{}}
+	r := &room{
+		instance: w.Instance,
+		services: map[string]int{}, batches: map[string]int{}, watches: map[string]int{},
+	}
 	r.slot = cfcore.Slot{
 		Worker: w.ID, DataCentre: w.DataCentre, Rack: w.Rack, Capacity: w.Capacity, Free: w.Free(),
 	}
 	for id := range w.Tasks {
 		name := d.s.Tasks[id].Workload
-		r.peers[name]++
-		count(&r.slot, d.s.Workloads[name].Spec.Class)
+		r.tasks(d.s.Workloads[name].Spec.Class)[name]++
 	}
 	return r
 }
 
-func count(s *cfcore.Slot, c cfcore.Class) {
-	if c == cfcore.ClassService {
-		s.Services++
-	}
-	if c == cfcore.ClassBatch {
-		s.Batches++
-	}
-}
-
 // rackKey names a workload's share of a rack.
 type rackKey struct {
 	dataCentre, rack, workload string
@@ -88,8 +92,10 @@
 func (d *decision) racks(rooms []*room) map[rackKey]int {
 	out := map[rackKey]int{}
 	for _, r := range rooms {
-		for name, n := range r.peers {
-			out[rackKey{r.slot.DataCentre, r.slot.Rack, name}] += n
+		for _, counts := range []map[string]int{r.services, r.batches, r.watches} {
+			for name, n := range counts {
+				out[rackKey{r.slot.DataCentre, r.slot.Rack, name}] += n
+			}
 		}
 	}
 	return out
@@ -143,7 +149,7 @@
 
 // choose returns the room for a task, or nil. It scores a sample that begins at
 // a random worker, so that its cost does not grow with the fleet.
-func (d *decision) choose(w *cfcore.Workload, rooms []*room, racks map[rackKey]int) *room {
+func (d *decision) choose(t *cffold.Task, w *cfcore.Workload, rooms []*room, racks map[rackKey]int) *room {
 	if len(rooms) == 0 {
 		return nil
 	}
@@ -155,11 +161,9 @@
 		if !w.Resources.Fits(d.limit(w, r)) {
 			continue
 		}
-		slot := r.slot
-		slot.Peers = r.peers[w.Name]
-		slot.RackPeers = racks[rackKey{slot.DataCentre, slot.Rack, w.Name}]
-		if d.in.Harm != nil {
-			slot.Harm = d.in.Harm(w, slot.Worker)
+		slot := d.slot(w, r, racks)
+		if d.tooHarmful(t, w, &slot) {
+			continue
 		}
 		slots = append(slots, slot)
 		picked = append(picked, r)
@@ -170,6 +174,27 @@
 	return picked[d.placer.Place(w, slots)]
 }
 
+// slot describes a room to the placer.
+func (d *decision) slot(w *cfcore.Workload, r *room, racks map[rackKey]int) cfcore.Slot {
+	slot := r.slot
+	slot.Peers = r.tasks(w.Class)[w.Name]
+	slot.RackPeers = racks[rackKey{slot.DataCentre, slot.Rack, w.Name}]
+	if d.in.Harm != nil {
+		slot.Harm = d.in.Harm.Added(w, r.services, r.batches)
+		slot.TotalHarm = d.in.Harm.Total(r.services, r.batches)
+	}
+	return slot
+}
+
+// tooHarmful lets a batch task wait rather than slow services beyond the limit,
+// but not for ever.
+func (d *decision) tooHarmful(t *cffold.Task, w *cfcore.Workload, s *cfcore.Slot) bool {
+	if w.Class != cfcore.ClassBatch || d.settings.HarmLimit <= 0 || s.Harm <= 0 {
+		return false
+	}
+	return s.TotalHarm+s.Harm > d.settings.HarmLimit && d.in.Now.Sub(t.Since) < d.settings.HarmWait
+}
+
 // limit returns what a task of the workload may take of a room. Batch tasks leave
 // a headroom for urgent ones.
 func (d *decision) limit(w *cfcore.Workload, r *room) cfcore.Resources {
@@ -185,9 +210,8 @@
 
 func (d *decision) take(r *room, w *cfcore.Workload, racks map[rackKey]int) {
 	r.slot.Free = r.slot.Free.Sub(w.Resources)
-	r.peers[w.Name]++
+	r.tasks(w.Class)[w.Name]++
 	racks[rackKey{r.slot.DataCentre, r.slot.Rack, w.Name}]++
-	count(&r.slot, w.Class)
 }
 
 // makeRoom evicts batch tasks whose plans permit it, on the one worker where the
--- a/pkg/cfschedule/schedule.go
+++ b/pkg/cfschedule/schedule.go
@@ -30,6 +30,10 @@
 	QuarantineFor time.Duration
 	// RetryAfter is how long a failed task waits before it is assigned again.
 	RetryAfter time.Duration
+	// HarmLimit is the slowdown of the services on a worker above which a batch
+	// task waits for another place, for up to HarmWait.
+	HarmLimit float64
+	HarmWait  time.Duration
 }
 
 // WorkerView is what a worker's agent reported last.
@@ -54,9 +58,8 @@
 	Entries *cfgrant.Table
 	Now     time.Time
 	Rand    *rand.Rand
-	// Harm returns the expected slowdown between a workload and what runs on a
-	// worker. It may be nil.
-	Harm func(*cfcore.Workload, cfcore.WorkerID) float64
+	// Harm is what is known of how tasks slow each other. It may be nil.
+	Harm cfcore.Harm
 }
 
 // Scheduler remembers when it saw what it waits for. It belongs to one goroutine.
