--- /dev/null
+++ b/internal/cfbench/processes.go
@@ -0,0 +1,221 @@
+package cfbench
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranberryford/pkg/cferror"
+)
+
+// processCounts are the numbers of agents that an entry is measured with.
+var processCounts = [...]int{10, 40}
+
+// measureTime is how long processes are measured, after settleTime.
+const (
+	settleTime  = 5 * time.Second
+	measureTime = 10 * time.Second
+)
+
+// usage is what one process used.
+type usage struct {
+	// cpu is the share of one core.
+	cpu float64
+	// rss is resident memory in bytes.
+	rss int64
+}
+
+// processSlopes starts real processes in several numbers and reads what the entry
+// and the agents use.
+func processSlopes(ctx context.Context) ([]slope, error) {
+	dir, err := os.MkdirTemp("", "cfmeasure")
+	if err != nil {
+		return nil, cferror.Wrap("processes", KindSetup, err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	for _, name := range []string{"cranberryford", "cfstandin"} {
+		build := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(dir, name), "cranberryford/cmd/"+name)
+		if out, err := build.CombinedOutput(); err != nil {
+			return nil, cferror.New("processes", KindSetup, "build: %s", out)
+		}
+	}
+	var out []slope
+	var entries []usage
+	for _, n := range processCounts {
+		entry, agent, err := measureProcesses(ctx, dir, n)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+		out = append(out,
+			slope{fmt.Sprintf("entry process with %d agents at rest", n), fmt.Sprintf("%s %% of a core, %.1f MB", pct(entry.cpu), float64(entry.rss)/1e6)},
+			slope{fmt.Sprintf("agent process at rest, mean of %d", n), fmt.Sprintf("%s %% of a core, %.1f MB", pct(agent.cpu), float64(agent.rss)/1e6)})
+	}
+	first, last := entries[0], entries[len(entries)-1]
+	span := float64(processCounts[len(processCounts)-1] - processCounts[0])
+	out = append(out, slope{
+		"entry process, for each more agent",
+		fmt.Sprintf("%.3f %% of a core, %.0f KB", 100*(last.cpu-first.cpu)/span, float64(last.rss-first.rss)/span/1000),
+	})
+	return out, nil
+}
+
+// fleetProcesses are the processes of one measurement.
+type fleetProcesses struct {
+	dir  string
+	cmds []*exec.Cmd
+}
+
+func (f *fleetProcesses) start(ctx context.Context, name string, args ...string) (*exec.Cmd, error) {
+	cmd := exec.CommandContext(ctx, filepath.Join(f.dir, name), args...)
+	if err := cmd.Start(); err != nil {
+		return nil, cferror.Wrap("start "+name, KindSetup, err)
+	}
+	f.cmds = append(f.cmds, cmd)
+	return cmd, nil
+}
+
+func (f *fleetProcesses) stop() {
+	for _, cmd := range f.cmds {
+		_ = cmd.Process.Kill()
+		// The process was killed: its error says nothing.
+		_ = cmd.Wait()
+	}
+}
+
+func (f *fleetProcesses) write(name, text string) (string, error) {
+	file := filepath.Join(f.dir, name)
+	return file, cferror.Wrap("write settings", KindSetup, os.WriteFile(file, []byte(text), 0o600))
+}
+
+func freeAddr(ctx context.Context) (netip.AddrPort, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, cferror.Wrap("free address", KindSetup, err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+// measureProcesses starts an entry with n agents, lets them settle, and measures.
+func measureProcesses(ctx context.Context, dir string, n int) (entry, agent usage, err error) {
+	f := &fleetProcesses{dir: dir}
+	defer f.stop()
+	entryCmd, agents, err := f.startAll(ctx, n)
+	if err != nil {
+		return entry, agent, err
+	}
+	time.Sleep(settleTime)
+	cmds := append([]*exec.Cmd{entryCmd}, agents...)
+	before := make([]float64, len(cmds))
+	for i, cmd := range cmds {
+		before[i] = cpuSeconds(cmd)
+	}
+	time.Sleep(measureTime)
+	for i, cmd := range cmds {
+		u := usage{cpu: (cpuSeconds(cmd) - before[i]) / measureTime.Seconds(), rss: residentBytes(cmd)}
+		if i == 0 {
+			entry = u
+			continue
+		}
+		agent.cpu += u.cpu / float64(n)
+		agent.rss += u.rss / int64(n)
+	}
+	return entry, agent, nil
+}
+
+func (f *fleetProcesses) startAll(ctx context.Context, n int) (*exec.Cmd, []*exec.Cmd, error) {
+	addrs := make([]netip.AddrPort, 4+2*n)
+	for i := range addrs {
+		a, err := freeAddr(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		addrs[i] = a
+	}
+	if _, err := f.start(ctx, "cfstandin", "platform", addrs[0].String()); err != nil {
+		return nil, nil, err
+	}
+	key, err := f.write("key", "a shared key for measuring")
+	if err != nil {
+		return nil, nil, err
+	}
+	sum := sha256.Sum256([]byte("token"))
+	file, err := f.write("entry.jsonc", fmt.Sprintf(`{"Name": "entry", "DataCentre": "dc", "Callers": %q, "Operators": %q,
+		"Inner": %q, "Log": %q, "KeyFile": %q, "Tokens": [{"Name": "t", "Hash": %q}], "LogLevel": "error"}`,
+		addrs[1], addrs[2], addrs[3], addrs[0], key, hex.EncodeToString(sum[:])))
+	if err != nil {
+		return nil, nil, err
+	}
+	entry, err := f.start(ctx, "cranberryford", "entry", "-settings", file)
+	if err != nil {
+		return nil, nil, err
+	}
+	agents := make([]*exec.Cmd, n)
+	for i := range agents {
+		if agents[i], err = f.startVM(ctx, i, addrs[3], addrs[4+2*i], addrs[5+2*i], key); err != nil {
+			return nil, nil, err
+		}
+	}
+	return entry, agents, nil
+}
+
+func (f *fleetProcesses) startVM(ctx context.Context, i int, inner, vm, local netip.AddrPort, key string) (*exec.Cmd, error) {
+	name := "vm-" + strconv.Itoa(i)
+	if _, err := f.start(ctx, "cfstandin", "vm", vm.String(), local.String(), name); err != nil {
+		return nil, err
+	}
+	file, err := f.write(name+".jsonc", fmt.Sprintf(`{"Worker": %q, "DataCentre": "dc", "Rack": "r", "VM": %q, "Local": %q,
+		"Entries": [%q], "KeyFile": %q, "LogLevel": "error"}`, name, vm, local, inner, key))
+	if err != nil {
+		return nil, err
+	}
+	return f.start(ctx, "cranberryford", "agent", "-settings", file)
+}
+
+// ticksPerSecond is the unit of processor time in the process files. Source:
+// proc_pid_stat(5), sysconf(_SC_CLK_TCK) on Linux.
+const ticksPerSecond = 100
+
+// cpuSeconds returns the processor time that a process has used.
+func cpuSeconds(cmd *exec.Cmd) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	// The name in parentheses may hold spaces; the fields behind it do not.
+	fields := bytes.Fields(data[bytes.LastIndexByte(data, ')')+1:])
+	const utime, stime = 11, 12
+	sum := 0.0
+	for _, i := range []int{utime, stime} {
+		if n, err := strconv.ParseFloat(string(fields[i]), 64); err == nil {
+			sum += n
+		}
+	}
+	return sum / ticksPerSecond
+}
+
+// residentBytes returns the memory that a process holds.
+func residentBytes(cmd *exec.Cmd) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 10, 64)
+			return n * 1024
+		}
+	}
+	return 0
+}
