--- a/internal/cfagent/conns.go
+++ b/internal/cfagent/conns.go
@@ -37,7 +37,8 @@
 	l := &controlLink{conn: conn, bases: map[uint64]time.Duration{}}
 	a.tell(ctx, linkUp{link: l})
 	defer a.tell(ctx, linkDown{link: l})
-	return a.serve(ctx, conn, func(m *cfwire.Message) {
+	// Questions and answers show that a control connection is alive.
+	return a.serve(ctx, conn, a.cfg.Lease.Ask+a.cfg.Beat, func(m *cfwire.Message) {
 		switch {
 		case m.Grant != nil:
 			a.tell(ctx, granted{link: l, grant: m.Grant})
@@ -54,7 +55,7 @@
 		return err
 	}
 	defer cleanup()
-	return a.serve(ctx, conn, func(m *cfwire.Message) {
+	return a.serve(ctx, conn, a.cfg.Beat, func(m *cfwire.Message) {
 		switch {
 		case m.Call != nil:
 			a.call(ctx, conn, m.Call)
@@ -66,13 +67,13 @@
 
 // serve receives messages until the connection ends or goes silent. It shows the
 // other end that the connection is alive.
-func (a *Agent) serve(ctx context.Context, conn *cfwire.Conn, handle func(*cfwire.Message)) error {
+func (a *Agent) serve(ctx context.Context, conn *cfwire.Conn, beat time.Duration, handle func(*cfwire.Message)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	kept := make(chan struct{})
 	go func() {
 		defer close(kept)
-		cfwire.Keep(ctx, conn, a.Clock, a.cfg.Beat, a.cfg.Suspect)
+		cfwire.Keep(ctx, conn, a.Clock, beat, max(a.cfg.Suspect, 2*beat))
 		cancel()
 	}()
 	defer func() { cancel(); <-kept }()
--- a/internal/cfagent/control.go
+++ b/internal/cfagent/control.go
@@ -56,6 +56,7 @@
 	conn *cfwire.Conn
 	// reported is the number of the report that was sent last on it.
 	reported uint64
+	about    cfwire.About
 	seq      uint64
 	// bases is the worker's uptime when each open question was sent.
 	bases map[uint64]time.Duration
@@ -80,8 +81,9 @@
 	barred  bool
 	leaving bool
 
-	sent     cfwire.Report
-	reportNo uint64
+	sent       cfwire.Report
+	reportNo   uint64
+	reportedAt time.Time
 }
 
 func newControl(a *Agent) *control {
@@ -151,10 +153,10 @@
 			clear(l.bases)
 		}
 	}
-	changed := !c.vmKnown || !reflect.DeepEqual(summary(r.Runs), summary(c.report.Runs))
+	first := !c.vmKnown
 	c.vmKnown = true
 	c.report = r
-	if changed {
+	if c.refreshReport() || first {
 		c.askAll()
 	}
 	c.signalEmpty()
@@ -203,9 +205,12 @@
 	l.seq++
 	l.bases[l.seq] = c.report.Uptime
 	m := &cfwire.Ask{
-		Seq: l.seq, Worker: cfcore.WorkerID(c.cfg.Worker), Instance: c.report.Instance,
-		DataCentre: c.cfg.DataCentre, Rack: c.cfg.Rack, Capacity: c.report.Capacity,
-		Leaving: c.leaving, Have: c.have,
+		Seq: l.seq, Instance: c.report.Instance, Leaving: c.leaving, Have: c.have,
+	}
+	about := cfwire.About{DataCentre: c.cfg.DataCentre, Rack: c.cfg.Rack, Capacity: c.report.Capacity}
+	if l.about != about {
+		l.about = about
+		m.About = &about
 	}
 	c.refreshReport()
 	if l.reported != c.reportNo {
@@ -219,14 +224,35 @@
 	}
 }
 
-// refreshReport numbers the report anew where it has changed.
-func (c *control) refreshReport() {
+// refreshReport numbers the report anew where it has changed, and reports whether
+// it has. New checkpoints alone are held back for a while: they come often.
+func (c *control) refreshReport() bool {
 	next := cfwire.Report{Runs: c.allRuns(), Targets: c.targets.list()}
+	if c.reportNo != 0 && c.Clock.Since(c.reportedAt) < c.cfg.CheckpointEvery {
+		c.keepCheckpoints(next.Runs)
+	}
 	if c.reportNo != 0 && reflect.DeepEqual(next, c.sent) {
-		return
+		return false
 	}
 	c.sent = next
+	c.reportedAt = c.Clock.Now()
 	c.reportNo++
+	return true
+}
+
+// keepCheckpoints puts the checkpoints that were reported last in place of newer
+// ones, for runs that still execute.
+func (c *control) keepCheckpoints(runs []cfcore.Run) {
+	last := make(map[cfcore.Assignment]*cfcore.Run, len(c.sent.Runs))
+	for i := range c.sent.Runs {
+		last[c.sent.Runs[i].Assignment] = &c.sent.Runs[i]
+	}
+	for i := range runs {
+		if old := last[runs[i].Assignment]; old != nil && !runs[i].State.Ended() {
+			runs[i].Checkpoint = old.Checkpoint
+			runs[i].Usage = old.Usage
+		}
+	}
 }
 
 func (c *control) allRuns() []cfcore.Run {
@@ -253,7 +279,9 @@
 			delete(e.link.bases, seq)
 		}
 	}
-	c.dialEntries(ctx, e.grant.Entries)
+	if e.grant.Entries != nil {
+		c.dialEntries(ctx, e.grant.Entries)
+	}
 	if e.grant.Refusal == "" {
 		c.barred = false
 		c.until = max(c.until, base+c.cfg.Lease.Grant)
--- a/internal/cfbench/capacity.go
+++ b/internal/cfbench/capacity.go
@@ -33,6 +33,8 @@
 	dcTasks     = 22
 	maxTasks    = dcWorkers * dcTasks
 	startRounds = 60
+	// plannedStarts is the planned peak of task starts a second.
+	plannedStarts = 6100
 	// startsPerRound is what 6,100 starts a second leave for one of 20 decisions.
 	startsPerRound = 305
 )
@@ -158,21 +160,34 @@
 	}, nil
 }
 
-// plannerSlopes starts tasks at the planned peak rate and takes the time.
-func plannerSlopes(seed uint64) ([]slope, error) {
+// plannerWork is what the planner used to start tasks at the planned peak rate.
+type plannerWork struct {
+	decide, fold   time.Duration
+	records, bytes int
+}
+
+// rate returns the task starts a second that one core decides and folds.
+func (w plannerWork) rate() float64 { return float64(w.records) / (w.decide + w.fold).Seconds() }
+
+// perStart returns a time for each task start, in microseconds.
+func (w plannerWork) perStart(d time.Duration) string {
+	return fmt.Sprintf("%.1f µs", float64(d.Microseconds())/float64(w.records))
+}
+
+// measurePlanner starts tasks at the planned peak rate and takes the time.
+func measurePlanner(seed uint64) (plannerWork, error) {
+	var w plannerWork
 	codec, err := cfrecord.NewCodec()
 	if err != nil {
-		return nil, err
+		return w, err
 	}
 	s, err := dcState(maxTasks/2, seed)
 	if err != nil {
-		return nil, err
+		return w, err
 	}
-	var decide, fold time.Duration
-	bytes, records := 0, 0
 	for i := range startRounds {
 		if err := s.addJobs(fmt.Sprint("peak-", i), startsPerRound); err != nil {
-			return nil, err
+			return w, err
 		}
 		for _, v := range s.views {
 			v.HeardAt = s.now
@@ -181,26 +196,32 @@
 		out := s.scheduler.Decide(cfschedule.Input{
 			Self: "p", State: s.state, Workers: s.views, Entries: s.entries, Now: s.now, Rand: s.r,
 		})
-		decide += time.Since(began)
+		w.decide += time.Since(began)
 		data, err := codec.Marshal(&cfrecord.Batch{By: "p", Records: out})
 		if err != nil {
-			return nil, err
+			return w, err
 		}
-		bytes += len(data)
-		records += len(out)
+		w.bytes += len(data)
+		w.records += len(out)
 		began = time.Now()
 		s.apply(out...)
-		fold += time.Since(began)
+		w.fold += time.Since(began)
+	}
+	return w, nil
+}
+
+func plannerSlopes(seed uint64) ([]slope, error) {
+	w, err := measurePlanner(seed)
+	if err != nil {
+		return nil, err
 	}
-	n := float64(records)
-	busy := (decide + fold).Seconds() / (startRounds * 0.05)
 	return []slope{
-		{"decision, for each task start, with 1300 workers", fmt.Sprintf("%.1f µs", float64(decide.Microseconds())/n)},
-		{"fold of one assignment", fmt.Sprintf("%.1f µs", float64(fold.Microseconds())/n)},
-		{"task starts a second that one core decides and folds", fmt.Sprintf("%.0f", n/(decide+fold).Seconds())},
-		{"core used for 6,100 starts a second in 20 decisions a second", pct(busy) + " %"},
-		{"records in one append at that rate", fmt.Sprintf("%.0f", n/startRounds)},
-		{"bytes of one assignment on the log", fmt.Sprintf("%.0f B", float64(bytes)/n)},
+		{"decision, for each task start, with 1300 workers", w.perStart(w.decide)},
+		{"fold of one assignment", w.perStart(w.fold)},
+		{"task starts a second that one core decides and folds", fmt.Sprintf("%.0f", w.rate())},
+		{"core used for 6,100 starts a second in 20 decisions a second", pct(plannedStarts/w.rate()) + " %"},
+		{"records in one append at that rate", fmt.Sprintf("%.0f", float64(w.records)/startRounds)},
+		{"bytes of one assignment on the log", fmt.Sprintf("%.0f B", float64(w.bytes)/float64(w.records))},
 	}, nil
 }
 
@@ -218,15 +239,11 @@
 		desired.Items = append(desired.Items, cfwire.Item{Assignment: 123456, Task: task, Instance: cfcore.InstanceID(uuid.NewString()), Workload: spec})
 	}
 	ask := cfwire.Ask{
-		Seq: 99999, Worker: "north-shore-0001", Instance: cfcore.InstanceID(uuid.NewString()), DataCentre: "north-shore",
-		Rack: "north-shore-r12", Capacity: cfcore.Resources{MilliCores: 16000, MemoryMB: 60000}, Have: 123456,
+		Seq: 99999, Instance: cfcore.InstanceID(uuid.NewString()), Have: 123456,
 	}
 	full := ask
 	full.Report = report
 	grant := &cfwire.Grant{Seq: 99999}
-	for i := range 3 {
-		grant.Entries = append(grant.Entries, cfrecord.Member{Entry: cfcore.EntryID(fmt.Sprint("north-shore.0000000", i)), DataCentre: "north-shore"})
-	}
 	poll := &cfwire.PollAnswer{Seq: 99999, Entry: "north-shore.00000000", Offset: 123456, Version: 12, Member: true}
 	out := make([]slope, 0, 8)
 	sizes := map[string]int{}
@@ -236,7 +253,7 @@
 	}{
 		{"Ask without a report", &cfwire.Message{Ask: &ask}},
 		{"Ask with a report of 22 runs", &cfwire.Message{Ask: &full}},
-		{"Grant with 3 entries", &cfwire.Message{Grant: grant}},
+		{"Grant", &cfwire.Message{Grant: grant}},
 		{"Desired with 22 runs", &cfwire.Message{Desired: desired}},
 		{"PollAnswer", &cfwire.Message{PollAnswer: poll}},
 		{"Beat", &cfwire.Message{Beat: &cfwire.Beat{}}},
@@ -248,10 +265,10 @@
 		sizes[m.name] = len(data)
 		out = append(out, slope{"message: " + m.name, fmt.Sprintf("%d B", len(data))})
 	}
-	// Per entry: asks and grants on the control connection, beats on it and on two
+	// Per entry: asks and grants on the control connection, beats on the two
 	// connections for calls; each message has a frame of up to 8 bytes.
-	const frame, asks, beats, conns = 8, 2, 5, 3
-	perEntry := asks*(sizes["Ask without a report"]+sizes["Grant with 3 entries"]+2*frame) + 2*conns*beats*(sizes["Beat"]+frame)
+	const frame, asks, beats, conns = 8, 2, 5, 2
+	perEntry := asks*(sizes["Ask without a report"]+sizes["Grant"]+2*frame) + 2*conns*beats*(sizes["Beat"]+frame)
 	out = append(out,
 		slope{"agent, control traffic at rest with each entry, both directions", fmt.Sprintf("%d B/s", perEntry)},
 		slope{"agent, control traffic at rest with 3 entries", fmt.Sprintf("%.1f KB/s", 3*float64(perEntry)/1000)})
--- a/internal/cfbench/report.go
+++ b/internal/cfbench/report.go
@@ -75,6 +75,14 @@
 	}
 	b.WriteString(t.RenderMarkdown())
 	b.WriteString("\n\n![p99 of services by placement](placement.svg)\n")
+	fmt.Fprintf(&b, "\n## Racing operators\n\n%d changes by %d teams, up to %d changes between a plan and its confirmation; the share\nof confirmations that are refused.\n\n", raceChanges, raceTeams, raceOpen)
+	t = table.NewWriter()
+	t.AppendHeader(table.Row{"Rule", "Refused %"})
+	for _, r := range Races(seed) {
+		t.AppendRow(table.Row{r.Rule, pct(r.Refused)})
+	}
+	b.WriteString(t.RenderMarkdown())
+	b.WriteString("\n")
 	return b.String()
 }
 
--- a/internal/cfdriver/cluster.go
+++ b/internal/cfdriver/cluster.go
@@ -244,7 +244,7 @@
 	file := c.path(name + "-agent.jsonc")
 	text := fmt.Sprintf(`{
 	"Worker": %q, "DataCentre": "north-shore", "Rack": "rack-%d", "VM": %q, "Local": %q,
-	"Source": %q, "Entries": [%s], "KeyFile": %q, %s
+	"Source": %q, "Entries": [%s], "KeyFile": %q, "CheckpointEvery": "1s", %s
 }`, name, i/3, v.addr, local, c.ip(ipVM, i), strings.Join(entries, ", "), c.path("key"), c.lease)
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	v.Agent = Proc{name: name + "-agent", IP: c.ip(ipVM, i), start: func() *gexec.Session {
--- a/internal/cfentry/agents.go
+++ b/internal/cfentry/agents.go
@@ -22,7 +22,7 @@
 		return
 	}
 	defer e.tell(ctx, sessionDown{session: s})
-	e.receive(ctx, conn, func(m *cfwire.Message) {
+	e.receive(ctx, conn, e.cfg.Lease.Ask+e.cfg.Routing.Beat, func(m *cfwire.Message) {
 		if m.Ask != nil {
 			e.tell(ctx, asked{session: s, ask: m.Ask})
 		}
@@ -37,7 +37,7 @@
 	}
 	link := <-reply
 	defer e.tell(ctx, trafficDown{link: link, conn: conn})
-	e.receive(ctx, conn, func(m *cfwire.Message) {
+	e.receive(ctx, conn, e.cfg.Routing.Beat, func(m *cfwire.Message) {
 		if m.Answer != nil && !link.Deliver(m.Answer) {
 			e.Scope.Counter("answers_unclaimed").Inc(1)
 		}
@@ -45,12 +45,12 @@
 }
 
 // receive hands messages on until the connection ends or goes silent.
-func (e *Entry) receive(ctx context.Context, conn *cfwire.Conn, handle func(*cfwire.Message)) {
+func (e *Entry) receive(ctx context.Context, conn *cfwire.Conn, beat time.Duration, handle func(*cfwire.Message)) {
 	ctx, cancel := context.WithCancel(ctx)
 	kept := make(chan struct{})
 	go func() {
 		defer close(kept)
-		cfwire.Keep(ctx, conn, e.Clock, e.cfg.Routing.Beat, 2*e.cfg.Routing.Suspect)
+		cfwire.Keep(ctx, conn, e.Clock, beat, max(2*e.cfg.Routing.Suspect, 2*beat))
 		cancel()
 	}()
 	defer func() { cancel(); <-kept }()
@@ -109,6 +109,10 @@
 // asked answers an agent's question for lease time, and takes over its report.
 func (c *control) asked(ev asked) {
 	s, a := ev.session, ev.ask
+	if a.About != nil {
+		s.about = *a.About
+		c.tableDirty = true
+	}
 	if a.Report != nil {
 		s.report = *a.Report
 		c.tableDirty = true
@@ -118,8 +122,8 @@
 	}
 	s.hello = a
 	c.workers[s.worker] = &cfschedule.WorkerView{
-		Worker: s.worker, Instance: a.Instance, DataCentre: a.DataCentre, Rack: a.Rack,
-		Capacity: a.Capacity, Runs: s.report.Runs, HeardAt: c.Clock.Now(), Leaving: a.Leaving,
+		Worker: s.worker, Instance: a.Instance, DataCentre: s.about.DataCentre, Rack: s.about.Rack,
+		Capacity: s.about.Capacity, Runs: s.report.Runs, HeardAt: c.Clock.Now(), Leaving: a.Leaving,
 	}
 	for _, t := range s.report.Targets {
 		if b := c.backends[backendKey{s.agent, t.Service, t.Address}]; b != nil {
@@ -135,7 +139,10 @@
 	if c.state() == nil {
 		return g
 	}
-	g.Entries = c.state().Members
+	if version := c.state().MemberVersion; version != s.entriesAt {
+		s.entriesAt = version
+		g.Entries = c.state().Members
+	}
 	w := c.state().Workers[s.worker]
 	if w == nil || w.Instance != a.Instance {
 		// The log does not know this instance yet, or no longer.
@@ -249,7 +256,7 @@
 		b := c.backends[key]
 		if b == nil || b.Target != t || b.Link != link {
 			b = &cfroute.Backend{
-				Service: t.Service, Worker: s.worker, DataCentre: s.hello.DataCentre, Target: t, Link: link,
+				Service: t.Service, Worker: s.worker, DataCentre: s.about.DataCentre, Target: t, Link: link,
 			}
 			c.router.Heard(b)
 		}
--- a/internal/cfentry/events.go
+++ b/internal/cfentry/events.go
@@ -114,7 +114,10 @@
 	agent  cfcore.InstanceID
 	// hello is the newest Ask, and report what it or an earlier one reported.
 	hello  *cfwire.Ask
+	about  cfwire.About
 	report cfwire.Report
+	// entriesAt is the membership version that was sent last.
+	entriesAt uint64
 	// desiredAt is the offset of the desired state that was sent last, plus one;
 	// zero before the first.
 	desiredAt cfcore.Offset
--- a/pkg/cfconfig/agent.go
+++ b/pkg/cfconfig/agent.go
@@ -21,6 +21,7 @@
 
 	VMPoll            time.Duration `validate:"min=20ms,max=10s" doc:"how often the worker is asked for its state"`
 	VMTimeout         time.Duration `validate:"min=50ms,max=1m" doc:"time for one answer of the worker"`
+	CheckpointEvery   time.Duration `validate:"min=0s,max=1h" doc:"time between two reports of new checkpoints; work since the last one is lost with the VM"`
 	TargetTTL         time.Duration `validate:"min=200ms,max=10m" doc:"time after which a target that no longer announces itself is forgotten"`
 	TrafficConns      int           `validate:"min=1,max=16" doc:"connections for calls to each entry"`
 	Suspect           time.Duration `validate:"min=100ms,max=30s" doc:"silence after which a connection is closed"`
@@ -42,7 +43,7 @@
 func DefaultAgent() Agent {
 	return Agent{
 		Lease:  DefaultLease(),
-		VMPoll: 200 * time.Millisecond, VMTimeout: time.Second, TargetTTL: 3 * time.Second,
+		VMPoll: 200 * time.Millisecond, VMTimeout: time.Second, CheckpointEvery: 10 * time.Second, TargetTTL: 3 * time.Second,
 		TrafficConns: 2, Suspect: 800 * time.Millisecond, Beat: 200 * time.Millisecond,
 		MaxBodyBytes: 8 << 20, SlotHold: time.Minute, RememberedBytes: 4 << 20, RememberedFor: 2 * time.Minute,
 		ShutdownTimeout: 30 * time.Second, MaxTargets: 64, MaxSlots: 1024, MaxConnections: 4096,
--- a/pkg/cfwire/conn.go
+++ b/pkg/cfwire/conn.go
@@ -40,7 +40,7 @@
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 24 << 20
 	// sendQueue is the number of messages that wait to be written.
-	sendQueue = 1024
+	sendQueue = 256
 	// handshakeTimeout bounds the time until both ends have proved the key.
 	handshakeTimeout = 3 * time.Second
 	// writeTimeout bounds the writing of one message.
@@ -55,7 +55,9 @@
 	peer  Peer
 	queue chan []byte
 	// heard is when the last message came in, in nanoseconds since opened.
-	heard  atomic.Int64
+	heard atomic.Int64
+	// sent is when the last message was queued, in nanoseconds since opened.
+	sent   atomic.Int64
 	opened time.Time
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -129,6 +131,11 @@
 	return c.clock.Since(c.opened) - time.Duration(c.heard.Load())
 }
 
+// Idle returns how long ago the last message was sent.
+func (c *Conn) Idle() time.Duration {
+	return c.clock.Since(c.opened) - time.Duration(c.sent.Load())
+}
+
 // Done is closed when the connection can send no more.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
@@ -147,6 +154,7 @@
 	}
 	select {
 	case c.queue <- data:
+		c.sent.Store(int64(c.clock.Since(c.opened)))
 		return nil
 	default:
 		c.cancel()
--- a/pkg/cfwire/keep.go
+++ b/pkg/cfwire/keep.go
@@ -11,10 +11,11 @@
 type Beater interface {
 	Send(m *Message) error
 	Silence() time.Duration
+	Idle() time.Duration
 	Done() <-chan struct{}
 }
 
-// Keep sends a Beat every period, and returns when the connection has ended, has
+// Keep sends a Beat where nothing else was sent for a period, and returns when the connection has ended, has
 // been silent for longer than limit, or the context ends.
 func Keep(ctx context.Context, c Beater, clock clockwork.Clock, period, limit time.Duration) {
 	t := clock.NewTicker(period)
@@ -30,7 +31,7 @@
 		if c.Silence() > limit {
 			return
 		}
-		if c.Send(&Message{Beat: &Beat{}}) != nil {
+		if c.Idle() >= period && c.Send(&Message{Beat: &Beat{}}) != nil {
 			return
 		}
 	}
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -70,19 +70,25 @@
 
 // Ask is an agent's question for lease time, with what it reports.
 type Ask struct {
-	Seq        uint64
-	Worker     cfcore.WorkerID
-	Instance   cfcore.InstanceID
-	DataCentre string
-	Rack       string
-	Capacity   cfcore.Resources
-	Leaving    bool
-	// Report is nil where it is the same as in the Ask before on this connection.
+	Seq uint64
+	// Instance is the worker's instance, as of the newest About.
+	Instance cfcore.InstanceID
+	Leaving  bool
+	// About and Report are nil where they are the same as in the Ask before on this
+	// connection.
+	About  *About
 	Report *Report
 	// Have is the offset of the desired state that the agent knows.
 	Have cfcore.Offset
 }
 
+// About is what a worker is.
+type About struct {
+	DataCentre string
+	Rack       string
+	Capacity   cfcore.Resources
+}
+
 // Report is what runs and answers on a VM.
 type Report struct {
 	Runs    []cfcore.Run
@@ -97,7 +103,8 @@
 	// Barred is set when the agent must stop all its runs.
 	Barred bool
 	// Entries are the members, so that an agent finds entries that its settings
-	// do not name.
+	// do not name. They are nil where they are the same as in the Grant before on
+	// this connection.
 	Entries []cfrecord.Member
 }
 
