A service's run stops only when its calls have ended

Cause: an agent stopped the run of a service at once; its target ended with calls of 100 ms in flight. Ruled out: the entry's routing (the calls had been let in before). Change: targets of a service that stops take no new calls; the run is stopped when they are empty, or after ShutdownTimeout.

--- a/internal/cfagent/control.go
+++ b/internal/cfagent/control.go
@@ -78,8 +78,10 @@
 	have    cfcore.Offset
 	items   map[cfcore.Assignment]cfwire.Item
 	refused map[cfcore.Assignment]cfcore.Run
-	barred  bool
-	leaving bool
+	// stopSince is since when each run of a service should stop.
+	stopSince map[cfcore.Assignment]time.Time
+	barred    bool
+	leaving   bool
 
 	sent       cfwire.Report
 	reportNo   uint64
@@ -90,7 +92,7 @@
 	return &control{
 		Agent: a, links: map[*controlLink]bool{}, dials: map[netip.AddrPort]context.CancelFunc{},
 		dialDone: make(chan struct{}), items: map[cfcore.Assignment]cfwire.Item{},
-		refused: map[cfcore.Assignment]cfcore.Run{},
+		refused: map[cfcore.Assignment]cfcore.Run{}, stopSince: map[cfcore.Assignment]time.Time{},
 	}
 }
 
@@ -301,10 +303,22 @@
 	}
 	c.have = d.Offset
 	items := make(map[cfcore.Assignment]cfwire.Item, len(d.Items))
+	stopping := map[string]bool{}
 	for _, it := range d.Items {
 		items[it.Assignment] = it
+		if it.Stop && it.Workload.Class == cfcore.ClassService {
+			stopping[it.Workload.Name] = true
+		}
 	}
 	c.items = items
+	for a := range c.stopSince {
+		if _, ok := items[a]; !ok {
+			delete(c.stopSince, a)
+		}
+	}
+	if c.targets.drain(stopping) {
+		c.askAll()
+	}
 	for a := range c.refused {
 		if _, ok := items[a]; !ok {
 			delete(c.refused, a)
--- a/internal/cfagent/reconcile.go
+++ b/internal/cfagent/reconcile.go
@@ -42,7 +42,7 @@
 		case !wanted && r.State.Ended():
 			forget = append(forget, r.Assignment)
 		case r.State.Ended():
-		case !wanted || it.Stop:
+		case !wanted || (it.Stop && c.drained(&it)):
 			out = append(out, action{stop: r.Assignment})
 		default:
 			renew.runs = append(renew.runs, r.Assignment)
@@ -58,6 +58,25 @@
 	return out
 }
 
+// drained reports whether a run that should stop may: a service's run only when
+// its targets on this VM have no calls left, or have had time enough.
+func (c *control) drained(it *cfwire.Item) bool {
+	if it.Workload.Class != cfcore.ClassService {
+		return true
+	}
+	since, ok := c.stopSince[it.Assignment]
+	if !ok {
+		since = c.Clock.Now()
+		c.stopSince[it.Assignment] = since
+	}
+	waited := c.Clock.Since(since)
+	if waited < c.cfg.Lease.Ask {
+		// Calls that were sent before the entries hear of it are still on their way.
+		return false
+	}
+	return c.targets.openOf(it.Workload.Name) == 0 || waited >= c.cfg.ShutdownTimeout
+}
+
 // hasLease reports whether enough lease time is left to run anything.
 func (c *control) hasLease() bool {
 	left := c.until - c.report.Uptime
--- a/internal/cfagent/targets.go
+++ b/internal/cfagent/targets.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -24,6 +25,8 @@
 	mu      sync.RWMutex
 	targets map[targetKey]*localTarget
 	leaving bool
+	// draining names the services whose targets take no new calls.
+	draining map[string]bool
 }
 
 // targetKey names a target on this VM.
@@ -66,7 +69,7 @@
 	old.target = t
 	old.seen = s.Clock.Now()
 	old.gate.Resize(t.Slots, t.Connections)
-	old.gate.Leave(t.Leaving || s.leaving)
+	old.gate.Leave(s.closed(&old.target))
 	return changed, nil
 }
 
@@ -98,7 +101,7 @@
 	out := make([]cfcore.Target, 0, len(s.targets))
 	for _, t := range s.targets {
 		target := t.target
-		target.Leaving = target.Leaving || s.leaving
+		target.Leaving = s.closed(&target)
 		out = append(out, target)
 	}
 	slices.SortFunc(out, func(a, b cfcore.Target) int {
@@ -130,6 +133,39 @@
 	}
 }
 
+// closed reports whether a target takes no new calls. It needs the lock.
+func (s *targetSet) closed(t *cfcore.Target) bool {
+	return t.Leaving || s.leaving || s.draining[t.Service]
+}
+
+// drain lets the targets of the services named take no new calls, and those of all
+// others again. It reports whether that changed anything.
+func (s *targetSet) drain(services map[string]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if maps.Equal(s.draining, services) {
+		return false
+	}
+	s.draining = services
+	for _, t := range s.targets {
+		t.gate.Leave(s.closed(&t.target))
+	}
+	return true
+}
+
+// openOf returns how many calls are at the targets of a service, or wait for them.
+func (s *targetSet) openOf(service string) int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	n := 0
+	for key, t := range s.targets {
+		if key.service == service {
+			n += t.gate.Open()
+		}
+	}
+	return n
+}
+
 // open returns how many calls are at all targets, or wait for them.
 func (s *targetSet) open() int {
 	s.mu.RLock()
