The planner asks other entries before it bars a worker that it does not hear

Cause: the planner knew of a worker only what its own connection told it; an agent cut from the planner alone was barred and its tasks were evicted. Ruled out: grants (the agent had them from the two others). Change: a planner's poll names the workers it has not heard of; the others answer with their reports. The case is now two: cut from the planner, cut from another. Before: the planner case fails; after: both pass.

--- a/internal/cfentry/agents.go
+++ b/internal/cfentry/agents.go
@@ -121,9 +121,11 @@
 		c.tableDirty = true
 	}
 	s.hello = a
+	now := c.Clock.Now()
 	c.workers[s.worker] = &cfschedule.WorkerView{
 		Worker: s.worker, Instance: a.Instance, DataCentre: s.about.DataCentre, Rack: s.about.Rack,
-		Capacity: s.about.Capacity, Runs: s.report.Runs, HeardAt: c.Clock.Now(), Leaving: a.Leaving,
+		Capacity: s.about.Capacity, Runs: s.report.Runs, HeardAt: now, DirectAt: now,
+		Leaving: a.Leaving,
 	}
 	for _, t := range s.report.Targets {
 		if b := c.backends[backendKey{s.agent, t.Service, t.Address}]; b != nil {
--- a/internal/cfentry/control.go
+++ b/internal/cfentry/control.go
@@ -166,6 +166,7 @@
 func (c *control) tick(ctx context.Context) {
 	c.dialPeers(ctx)
 	c.join()
+	c.findUnheard()
 	c.plan()
 	c.snapshot()
 	c.publish()
--- a/internal/cfentry/entry.go
+++ b/internal/cfentry/entry.go
@@ -65,7 +65,9 @@
 	callers, operators, inner net.Listener
 
 	// ready is set while the balancer may send callers here.
-	ready   atomic.Bool
+	ready atomic.Bool
+	// unheard are the workers that this entry, as the planner, asks others about.
+	unheard atomic.Pointer[[]cfcore.WorkerID]
 	leaving atomic.Bool
 	leave   chan struct{}
 	once    sync.Once
--- a/internal/cfentry/peers.go
+++ b/internal/cfentry/peers.go
@@ -107,7 +107,11 @@
 		case <-ctx.Done():
 			return
 		}
-		if conn.Send(&cfwire.Message{Poll: &cfwire.Poll{Seq: seq}}) != nil {
+		poll := &cfwire.Poll{Seq: seq}
+		if unheard := e.unheard.Load(); unheard != nil {
+			poll.Unheard = *unheard
+		}
+		if conn.Send(&cfwire.Message{Poll: poll}) != nil {
 			return
 		}
 		select {
@@ -194,6 +198,7 @@
 		a.Member = s.IsMember(c.id)
 		a.Planning = s.Planner == c.id && !c.leaving.Load()
 		a.Barred = c.barred()
+		a.Heard = c.heardOf(ev.poll.Unheard)
 	}
 	c.reply(ev.conn.Send(&cfwire.Message{PollAnswer: a}))
 }
@@ -211,6 +216,7 @@
 	c.grants.Put(a.Entry, cfgrant.Answer{
 		SentAt: ev.sentAt, Offset: a.Offset, Version: a.Version, Member: a.Member, Barred: a.Barred,
 	})
+	c.hearFrom(a.Heard, ev.sentAt)
 	s := c.state()
 	if a.Planning && s != nil && a.Epoch >= s.Epoch {
 		c.plannerHeard = c.Clock.Now()
--- a/pkg/cfschedule/schedule.go
+++ b/pkg/cfschedule/schedule.go
@@ -44,8 +44,10 @@
 	Rack       string
 	Capacity   cfcore.Resources
 	Runs       []cfcore.Run
-	// HeardAt is when the report came in.
-	HeardAt time.Time
+	// HeardAt is when the report came in, to this entry or to another one that
+	// passed it on; DirectAt is when this entry last heard the agent itself.
+	HeardAt  time.Time
+	DirectAt time.Time
 	// Leaving is set when the VM shuts down.
 	Leaving bool
 }
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -128,8 +128,9 @@
 
 // Poll is an entry's question to another one.
 type Poll struct {
-	Seq    uint64
-	Offset cfcore.Offset
+	Seq uint64
+	// Unheard are the workers that the planner does not hear itself.
+	Unheard []cfcore.WorkerID
 }
 
 // PollAnswer is what an entry says of itself.
@@ -143,6 +144,19 @@
 	// Planning is set when the entry is the planner of Epoch.
 	Planning bool
 	Barred   []cfcore.WorkerID
+	// Heard is what this entry heard of the workers that the Poll names.
+	Heard []Heard
+}
+
+// Heard is what an entry heard of a worker.
+type Heard struct {
+	Worker   cfcore.WorkerID
+	Instance cfcore.InstanceID
+	About    About
+	Runs     []cfcore.Run
+	Leaving  bool
+	// Age is how long ago that was.
+	Age time.Duration
 }
 
 // StateRequest asks for the whole state, where the log cannot be read.
