Proofs of the command line and access; candidates that vanish are taken out

Cause: candidates that died stayed on the log's list for ever; operators' commands, exit codes, tokens and the shared key had no proof with processes.

--- a/internal/cfagent/control.go
+++ b/internal/cfagent/control.go
@@ -365,10 +365,8 @@
 	dialCtx, cancel := context.WithCancel(ctx)
 	c.dials[addr] = cancel
 	c.dialing += 1 + c.cfg.TrafficConns
-	go func() { c.dialLoop(dialCtx, addr, c.controlConn); c.ended(ctx) }()
+	go func() { c.dialLoop(dialCtx, addr, c.controlConn); c.dialDone <- struct{}{} }()
 	for range c.cfg.TrafficConns {
-		go func() { c.dialLoop(dialCtx, addr, c.trafficConn); c.ended(ctx) }()
+		go func() { c.dialLoop(dialCtx, addr, c.trafficConn); c.dialDone <- struct{}{} }()
 	}
 }
-
-func (c *control) ended(context.Context) { c.dialDone <- struct{}{} }
--- a/internal/cfdriver/calls.go
+++ b/internal/cfdriver/calls.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 )
@@ -52,3 +53,10 @@
 	c.get(fmt.Sprintf("http://%s/max-open", v.addr), &n)
 	return n
 }
+
+// TargetsOf returns where the targets of a VM answer.
+func (c *Cluster) TargetsOf(v *VMProc) []netip.AddrPort {
+	var out []netip.AddrPort
+	c.get(fmt.Sprintf("http://%s/targets", v.addr), &out)
+	return out
+}
--- /dev/null
+++ b/internal/cfdriver/cli.go
@@ -0,0 +1,54 @@
+package cfdriver
+
+import (
+	"os"
+	"os/exec"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// Result is what a command printed, and its exit code.
+type Result struct {
+	Code int
+	Out  string
+	Err  string
+}
+
+// Command runs the program as an operator does, with a token.
+func Command(withToken string, args ...string) Result {
+	GinkgoHelper()
+	cmd := exec.Command(programPath, args...)
+	cmd.Env = append(os.Environ(), "CRANBERRYFORD_TOKEN="+withToken)
+	s, err := gexec.Start(cmd, nil, nil)
+	Expect(err).NotTo(HaveOccurred())
+	s.Wait(20 * time.Second)
+	return Result{Code: s.ExitCode(), Out: string(s.Out.Contents()), Err: string(s.Err.Contents())}
+}
+
+// Operate runs an operator's command against an entry, with a valid token.
+func (c *Cluster) Operate(entry int, command string, args ...string) Result {
+	GinkgoHelper()
+	all := append([]string{command, "-entry", c.Entries[entry].Operators.String()}, args...)
+	return Command(token, all...)
+}
+
+// WriteFile writes a file that lasts as long as the test.
+func (c *Cluster) WriteFile(name, text string) string {
+	GinkgoHelper()
+	Expect(os.WriteFile(c.path(name), []byte(text), 0o600)).To(Succeed())
+	return c.path(name)
+}
+
+// LogsOf returns what a process logged.
+func (c *Cluster) LogsOf(name string) string {
+	GinkgoHelper()
+	data, err := os.ReadFile(c.path(name + ".log"))
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+// SharedKey is the key that the processes of a test share.
+const SharedKey = sharedKey
--- a/internal/cfentry/agents.go
+++ b/internal/cfentry/agents.go
@@ -64,7 +64,7 @@
 }
 
 // handleAgents handles what comes from agents.
-func (c *control) handleAgents(_ context.Context, ev event) {
+func (c *control) handleAgents(ev event) {
 	switch ev := ev.(type) {
 	case sessionUp:
 		c.sessions[ev.session] = true
--- a/internal/cfentry/control.go
+++ b/internal/cfentry/control.go
@@ -120,7 +120,7 @@
 		case <-tick.Chan():
 			c.tick(ctx)
 		case ev := <-c.events:
-			c.handle(ctx, ev)
+			c.handle(ev)
 		}
 	}
 }
@@ -135,7 +135,7 @@
 	}
 }
 
-func (c *control) handle(ctx context.Context, ev event) {
+func (c *control) handle(ev event) {
 	switch ev := ev.(type) {
 	case pageRead:
 		c.pageRead(ev)
@@ -159,7 +159,7 @@
 	case stateCame:
 		c.stateCame(ev)
 	default:
-		c.handleAgents(ctx, ev)
+		c.handleAgents(ev)
 	}
 }
 
--- a/internal/cfentry/peers.go
+++ b/internal/cfentry/peers.go
@@ -284,14 +284,14 @@
 }
 
 // rank spreads the entries' claims in time, so that seldom two claim at once.
-func (c *control) rank() time.Duration {
+func (c *control) rank() int {
 	s := c.state()
 	for i, m := range s.Members {
 		if m.Entry == c.id {
-			return time.Duration(i)
+			return i
 		}
 	}
-	return time.Duration(len(s.Members)) + time.Duration(c.rand.IntN(3))
+	return len(s.Members) + c.rand.IntN(3)
 }
 
 // plan makes this entry the planner where there is none, and decides where it is.
@@ -319,9 +319,9 @@
 // fold lets one claim win.
 func (c *control) claim() {
 	s := c.state()
-	wait := c.cfg.Planner.PlannerSilence + c.rank()*c.cfg.Lease.Poll
-	if s.Epoch == 0 {
-		wait = c.rank() * c.cfg.Lease.Poll
+	wait := time.Duration(c.rank()) * c.cfg.Lease.Poll
+	if s.Epoch > 0 {
+		wait += c.cfg.Planner.PlannerSilence
 	}
 	if c.Clock.Since(c.plannerHeard) < wait {
 		return
--- a/internal/cfstandin/host.go
+++ b/internal/cfstandin/host.go
@@ -55,6 +55,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", h.vm.Handler())
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Calls()) })
+	mux.HandleFunc("GET /targets", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Targets()) })
 	mux.HandleFunc("GET /max-open", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.MaxOpen()) })
 	handle(mux, "POST /settings", func(s VMSettings) error { h.vm.SetFailures(s.FailAll, s.FailTasks); return nil })
 	return mux
@@ -102,6 +103,17 @@
 	return out
 }
 
+// Targets returns where the targets of the VM answer.
+func (h *Host) Targets() []netip.AddrPort {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []netip.AddrPort
+	for _, t := range h.targets {
+		out = append(out, t.Addr())
+	}
+	return out
+}
+
 // MaxOpen returns the most calls that executed in one target at the same time.
 func (h *Host) MaxOpen() int {
 	h.mu.Lock()
--- a/pkg/cfrecord/record.go
+++ b/pkg/cfrecord/record.go
@@ -68,7 +68,7 @@
 	Member Member
 }
 
-// Gone is an entry's word that it leaves, or an operator's that it is lost.
+// Gone takes a candidate out that has been silent for long.
 type Gone struct {
 	Entry cfcore.EntryID
 }
--- a/pkg/cfschedule/entries.go
+++ b/pkg/cfschedule/entries.go
@@ -15,6 +15,7 @@
 		d.bootstrap()
 		return
 	}
+	d.lostCandidates()
 	if !d.consent() {
 		return
 	}
@@ -34,6 +35,16 @@
 	}
 }
 
+// lostCandidates takes out the candidates that have been silent for long. One that
+// lives asks again.
+func (d *decision) lostCandidates() {
+	for _, c := range d.s.Candidates {
+		if c.Entry != d.in.Self && d.silentFor(c.Entry) >= d.settings.EntrySilence {
+			d.add(cfrecord.Record{Gone: &cfrecord.Gone{Entry: c.Entry}})
+		}
+	}
+}
+
 // consent reports whether a majority of the members has folded the membership. A
 // member whose address another run has taken over grants nothing any more, and
 // so stands in nobody's way.
--- /dev/null
+++ b/pkg/cfschedule/schedule_test.go
@@ -0,0 +1,210 @@
+package cfschedule_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfcore/cfplace"
+	"cranberryford/pkg/cffold"
+	"cranberryford/pkg/cfgrant"
+	"cranberryford/pkg/cfintent"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfschedule"
+)
+
+// planner is a planner with its log, on a clock that the test moves.
+type planner struct {
+	state     *cffold.State
+	scheduler *cfschedule.Scheduler
+	entries   *cfgrant.Table
+	views     map[cfcore.WorkerID]*cfschedule.WorkerView
+	now       time.Time
+	r         *rand.Rand
+}
+
+func newPlanner(workers int) *planner {
+	p := &planner{
+		state: cffold.NewState(), entries: cfgrant.NewTable(cfgrant.Timing{Grant: time.Second}),
+		views: map[cfcore.WorkerID]*cfschedule.WorkerView{}, now: epochStart, r: rand.New(rand.NewPCG(1, 1)),
+	}
+	p.scheduler = cfschedule.New(cfschedule.Settings{
+		Timing: cfgrant.Timing{Grant: time.Second}, Silence: 2 * time.Second, EntrySilence: 5 * time.Second,
+		MaxBatch: 100, HeadroomPercent: 10, QuarantineAfter: 2, QuarantineFor: time.Minute, RetryAfter: time.Second,
+	}, cfplace.Spread{})
+	p.apply(cfrecord.Record{Claim: &cfrecord.Claim{Epoch: 1, Entry: "p"}},
+		cfrecord.Record{Members: &cfrecord.Members{Epoch: 1, Version: 1, Members: []cfrecord.Member{{Entry: "p"}}}})
+	for i := range workers {
+		id := cfcore.WorkerID(fmt.Sprint("w", i))
+		p.views[id] = &cfschedule.WorkerView{
+			Worker: id, Instance: "i", Rack: "r", DataCentre: "d",
+			Capacity: cfcore.Resources{MilliCores: 1000, MemoryMB: 1000}, HeardAt: p.now,
+		}
+	}
+	p.decide(0)
+	return p
+}
+
+func (p *planner) apply(records ...cfrecord.Record) {
+	off := p.state.Offset + 1
+	p.state.Apply(off, &cfrecord.Batch{ID: cfrecord.BatchID{byte(off), byte(off >> 8)}, At: p.now, By: "p", Records: records})
+}
+
+// decide moves the clock, lets all workers but the silent ones be heard, decides
+// and folds what was decided.
+func (p *planner) decide(after time.Duration, silent ...cfcore.WorkerID) []cfrecord.Record {
+	p.now = p.now.Add(after)
+	for id, v := range p.views {
+		v.HeardAt = p.now
+		for _, s := range silent {
+			if id == s {
+				v.HeardAt = time.Time{}
+			}
+		}
+	}
+	out := p.scheduler.Decide(cfschedule.Input{
+		Self: "p", State: p.state, Workers: p.views, Entries: p.entries, Now: p.now, Rand: p.r,
+	})
+	if len(out) > 0 {
+		p.apply(out...)
+	}
+	return out
+}
+
+func (p *planner) accept(ws ...cfcore.Workload) {
+	in := cfintent.Intent{Workloads: ws, Teams: []cfcore.Team{{Name: "t", Quota: cfcore.Resources{MilliCores: 1e6, MemoryMB: 1e6}}}}
+	id := cfcore.PlanID(fmt.Sprint("plan", p.state.Offset))
+	p.apply(cfrecord.Record{Planned: &cfrecord.Planned{Plan: cfrecord.Plan{ID: id, At: p.now, Base: p.state.Offset, Intent: in}}},
+		cfrecord.Record{Confirmed: &cfrecord.Confirmed{Plan: id}})
+}
+
+func work(name string, c cfcore.Class, replicas int, cores int64) cfcore.Workload {
+	return cfcore.Workload{
+		Name: name, Class: c, Team: "t", Replicas: replicas, MaxFailures: 3,
+		Resources:   cfcore.Resources{MilliCores: cores, MemoryMB: 1},
+		Permissions: []cfcore.Permission{cfcore.PermitRestart, cfcore.PermitMove, cfcore.PermitEvict},
+	}
+}
+
+// fail reports the failure of every run of a workload.
+func (p *planner) fail(workload string) {
+	for _, v := range p.views {
+		v.Runs = nil
+		for id, a := range p.state.Workers[v.Worker].Tasks {
+			if p.state.Tasks[id].Workload == workload {
+				v.Runs = append(v.Runs, cfcore.Run{Assignment: a, Task: id, State: cfcore.RunFailed, Reason: "broken"})
+			}
+		}
+	}
+}
+
+func TestHeadroomIsKeptForUrgentWork(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(1)
+	p.accept(work("batch", cfcore.ClassBatch, 10, 100))
+	p.decide(time.Second)
+	g.Expect(p.state.Workers["w0"].Tasks).To(HaveLen(9))
+	p.accept(work("watch", cfcore.ClassWatch, 1, 100))
+	p.decide(time.Second)
+	g.Expect(p.state.Tasks["watch/0"].Status).To(Equal(cffold.TaskAssigned))
+}
+
+func TestUrgentWorkEvictsTheFewestBatchTasks(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(2)
+	p.accept(work("small", cfcore.ClassBatch, 4, 200), work("relay", cfcore.ClassWatch, 2, 500))
+	p.decide(time.Second)
+	p.accept(work("urgent", cfcore.ClassService, 1, 400))
+	stops := 0
+	for _, r := range p.decide(time.Second) {
+		if r.Stop != nil {
+			stops++
+			g.Expect(r.Stop.Permission).To(Equal(cfcore.PermitEvict))
+			g.Expect(p.state.Tasks[p.state.Assigned[r.Stop.Assignment]].Workload).To(Equal("small"))
+		}
+	}
+	g.Expect(stops).To(BeNumerically("<=", 2))
+}
+
+func TestReplicasAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(4)
+	p.accept(work("service", cfcore.ClassService, 4, 100))
+	p.decide(time.Second)
+	for _, w := range p.state.Workers {
+		g.Expect(w.Tasks).To(HaveLen(1))
+	}
+}
+
+func TestSilentWorkerIsBarredThenEvictedThenUnbarred(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(2)
+	p.accept(work("relay", cfcore.ClassWatch, 1, 100))
+	p.decide(time.Second)
+	w := p.state.Tasks["relay/0"].Worker
+	p.decide(time.Second, w)
+	g.Expect(p.state.Workers[w].Barred).To(BeFalse(), "not silent for long")
+	p.decide(2*time.Second, w)
+	g.Expect(p.state.Workers[w].Barred).To(BeTrue())
+	p.decide(0, w)
+	p.decide(1900*time.Millisecond, w)
+	g.Expect(p.state.Tasks["relay/0"].Worker).To(Equal(w), "its lease may not have lapsed")
+	p.decide(200*time.Millisecond, w)
+	p.decide(0, w)
+	g.Expect(p.state.Tasks["relay/0"].Worker).NotTo(Equal(w))
+	p.decide(time.Second)
+	g.Expect(p.state.Workers[w].Barred).To(BeFalse())
+}
+
+func TestQuarantineAndProbe(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(1)
+	for _, name := range []string{"a", "b"} {
+		p.accept(work(name, cfcore.ClassBatch, 1, 100))
+		p.decide(time.Second)
+		p.fail(name)
+		p.decide(time.Second)
+	}
+	p.views["w0"].Runs = nil
+	p.decide(time.Second)
+	g.Expect(p.state.Workers["w0"].Quarantined).To(BeTrue())
+	p.decide(0)
+	p.decide(time.Minute)
+	g.Expect(p.state.Workers["w0"].Quarantined).To(BeFalse(), "it is tried again")
+}
+
+func TestOneBadJobDoesNotQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(1)
+	p.accept(work("bad", cfcore.ClassBatch, 1, 100))
+	for range 5 {
+		p.decide(2 * time.Second)
+		p.fail("bad")
+		p.decide(2 * time.Second)
+		p.views["w0"].Runs = nil
+	}
+	g.Expect(p.state.Tasks["bad/0"].Status).To(Equal(cffold.TaskFailed))
+	g.Expect(p.state.Workers["w0"].Quarantined).To(BeFalse())
+}
+
+func TestSilentCandidatesAndMembersLeave(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(0)
+	peer := netip.MustParseAddrPort("10.0.0.1:1")
+	p.apply(cfrecord.Record{Candidate: &cfrecord.Candidate{Member: cfrecord.Member{Entry: "gone", Peer: peer}}})
+	p.decide(time.Second)
+	p.decide(6 * time.Second)
+	g.Expect(p.state.Candidates).To(BeEmpty())
+
+	p.apply(cfrecord.Record{Candidate: &cfrecord.Candidate{Member: cfrecord.Member{Entry: "q", Peer: peer}}})
+	p.entries.Put("q", cfgrant.Answer{SentAt: p.now, Version: 1})
+	p.decide(0)
+	g.Expect(p.state.IsMember("q")).To(BeTrue())
+	p.decide(10 * time.Second)
+	g.Expect(p.state.IsMember("q")).To(BeTrue(), "one of two is no majority: only an operator may forget the other")
+}
