--- a/integration/state/recovery_test.go
+++ b/integration/state/recovery_test.go
@@ -39,7 +39,15 @@
 		c.Accept(1, cfdriver.Intent(cfdriver.Batch("bulletin", 4, 6*time.Second)))
 		if keep > 0 {
 			Expect(c.LogFirst()).To(BeNumerically(">", 1), "the first records have expired")
+			// A retention of 40 entries is a fraction of a second here: the promise is for
+			// a log that keeps a snapshot.
+			c.Eventually(time.Second, "a snapshot is kept", c.SnapshotKept)
 		}
+		DeferCleanup(func() {
+			if CurrentSpecReport().Failed() {
+				AddReportEntry("the log", c.DescribeLog())
+			}
+		})
 		began := time.Now()
 		replace(c)
 		c.Eventually(20*time.Second, "an entry knows it all", func() bool {
--- /dev/null
+++ b/internal/cfdriver/describe.go
@@ -0,0 +1,57 @@
+package cfdriver
+
+import (
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfrecord"
+)
+
+// DescribeLog returns one line for each entry that the log still keeps.
+func (c *Cluster) DescribeLog() string {
+	codec, err := cfrecord.NewCodec()
+	Expect(err).NotTo(HaveOccurred())
+	var page cfcore.LogPage
+	c.get(fmt.Sprintf("http://%s/streams/cranberryford/entries?From=1&Wait=0s", c.logAddr), &page)
+	var b strings.Builder
+	fmt.Fprintf(&b, "first %d next %d\n", page.First, page.Next)
+	for _, e := range page.Entries {
+		var batch cfrecord.Batch
+		if err := codec.Unmarshal(e.Data, &batch); err != nil {
+			fmt.Fprintf(&b, "%d: %v\n", e.Offset, err)
+			continue
+		}
+		fmt.Fprintf(&b, "%d by %s:", e.Offset, batch.By)
+		for _, r := range batch.Records {
+			if s := r.Snapshot; s != nil {
+				fmt.Fprintf(&b, " snapshot of %d part %d of %d;", s.Base, s.Part, s.Parts)
+			}
+		}
+		fmt.Fprintf(&b, " %d records\n", len(batch.Records))
+	}
+	return b.String()
+}
+
+// SnapshotKept reports whether the log keeps a snapshot that no expired entry
+// follows: a whole one of one part, which the tests' small states are.
+func (c *Cluster) SnapshotKept() bool {
+	codec, err := cfrecord.NewCodec()
+	Expect(err).NotTo(HaveOccurred())
+	var page cfcore.LogPage
+	c.get(fmt.Sprintf("http://%s/streams/cranberryford/entries?From=1&Wait=0s", c.logAddr), &page)
+	for _, e := range page.Entries {
+		var batch cfrecord.Batch
+		if codec.Unmarshal(e.Data, &batch) != nil {
+			continue
+		}
+		for _, r := range batch.Records {
+			if r.Snapshot != nil && r.Snapshot.Parts == 1 && r.Snapshot.Base+1 >= page.First {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/cfentry/control.go
+++ b/internal/cfentry/control.go
@@ -61,6 +61,8 @@
 	epochSeen    cfcore.Epoch
 	joinedAt     time.Time
 	snapshotAt   cfcore.Offset
+	// logFirst is the offset of the oldest entry that the log still keeps.
+	logFirst     cfcore.Offset
 	snapshotTime time.Time
 
 	peers    map[netip.AddrPort]context.CancelFunc
@@ -189,6 +191,7 @@
 // pageRead folds a page of the log.
 func (c *control) pageRead(ev pageRead) {
 	c.setLogHealthy(true, nil)
+	c.logFirst = ev.page.First
 	if ev.from <= 1 && ev.page.First <= 1 {
 		c.reader.Begin()
 	}
--- a/internal/cfentry/peers.go
+++ b/internal/cfentry/peers.go
@@ -332,6 +332,16 @@
 	}}}})
 }
 
+// snapshotExpires reports whether the newest snapshot is in the older half of what
+// the log keeps: a burst of records may push it out before the next one is due.
+func (c *control) snapshotExpires() bool {
+	if c.logFirst <= 1 || c.state().Offset < c.logFirst {
+		return false
+	}
+	kept := c.state().Offset - c.logFirst
+	return c.snapshotAt < c.logFirst+kept/2
+}
+
 // snapshot writes the state to the log, well inside the log's retention.
 func (c *control) snapshot() {
 	s := c.state()
@@ -339,7 +349,8 @@
 		return
 	}
 	old := c.Clock.Since(c.snapshotTime) >= c.cfg.Planner.SnapshotAge
-	if s.Offset < c.snapshotAt+cfcore.Offset(c.cfg.Planner.SnapshotEvery) && !old {
+	many := s.Offset >= c.snapshotAt+cfcore.Offset(c.cfg.Planner.SnapshotEvery)
+	if !old && !many && !c.snapshotExpires() {
 		return
 	}
 	data, err := s.Encode(c.Codec)
