--- a/internal/cfbench/placement.go
+++ b/internal/cfbench/placement.go
@@ -301,9 +301,19 @@
 	}
 }
 
+// sortedViews returns the workers in one order, so that a seed gives one result.
+func (s *placementSim) sortedViews() []*cfschedule.WorkerView {
+	out := make([]*cfschedule.WorkerView, 0, len(s.views))
+	for _, v := range s.views {
+		out = append(out, v)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
+	return out
+}
+
 // execute lets the tasks on live workers run for one tick.
 func (s *placementSim) execute() {
-	for _, v := range s.views {
+	for _, v := range s.sortedViews() {
 		v.Runs = v.Runs[:0]
 		if s.dead[v.Worker] {
 			continue
@@ -359,7 +369,7 @@
 // measure takes samples of each target's calls, and reports their mean later.
 func (s *placementSim) measure(tick int) {
 	var now []measurement
-	for _, v := range s.views {
+	for _, v := range s.sortedViews() {
 		if s.dead[v.Worker] {
 			continue
 		}
--- a/internal/cfdriver/cluster.go
+++ b/internal/cfdriver/cluster.go
@@ -146,6 +146,7 @@
 		c.lease = `"Lease": ` + s.Lease + ","
 	}
 	Expect(os.WriteFile(c.path("key"), []byte(sharedKey), 0o600)).To(Succeed())
+	DeferCleanup(c.reportLogs)
 	c.startPlatform()
 	for i := range s.Entries {
 		c.prepareEntry(i)
@@ -164,6 +165,23 @@
 	return c
 }
 
+// reportLogs adds what the processes logged to the report of a failed spec.
+func (c *Cluster) reportLogs() {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	files, err := filepath.Glob(c.path("*.log"))
+	Expect(err).NotTo(HaveOccurred())
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("log of "+filepath.Base(file), string(data[max(0, len(data)-maxLogBytes):]))
+	}
+}
+
+// maxLogBytes bounds what is reported of each log.
+const maxLogBytes = 3000
+
 func (c *Cluster) path(name string) string { return filepath.Join(c.dir, name) }
 
 // run starts a process; what it prints goes to a file beside the settings.
--- a/pkg/cfharm/model.go
+++ b/pkg/cfharm/model.go
@@ -9,6 +9,8 @@
 package cfharm
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -75,14 +77,17 @@
 		return
 	}
 	slowdown := min(float64(latency)/float64(base)-1, maxSlowdown)
+	// In one order, so that the same measurements teach the same.
+	names := slices.Sorted(maps.Keys(p.Batches))
 	predicted, norm := 0.0, 0.0
-	for b, n := range p.Batches {
-		predicted += float64(n) * m.pair(service, b)
-		norm += float64(n * n)
+	for _, b := range names {
+		n := float64(p.Batches[b])
+		predicted += n * m.pair(service, b)
+		norm += n * n
 	}
 	err := slowdown - predicted
-	for b, n := range p.Batches {
-		m.update(service, b, gain*err*float64(n)/norm)
+	for _, b := range names {
+		m.update(service, b, gain*err*float64(p.Batches[b])/norm)
 	}
 }
 
