The test driver gives each port once

Ruled out: the claims and the membership at the start (logs of the failed start). Change: ports are counted up from 20000 on the package's own addresses, below those of outgoing connections, and only where they are free.

--- a/internal/cfdriver/cluster.go
+++ b/internal/cfdriver/cluster.go
@@ -105,6 +105,8 @@
 	VMs      []*VMProc
 	settings string
 	lease    string
+	// ports counts the ports that were given out.
+	ports uint16
 }
 
 // Shape is how large a Cluster is.
@@ -119,12 +121,22 @@
 	Lease string
 }
 
-// freePort returns a port that is free at an address.
-func freePort(ip netip.Addr) netip.AddrPort {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+// firstPort is the first port that a test's processes listen on. It lies below the
+// ports that the system gives to outgoing connections.
+const firstPort = 20000
+
+// freePort returns a port that is free at an address, and that no other process of
+// this cluster was given.
+func (c *Cluster) freePort(ip netip.Addr) netip.AddrPort {
+	for {
+		addr := netip.AddrPortFrom(ip, firstPort+c.ports)
+		c.ports++
+		l, err := net.Listen("tcp", addr.String())
+		if err == nil {
+			Expect(l.Close()).To(Succeed())
+			return addr
+		}
+	}
 }
 
 // ip returns the address of a process: the tests' own part of the loopback net.
@@ -201,14 +213,14 @@
 }
 
 func (c *Cluster) startPlatform() {
-	c.logAddr = freePort(c.ip(ipPlatform, 0))
+	c.logAddr = c.freePort(c.ip(ipPlatform, 0))
 	c.Platform = Proc{name: "platform", start: func() *gexec.Session {
 		return c.run("platform", standinPath, "platform", c.logAddr.String())
 	}}
 	c.Platform.Restart()
 	var stop func()
 	var err error
-	c.Log, stop, err = newProxy(netip.AddrPortFrom(c.ip(ipPlatform, 1), 0), c.logAddr)
+	c.Log, stop, err = newProxy(c.freePort(c.ip(ipPlatform, 1)), c.logAddr)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(stop)
 }
@@ -216,11 +228,11 @@
 func (c *Cluster) prepareEntry(i int) {
 	e := &EntryProc{}
 	e.name, e.IP = fmt.Sprintf("entry-%d", i), c.ip(ipEntry, i)
-	inner := freePort(e.IP)
-	p, stop, err := newProxy(netip.AddrPortFrom(e.IP, 0), inner)
+	inner := c.freePort(e.IP)
+	p, stop, err := newProxy(c.freePort(e.IP), inner)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(stop)
-	e.Proxy, e.Callers, e.Operators = p, freePort(e.IP), freePort(e.IP)
+	e.Proxy, e.Callers, e.Operators = p, c.freePort(e.IP), c.freePort(e.IP)
 	api, err := cfapi.NewClient("http://"+e.Operators.String(), staticToken{})
 	Expect(err).NotTo(HaveOccurred())
 	e.API = api
@@ -250,8 +262,8 @@
 
 func (c *Cluster) addVM(i int) {
 	name := fmt.Sprintf("vm-%d", i)
-	v := &VMProc{Name: name, addr: freePort(c.ip(ipVM, i))}
-	local := freePort(c.ip(ipVM, i))
+	v := &VMProc{Name: name, addr: c.freePort(c.ip(ipVM, i))}
+	local := c.freePort(c.ip(ipVM, i))
 	v.Worker = Proc{name: name, start: func() *gexec.Session {
 		return c.run(name, standinPath, "vm", v.addr.String(), local.String(), name)
 	}}
