One page and command for each measurement

Cause: placement had to be measured again after its order was fixed, and calls not. Change: cfmeasure calls, placement, capacity, all; pages made by each.

--- a/cmd/cfmeasure/main.go
+++ b/cmd/cfmeasure/main.go
@@ -1,7 +1,9 @@
 // Command cfmeasure reruns the measurements and writes their pages:
 //
-//	cfmeasure policies DIR   docs/MEASUREMENTS.md and its plots
-//	cfmeasure capacity DIR   the slopes that docs/CAPACITY.md rests on
+//	cfmeasure calls DIR       MEASUREMENTS.md, in 5 minutes
+//	cfmeasure placement DIR   PLACEMENT.md and its plot, in 1 minute
+//	cfmeasure capacity DIR    SLOPES.md, in 1 minute
+//	cfmeasure all DIR         all of them
 package main
 
 import (
@@ -15,23 +17,41 @@
 // seed is the seed of all measurements.
 const seed = 1
 
+// measurement writes the pages of one measurement into a directory.
+type measurement struct {
+	name  string
+	write func(ctx context.Context, dir string, seed uint64) error
+}
+
+var measurements = [...]measurement{
+	{"calls", cfbench.WriteCalls},
+	{"placement", cfbench.WritePlacement},
+	{"capacity", cfbench.WriteCapacity},
+}
+
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	if err := run(context.Background(), os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(args []string) error {
+func run(ctx context.Context, args []string) error {
 	if len(args) != 2 {
-		return fmt.Errorf("usage: cfmeasure policies|capacity DIR")
+		return fmt.Errorf("usage: cfmeasure calls|placement|capacity|all DIR")
+	}
+	found := false
+	for _, m := range measurements {
+		if args[0] != m.name && args[0] != "all" {
+			continue
+		}
+		found = true
+		if err := m.write(ctx, args[1], seed); err != nil {
+			return err
+		}
 	}
-	ctx := context.Background()
-	switch args[0] {
-	case "policies":
-		return cfbench.WritePolicies(ctx, args[1], seed)
-	case "capacity":
-		return cfbench.WriteCapacity(ctx, args[1], seed)
+	if !found {
+		return fmt.Errorf("unknown measurement %q", args[0])
 	}
-	return fmt.Errorf("unknown measurement %q", args[0])
+	return nil
 }
--- a/internal/cfbench/report.go
+++ b/internal/cfbench/report.go
@@ -23,12 +23,21 @@
 // filePerm is the mode of the pages.
 const filePerm = 0o644
 
-// WritePolicies measures the policies and writes MEASUREMENTS.md and its plots.
-func WritePolicies(ctx context.Context, dir string, seed uint64) error {
+// placementSeeds is the number of seeds that placement is measured on.
+const placementSeeds = 3
+
+// WriteCalls measures how calls are sent, and writes MEASUREMENTS.md.
+func WriteCalls(ctx context.Context, dir string, seed uint64) error {
 	routing, err := Routing(ctx, seed)
 	if err != nil {
 		return err
 	}
+	return write(dir, "MEASUREMENTS.md", callsPage(routing, seed))
+}
+
+// WritePlacement measures how tasks are placed and how plans conflict, and writes
+// PLACEMENT.md and its plot.
+func WritePlacement(_ context.Context, dir string, seed uint64) error {
 	var placement []PlacementResult
 	for s := seed; s < seed+placementSeeds; s++ {
 		some, err := Placement(s)
@@ -40,25 +49,21 @@
 		}
 		placement = append(placement, some...)
 	}
-	text := policiesPage(routing, placement, seed)
-	if err := write(dir, "MEASUREMENTS.md", text); err != nil {
+	if err := write(dir, "PLACEMENT.md", placementPage(placement, seed)); err != nil {
 		return err
 	}
 	return plotPlacement(filepath.Join(dir, "placement.svg"), placement)
 }
 
-// placementSeeds is the number of seeds that placement is measured on.
-const placementSeeds = 3
-
 func write(dir, name, text string) error {
 	return cferror.Wrap("write "+name, KindWrite, os.WriteFile(filepath.Join(dir, name), []byte(text), filePerm))
 }
 
-func policiesPage(routing []RoutingResult, placement []PlacementResult, seed uint64) string {
+func callsPage(routing []RoutingResult, seed uint64) string {
 	var b strings.Builder
-	b.WriteString("# Measurements of the policies\n\nMade by `go run ./cmd/cfmeasure policies docs`")
-	fmt.Fprintf(&b, " with seed %d. What the figures mean, and what misses its target, is in\n[DESIGN.md](DESIGN.md).\n\n", seed)
-	fmt.Fprintf(&b, "## Sending calls\n\n%d entries send to %d targets of %d slots with calls of %s; timeout %s. Small fakes in one\nprocess, with the real router and gates. Goodput is in calls a second; capacity is %.0f.\n\n",
+	b.WriteString("# Measurements: sending calls\n\nMade by `go run ./cmd/cfmeasure calls docs`")
+	fmt.Fprintf(&b, " with seed %d. What the figures mean is in\n[DESIGN.md](DESIGN.md); those of placing tasks are in [PLACEMENT.md](PLACEMENT.md).\n\n", seed)
+	fmt.Fprintf(&b, "%d entries send to %d targets of %d slots with calls of %s; timeout %s. Small fakes in one\nprocess, with the real router and gates. Goodput is in calls a second; capacity is %.0f.\n\n",
 		routeEntries, routeTargets, routeSlots, routeWork, routeTimeout, capacity)
 	t := table.NewWriter()
 	t.AppendHeader(table.Row{"Scenario", "Policy", "p50 ms", "p99 ms", "p99.9 ms", "Goodput", "Refused %", "Late %", "Extra attempts %"})
@@ -66,9 +71,16 @@
 		t.AppendRow(table.Row{r.Scenario, r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), fmt.Sprintf("%.0f", r.Goodput), pct(r.Refused), pct(r.Late), pct(r.Extra)})
 	}
 	b.WriteString(t.RenderMarkdown())
-	fmt.Fprintf(&b, "\n\n## Placing tasks\n\n%d workers, two services of 5 replicas, %d batch workloads whose harm to the services is drawn\nat random and hidden from the policies; measurements lag by %d s; %d s in all. The real fold, scheduler\nand learning. p99 is that of the services' calls.\n\n",
+	b.WriteString("\n")
+	return b.String()
+}
+
+func placementPage(placement []PlacementResult, seed uint64) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Measurements: placing tasks, racing operators\n\nMade by `go run ./cmd/cfmeasure placement docs` with seeds from %d on.\n\n## Placing tasks\n\n", seed)
+	fmt.Fprintf(&b, "%d workers, two services of 5 replicas, %d batch workloads whose harm to the services is drawn\nat random and hidden from the policies; measurements lag by %d s; %d s in all. The real fold, scheduler\nand learning. p99 is that of the services' calls.\n\n",
 		simWorkers, simBatches, simLag, simTicks)
-	t = table.NewWriter()
+	t := table.NewWriter()
 	t.AppendHeader(table.Row{"Scenario", "Policy", "p50 ms", "p99 ms", "p99.9 ms", "Batch done", "Evictions"})
 	for _, r := range placement {
 		t.AppendRow(table.Row{r.Scenario, r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), r.Done, r.Evictions})
