Calls read a target's gate under the lock

Change: a call takes only the gate from the set, under its lock; the address comes with the call. Before: DATA RACE in one of six cases. After: the same cases pass with the detector.

--- a/internal/cfagent/calls.go
+++ b/internal/cfagent/calls.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"cranberryford/pkg/cfadmit"
-	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -50,12 +49,12 @@
 
 // execute runs a call at its target, or refuses it.
 func (a *Agent) execute(ctx context.Context, c *cfwire.Call) *cfwire.Answer {
-	t := a.targets.get(c.Service, c.Target)
-	if t == nil {
+	gate := a.targets.gate(c.Service, c.Target)
+	if gate == nil {
 		return &cfwire.Answer{ID: c.ID, Verdict: cfwire.VerdictNotRun, Reason: "the target is no longer on this VM"}
 	}
 	deadline, _ := ctx.Deadline()
-	done, refusal := t.gate.Enter(ctx, deadline)
+	done, refusal := gate.Enter(ctx, deadline)
 	if refusal != cfadmit.Admitted {
 		busy := refusal == cfadmit.RefusedFull || refusal == cfadmit.RefusedLate
 		return &cfwire.Answer{ID: c.ID, Verdict: cfwire.VerdictNotRun, Reason: string(refusal), Busy: busy}
@@ -67,7 +66,7 @@
 	go func() {
 		defer cancel()
 		defer done()
-		result <- a.send(holdCtx, t.target, c)
+		result <- a.send(holdCtx, c)
 	}()
 	select {
 	case ans := <-result:
@@ -82,8 +81,8 @@
 
 func (onceBody) Close() error { return nil }
 
-func (a *Agent) send(ctx context.Context, t cfcore.Target, c *cfwire.Call) *cfwire.Answer {
-	url := "http://" + t.Address.String() + c.Path
+func (a *Agent) send(ctx context.Context, c *cfwire.Call) *cfwire.Answer {
+	url := "http://" + c.Target.String() + c.Path
 	req, err := http.NewRequestWithContext(ctx, c.Method, url, onceBody{bytes.NewReader(c.Body)})
 	if err != nil {
 		return &cfwire.Answer{ID: c.ID, Verdict: cfwire.VerdictNotRun, Reason: err.Error()}
--- a/internal/cfagent/targets.go
+++ b/internal/cfagent/targets.go
@@ -87,11 +87,15 @@
 	return nil
 }
 
-// get returns a target, or nil.
-func (s *targetSet) get(service string, address netip.AddrPort) *localTarget {
+// gate returns the gate of a target, or nil.
+func (s *targetSet) gate(service string, address netip.AddrPort) *cfadmit.Gate {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.targets[targetKey{service, address}]
+	t := s.targets[targetKey{service, address}]
+	if t == nil {
+		return nil
+	}
+	return t.gate
 }
 
 // list returns the targets in the order of their services and addresses.
