Take out two functions that nothing calls

Cause: TeamUse and Table.Drop were written early and have no caller; quotas are summed in CheckIntent. Ruled out: use by another package (searched by name; go vet and the unit tests pass). Change: both removed, a doc comment for scale. The integration tests were not run again for this. Conclusion: no behaviour changed.

--- a/pkg/cffold/state.go
+++ b/pkg/cffold/state.go
@@ -221,18 +221,7 @@
 // Majority returns how many members make a majority, at least 1.
 func (s *State) Majority() int { return len(s.Members)/2 + 1 }
 
-// TeamUse returns what the live tasks of all workloads of a team reserve.
-func (s *State) TeamUse(team string) cfcore.Resources {
-	var sum cfcore.Resources
-	for _, w := range s.Workloads {
-		if w.Spec.Team != team || w.Removed {
-			continue
-		}
-		sum = sum.Add(scale(w.Spec.Resources, w.Live))
-	}
-	return sum
-}
-
+// scale returns n times an amount.
 func scale(r cfcore.Resources, n int) cfcore.Resources {
 	k := int64(n)
 	return cfcore.Resources{MilliCores: r.MilliCores * k, MemoryMB: r.MemoryMB * k, Accelerators: r.Accelerators * k}
--- a/pkg/cfgrant/table.go
+++ b/pkg/cfgrant/table.go
@@ -87,9 +87,6 @@
 	t.answers[id] = a
 }
 
-// Drop forgets an entry.
-func (t *Table) Drop(id cfcore.EntryID) { delete(t.answers, id) }
-
 // Get returns the newest answer of an entry.
 func (t *Table) Get(id cfcore.EntryID) (Answer, bool) {
 	a, ok := t.answers[id]
