--- /dev/null
+++ b/internal/cfapp/jobs.go
@@ -0,0 +1,51 @@
+package cfapp
+
+import (
+	"context"
+
+	"cranberryford/internal/cfjobagent"
+	"cranberryford/internal/cfjobentry"
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfnet"
+	"cranberryford/platform"
+)
+
+// NewJobEntry makes an entry that serves jobs on the users' platform. It listens
+// already.
+func NewJobEntry(ctx context.Context, d Deps, cfg cfconfig.JobEntry) (*Role, error) {
+	common, metrics, stop, err := NewCommon(d, "job-entry", cfg.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	store, closeStore := platform.NewStore(cfg.Store, cfnet.Transport(cfg.Inner.Addr()), cfg.StoreTimeout.Call)
+	e, closeEntry, err := cfjobentry.New(ctx, common, cfg, cfjobentry.Deps{
+		Store: store, DecodeConfig: platform.DecodeConfig, ConfigKey: platform.ConfigKey,
+		Front: platform.JobsHandler, Readiness: platform.ReadinessHandler, Metrics: metrics,
+	})
+	if err != nil {
+		closeStore()
+		stop()
+		return nil, cferror.Wrap("new job entry", KindStart, err)
+	}
+	return &Role{run: e.Run, leave: e.Leave, cleanup: func() { closeEntry(); closeStore(); stop() }}, nil
+}
+
+// NewJobAgent makes an agent that runs the tasks of jobs on the users' platform. It
+// listens already.
+func NewJobAgent(ctx context.Context, d Deps, cfg cfconfig.JobAgent) (*Role, error) {
+	common, metrics, stop, err := NewCommon(d, "job-agent", cfg.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	worker, closeWorker := platform.NewWorker(cfg.Worker, cfnet.Transport(cfg.Heartbeats.Addr()), cfg.OrderTimeout)
+	a, closeAgent, err := cfjobagent.New(ctx, common, cfg, cfjobagent.Deps{
+		Executor: worker, Heartbeats: platform.HeartbeatHandler, Metrics: metrics,
+	})
+	if err != nil {
+		closeWorker()
+		stop()
+		return nil, cferror.Wrap("new job agent", KindStart, err)
+	}
+	return &Role{run: a.Run, leave: a.Leave, cleanup: func() { closeAgent(); closeWorker(); stop() }}, nil
+}
--- a/internal/cfcmd/register.go
+++ b/internal/cfcmd/register.go
@@ -78,7 +78,8 @@
 		c.Register(cmd, "help")
 	}
 	for _, cmd := range []subcommands.Command{
-		&roleCmd{output: o, role: roleEntry}, &roleCmd{output: o, role: roleAgent}, &demoCmd{output: o},
+		&roleCmd{output: o, role: roleEntry}, &roleCmd{output: o, role: roleAgent},
+		&roleCmd{output: o, role: roleJobEntry}, &roleCmd{output: o, role: roleJobAgent}, &demoCmd{output: o},
 	} {
 		c.Register(cmd, "processes")
 	}
--- a/internal/cfcmd/role.go
+++ b/internal/cfcmd/role.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"flag"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,10 +20,18 @@
 
 // The long-running roles.
 const (
-	roleEntry = "entry"
-	roleAgent = "agent"
+	roleEntry    = "entry"
+	roleAgent    = "agent"
+	roleJobEntry = "job-entry"
+	roleJobAgent = "job-agent"
 )
 
+// roles are the roles that have settings.
+var roles = []string{roleEntry, roleAgent, roleJobEntry, roleJobAgent}
+
+// envSettings names the settings file where the command line does not.
+const envSettings = "CRANBERRYFORD_BOOT"
+
 // roleCmd runs a long-running role.
 type roleCmd struct {
 	*output
@@ -47,7 +56,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *roleCmd) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", "", "settings file, JSON with comments")
+	f.StringVar(&c.settings, "settings", os.Getenv(envSettings), "settings file, JSON with comments")
 }
 
 // Execute implements subcommands.Command.
@@ -69,33 +78,33 @@
 
 // newRole makes the role that the settings file describes.
 func (c *roleCmd) newRole(ctx context.Context) (*cfapp.Role, error) {
-	data, err := os.ReadFile(c.settings)
-	if err != nil {
-		return nil, cferror.Wrap(c.role, KindUsage, err)
-	}
-	if c.role == roleEntry {
-		cfg, err := cfconfig.LoadEntry(c.settings, data)
-		if err != nil {
-			return nil, err
-		}
-		d, err := deps(cfg.KeyFile)
-		if err != nil {
-			return nil, err
-		}
-		return cfapp.NewEntry(ctx, d, cfg)
-	}
-	cfg, err := cfconfig.LoadAgent(c.settings, data)
+	cfg, err := load(c.role, c.settings)
 	if err != nil {
 		return nil, err
 	}
-	d, err := deps(cfg.KeyFile)
+	switch cfg := cfg.(type) {
+	case cfconfig.Entry:
+		return makeRole(ctx, cfg, cfg.KeyFile, os.Stderr, cfapp.NewEntry)
+	case cfconfig.Agent:
+		return makeRole(ctx, cfg, cfg.KeyFile, os.Stderr, cfapp.NewAgent)
+	case cfconfig.JobEntry:
+		return makeRole(ctx, cfg, "", os.Stdout, cfapp.NewJobEntry)
+	case cfconfig.JobAgent:
+		return makeRole(ctx, cfg, "", os.Stdout, cfapp.NewJobAgent)
+	}
+	return nil, cferror.New(c.role, KindUsage, "unknown role")
+}
+
+// makeRole makes a role with settings that have been checked.
+func makeRole[C any](ctx context.Context, cfg C, keyFile string, logs io.Writer, make func(context.Context, cfapp.Deps, C) (*cfapp.Role, error)) (*cfapp.Role, error) {
+	d, err := deps(keyFile, logs)
 	if err != nil {
 		return nil, err
 	}
-	return cfapp.NewAgent(ctx, d, cfg)
+	return make(ctx, d, cfg)
 }
 
-func deps(keyFile string) (cfapp.Deps, error) {
+func deps(keyFile string, logs io.Writer) (cfapp.Deps, error) {
 	key, err := cfapp.ReadKey(keyFile)
 	if err != nil {
 		return cfapp.Deps{}, err
@@ -105,7 +114,7 @@
 		return cfapp.Deps{}, cferror.Wrap("seed", KindFailed, err)
 	}
 	return cfapp.Deps{
-		Clock: clockwork.NewRealClock(), Logs: os.Stderr, Key: key, Seed: binary.LittleEndian.Uint64(seed[:]),
+		Clock: clockwork.NewRealClock(), Logs: logs, Key: key, Seed: binary.LittleEndian.Uint64(seed[:]),
 	}, nil
 }
 
--- a/internal/cfcmd/settings.go
+++ b/internal/cfcmd/settings.go
@@ -9,12 +9,14 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/google/subcommands"
 
 	"cranberryford/pkg/cfconfig"
 	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfjson"
 )
 
 // settingsCmd checks and shows settings.
@@ -34,7 +36,7 @@
 	return `settings check ROLE FILE: say everything that is wrong with a settings file
 settings print ROLE FILE: print the settings in force, defaults included
 settings [-markdown] keys ROLE: print every key with its default, unit and meaning
-ROLE is entry or agent.
+ROLE is entry, agent, job-entry or job-agent.
 Example: cranberryford settings check entry samples/granite-spring/entry.jsonc
 ` + exitHelp
 }
@@ -53,8 +55,8 @@
 }
 
 func (c *settingsCmd) run(args []string) error {
-	usage := cferror.New("settings", KindUsage, "give check, print or keys, then entry or agent, then a file; see: cranberryford help settings")
-	if len(args) < 2 || (args[1] != roleEntry && args[1] != roleAgent) {
+	usage := cferror.New("settings", KindUsage, "give check, print or keys, then a role, then a file; see: cranberryford help settings")
+	if len(args) < 2 || !slices.Contains(roles, args[1]) {
 		return usage
 	}
 	if args[0] == "keys" && len(args) == 2 {
@@ -65,6 +67,9 @@
 		return usage
 	}
 	cfg, err := load(args[1], args[2])
+	if cferror.Is(err, cfjson.KindFaults) {
+		return cferror.Wrap("settings", KindRefused, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -83,12 +88,18 @@
 	if err != nil {
 		return nil, cferror.Wrap("settings", KindUsage, err)
 	}
-	if role == roleEntry {
-		cfg, err := cfconfig.LoadEntry(file, data)
-		return cfg, cferror.Wrap("settings", KindRefused, err)
-	}
-	cfg, err := cfconfig.LoadAgent(file, data)
-	return cfg, cferror.Wrap("settings", KindRefused, err)
+	var cfg any
+	switch role {
+	case roleEntry:
+		cfg, err = cfconfig.LoadEntry(file, data)
+	case roleAgent:
+		cfg, err = cfconfig.LoadAgent(file, data)
+	case roleJobEntry:
+		cfg, err = cfconfig.LoadJobEntry(file, data)
+	case roleJobAgent:
+		cfg, err = cfconfig.LoadJobAgent(file, data)
+	}
+	return cfg, err
 }
 
 // effective prints each key with its value. The hash of a token stays hidden.
@@ -118,9 +129,16 @@
 }
 
 func (c *settingsCmd) keys(role string) {
-	var cfg any = cfconfig.DefaultEntry()
-	if role == roleAgent {
+	var cfg any
+	switch role {
+	case roleEntry:
+		cfg = cfconfig.DefaultEntry()
+	case roleAgent:
 		cfg = cfconfig.DefaultAgent()
+	case roleJobEntry:
+		cfg = cfconfig.DefaultJobEntry()
+	case roleJobAgent:
+		cfg = cfconfig.DefaultJobAgent()
 	}
 	t := c.Table("Key", "Type", "Default", "Meaning")
 	for _, k := range cfconfig.Describe(cfg) {
--- /dev/null
+++ b/internal/cfjobagent/agent.go
@@ -0,0 +1,165 @@
+// Package cfjobagent is the process beside each worker that runs the tasks of jobs:
+// it takes the worker's heartbeats, carries the planner's orders out, extends the
+// leases of what runs while the planner lets it, and reports what runs and ends.
+package cfjobagent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cranberryford/pkg/cfcommon"
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindListen is an address that cannot be listened on.
+	KindListen Kind = "cannot listen"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// eventQueue is the number of events that wait for the control goroutine.
+const eventQueue = 256
+
+// Deps are what the caller of this package decides.
+type Deps struct {
+	Executor cfcore.Executor
+	// Heartbeats makes the handler of the worker's heartbeats.
+	Heartbeats func(cfcore.WorkerRegistry) http.Handler
+	Metrics    http.Handler
+}
+
+// Agent is one run of an agent.
+type Agent struct {
+	*cfcommon.Common
+	Deps
+	cfg      cfconfig.JobAgent
+	instance string
+	events   chan event
+	servers  []*server
+	leave    chan struct{}
+}
+
+type server struct {
+	listener net.Listener
+	handler  http.Handler
+}
+
+// New returns an agent that listens already. The clean-up function closes the
+// listeners.
+func New(ctx context.Context, common *cfcommon.Common, cfg cfconfig.JobAgent, d Deps) (*Agent, func(), error) {
+	a := &Agent{
+		Common: common, Deps: d, cfg: cfg, instance: uuid.NewString(),
+		events: make(chan event, eventQueue), leave: make(chan struct{}),
+	}
+	cleanup := func() {
+		for _, s := range a.servers {
+			_ = s.listener.Close()
+		}
+	}
+	for _, s := range []struct {
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+	}{
+		{"heartbeats", cfg.Heartbeats, d.Heartbeats(registry{a})},
+		{"metrics", cfg.Metrics, d.Metrics},
+	} {
+		if !s.addr.IsValid() {
+			continue
+		}
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr.String())
+		if err != nil {
+			cleanup()
+			return nil, nil, cferror.Wrap("listen for "+s.name, KindListen, err)
+		}
+		a.servers = append(a.servers, &server{listener: l, handler: s.handler})
+	}
+	return a, cleanup, nil
+}
+
+// Leave ends the agent. What runs on the worker goes on under its leases, and the
+// next run of the agent takes it over.
+func (a *Agent) Leave() { close(a.leave) }
+
+// Run runs the agent until the context ends or it is told to leave.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.Log.Info().Str("Name", a.cfg.Name).Str("Instance", a.instance).Msg("agent started")
+	var servers []*http.Server
+	served := make(chan error, len(a.servers))
+	for _, s := range a.servers {
+		srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: a.cfg.OrderTimeout * 5}
+		servers = append(servers, srv)
+		go func() { served <- srv.Serve(s.listener) }()
+	}
+	controlled := make(chan error, 1)
+	go func() { controlled <- newControl(a).run(ctx) }()
+	select {
+	case <-ctx.Done():
+	case <-a.leave:
+	}
+	cancel()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	for range servers {
+		a.logEnd(<-served)
+	}
+	a.logEnd(<-controlled)
+	a.Log.Info().Str("Name", a.cfg.Name).Msg("agent ended")
+	return nil
+}
+
+func (a *Agent) logEnd(err error) {
+	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, http.ErrServerClosed) {
+		a.Log.Error().Err(err).Msg("part of the agent failed")
+	}
+}
+
+// registry is the agent as its worker sees it.
+type registry struct{ *Agent }
+
+// Heartbeat implements cfcore.WorkerRegistry.
+func (r registry) Heartbeat(ctx context.Context, w cfcore.WorkerState) bool {
+	taken := make(chan struct{})
+	r.tell(ctx, heartbeat{state: w, taken: taken})
+	return wait(ctx, taken)
+}
+
+// Leave implements cfcore.WorkerRegistry.
+func (r registry) Leave(ctx context.Context, id string) bool {
+	taken := make(chan struct{})
+	r.tell(ctx, workerLeft{id: id, taken: taken})
+	return wait(ctx, taken)
+}
+
+func wait(ctx context.Context, taken <-chan struct{}) bool {
+	select {
+	case <-taken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tell gives an event to the control goroutine.
+func (a *Agent) tell(ctx context.Context, ev event) {
+	select {
+	case a.events <- ev:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/cfjobagent/control.go
@@ -0,0 +1,285 @@
+package cfjobagent
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"cranberryford/pkg/cfclock"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfwire"
+)
+
+const (
+	// tickTime is how often the control goroutine looks at its timers.
+	tickTime = 50 * time.Millisecond
+	// clockSlack is the part by which the worker's clock may be slow (2 %, by the
+	// platform's word), and the same again for this machine's.
+	clockSlack = 0.04
+	// lapseMargin is added to the wait for a lease, for the time between a check of
+	// the clock and the sending.
+	lapseMargin = 200 * time.Millisecond
+	// unreachedAfter is how long the worker may leave calls unanswered before the
+	// planner is told.
+	unreachedAfter = 900 * time.Millisecond
+	// holdPause is the pause before the worker is asked again after a call that
+	// failed, or that listed ends which are not on record yet.
+	holdPause = 100 * time.Millisecond
+	// asksKept bounds the questions whose answers are still waited for.
+	asksKept = 64
+)
+
+// control is the state of the control goroutine.
+type control struct {
+	*Agent
+	boot  cfclock.Boot
+	links map[*link]bool
+	dials map[netip.AddrPort]context.CancelFunc
+	// dialDone counts the ends of dial loops.
+	dialDone chan struct{}
+	dialing  int
+
+	// epoch is the newest one that is known, and planner the connection to its
+	// planner, where there is one.
+	epoch   cfcore.Epoch
+	planner *link
+	ask     uint64
+	asked   map[uint64]time.Duration
+	askedAt time.Duration
+	// granted is when the last question that was answered had been asked.
+	granted  time.Duration
+	hasGrant bool
+
+	worker     cfcore.WorkerState
+	hasWorker  bool
+	left       bool
+	leftBorn   time.Time
+	clock      time.Duration
+	lists      cfcore.RunLists
+	hasLists   bool
+	noted      uint64
+	listed     uint64
+	holding    bool
+	holdAt     time.Duration
+	answeredAt time.Duration
+	// leased is when a call was last sent that may have extended a lease.
+	leased   time.Duration
+	inFlight map[orderKey]bool
+	// uncertain are starts that an attempt without an answer may still carry out.
+	uncertain map[orderKey]bool
+	// resend is set when the planner has to be told all anew.
+	resend  bool
+	results []cfwire.JobOrderResult
+	lostFor time.Duration
+}
+
+func newControl(a *Agent) *control {
+	c := &control{
+		Agent: a, boot: cfclock.System{}, links: map[*link]bool{}, dials: map[netip.AddrPort]context.CancelFunc{},
+		dialDone: make(chan struct{}), asked: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
+	}
+	// An earlier run of this agent may have extended leases until just now.
+	c.leased = c.boot.Now()
+	c.answeredAt = c.leased
+	return c
+}
+
+// run owns the control state until the context ends.
+func (c *control) run(ctx context.Context) error {
+	c.dialAll(ctx, nil)
+	tick := c.Clock.NewTicker(tickTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for c.dialing > 0 {
+				<-c.dialDone
+				c.dialing--
+			}
+			return ctx.Err()
+		case <-c.dialDone:
+			c.dialing--
+		case <-tick.Chan():
+		case ev := <-c.events:
+			c.handle(ctx, ev)
+		}
+		c.hold(ctx)
+		c.report()
+	}
+}
+
+func (c *control) handle(ctx context.Context, ev event) {
+	switch ev := ev.(type) {
+	case heartbeat:
+		c.heartbeat(ev.state)
+		close(ev.taken)
+	case workerLeft:
+		c.workerLeft(ev.id)
+		close(ev.taken)
+	case linkUp:
+		c.links[ev.link] = true
+	case linkDown:
+		delete(c.links, ev.link)
+		if c.planner == ev.link {
+			c.planner = nil
+		}
+	case received:
+		c.received(ctx, ev.link, ev.message)
+	case held:
+		c.held(ev)
+	case ordered:
+		c.ordered(ctx, ev)
+	}
+}
+
+// heartbeat takes in what the worker says of itself. A heartbeat that was
+// overtaken, or is of an earlier life, changes nothing.
+func (c *control) heartbeat(s cfcore.WorkerState) {
+	if c.hasWorker && s.Born.Before(c.worker.Born) {
+		return
+	}
+	sameLife := c.hasWorker && s.Born.Equal(c.worker.Born)
+	if sameLife && s.Sequence <= c.worker.Sequence {
+		return
+	}
+	if !sameLife {
+		c.Log.Info().Str("Worker", s.ID).Time("Born", s.Born).Str("Service", s.Service).Msg("worker registered")
+		c.newLife()
+	}
+	if sameLife && s.Draining != c.worker.Draining {
+		c.Log.Info().Str("Worker", s.ID).Bool("Draining", s.Draining).Dur("Remaining", s.Remaining).Msg("worker changed its state")
+	}
+	changed := !sameLife || s.Draining != c.worker.Draining || s.Remaining != c.worker.Remaining
+	c.worker, c.hasWorker = s, true
+	c.clock = max(c.clock, s.Clock)
+	if changed {
+		c.resend = true
+	}
+}
+
+// newLife forgets what an earlier life of the worker ran.
+func (c *control) newLife() {
+	c.clock, c.lists, c.hasLists, c.noted, c.listed = 0, cfcore.RunLists{}, false, 0, 0
+	c.inFlight, c.uncertain = map[orderKey]bool{}, map[orderKey]bool{}
+	c.left, c.answeredAt, c.holdAt = false, c.boot.Now(), 0
+}
+
+func (c *control) workerLeft(id string) {
+	if c.hasWorker && c.worker.ID == id {
+		c.Log.Info().Str("Worker", id).Msg("worker has left")
+		c.left, c.leftBorn = true, c.worker.Born
+		c.resend = true
+	}
+}
+
+// received takes in a message of an entry.
+func (c *control) received(ctx context.Context, l *link, m *cfwire.Message) {
+	if e := m.JobEntries; e != nil {
+		if e.Epoch > c.epoch {
+			c.adopt(nil, e.Epoch)
+		}
+		if len(e.Addresses) > 0 {
+			c.dialAll(ctx, e.Addresses)
+		}
+		if e.Resigned && e.Epoch == c.epoch {
+			c.planner = nil
+		}
+		return
+	}
+	o := m.JobOrders
+	if o.Epoch < c.epoch {
+		return
+	}
+	if o.Epoch > c.epoch || c.planner != l {
+		c.adopt(l, o.Epoch)
+	}
+	if at, ok := c.asked[o.Answer]; ok && (!c.hasGrant || at > c.granted) {
+		c.granted, c.hasGrant = at, true
+		delete(c.asked, o.Answer)
+	}
+	if o.Noted > c.noted && o.Born.Equal(c.worker.Born) {
+		c.noted = o.Noted
+		c.holdAt = 0
+	}
+	for _, s := range o.Starts {
+		c.start(ctx, s)
+	}
+	for _, s := range o.Stops {
+		c.stop(ctx, s)
+	}
+	for _, p := range o.Paces {
+		c.pace(ctx, p)
+	}
+}
+
+// adopt obeys a newer epoch, or another connection to its planner. Lists from before
+// may lack a start of an older epoch that is still on its way; only a call with the
+// new epoch as its token rules that out.
+func (c *control) adopt(l *link, epoch cfcore.Epoch) {
+	if epoch > c.epoch {
+		c.Log.Info().Uint64("Epoch", uint64(epoch)).Msg("obeying a newer planner")
+		c.hasLists, c.hasGrant = false, false
+		c.holdAt = 0
+	}
+	c.epoch, c.planner = epoch, l
+	clear(c.asked)
+	c.askedAt = 0
+	c.resend = true
+}
+
+// leaseUntil returns the time on the worker's clock up to which leases may be
+// extended now; 0 where they may not be.
+func (c *control) leaseUntil() time.Duration {
+	if !c.hasGrant || c.clock == 0 || c.boot.Now()-c.granted > c.cfg.Lease.Grant {
+		return 0
+	}
+	return c.clock + c.cfg.Lease.Lease
+}
+
+func (c *control) unreached() (time.Duration, bool) {
+	d := c.boot.Now() - c.answeredAt
+	return d, d > unreachedAfter
+}
+
+// lapsed reports whether every lease that was extended has surely ended.
+func (c *control) lapsed() bool {
+	return c.boot.Now()-c.leased > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+lapseMargin
+}
+
+// report tells the planner what has changed, and asks it for time.
+func (c *control) report() {
+	if c.planner == nil {
+		return
+	}
+	now := c.boot.Now()
+	due := now-c.askedAt >= c.cfg.Ask
+	if !due && !c.resend && len(c.results) == 0 {
+		return
+	}
+	r := &cfwire.JobReport{Epoch: c.epoch, Results: c.results}
+	c.results = nil
+	if c.resend && c.hasWorker {
+		w := c.worker
+		r.Worker = &w
+		if c.hasLists {
+			l := c.lists
+			r.Lists = &l
+		}
+	}
+	if d, lost := c.unreached(); c.left || lost {
+		r.Lost = &cfwire.JobWorkerUnreached{For: d, Lapsed: c.lapsed(), Left: c.left}
+	}
+	c.resend = false
+	if due {
+		c.ask++
+		r.Ask, c.askedAt = c.ask, now
+		if len(c.asked) > asksKept {
+			clear(c.asked)
+		}
+		c.asked[c.ask] = now
+	}
+	if err := c.planner.conn.Send(&cfwire.Message{JobReport: r}); err != nil {
+		c.Log.Debug().Err(err).Msg("report not sent")
+		c.planner = nil
+	}
+}
--- /dev/null
+++ b/internal/cfjobagent/links.go
@@ -0,0 +1,83 @@
+package cfjobagent
+
+import (
+	"context"
+	"net/netip"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfwire"
+)
+
+// link is a connection to an entry.
+type link struct {
+	conn *cfwire.Conn
+	addr netip.AddrPort
+}
+
+// dialAll keeps connections to the entries of the settings and to those that
+// entries have named.
+func (c *control) dialAll(ctx context.Context, named []netip.AddrPort) {
+	want := map[netip.AddrPort]bool{}
+	for _, addr := range c.cfg.Entries {
+		want[addr] = true
+	}
+	for _, addr := range named {
+		want[addr] = true
+	}
+	for addr := range want {
+		if c.dials[addr] == nil {
+			dialCtx, cancel := context.WithCancel(ctx)
+			c.dials[addr] = cancel
+			c.dialing++
+			go func() { c.dialLoop(dialCtx, addr); c.dialDone <- struct{}{} }()
+		}
+	}
+	for addr, cancel := range c.dials {
+		if !want[addr] {
+			cancel()
+			delete(c.dials, addr)
+		}
+	}
+}
+
+func (c *control) dialLoop(ctx context.Context, addr netip.AddrPort) {
+	for ctx.Err() == nil {
+		conn, closeConn, err := cfwire.Dial(ctx, addr, cfwire.Options{
+			Codec: c.Codec, Clock: c.Clock, Key: c.Key, Source: c.cfg.Heartbeats.Addr(),
+			Self: cfwire.Peer{Role: cfwire.RoleJobs, Name: c.cfg.Name, Instance: cfcore.InstanceID(c.instance)},
+		})
+		if err == nil {
+			c.Log.Info().Str("Entry", addr.String()).Msg("dependency regained: connected to an entry")
+			c.serve(ctx, &link{conn: conn, addr: addr})
+			closeConn()
+			c.Log.Warn().Str("Entry", addr.String()).Msg("dependency lost: connection to an entry ended")
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.Clock.After(c.cfg.Reconnect):
+		}
+	}
+}
+
+func (c *control) serve(ctx context.Context, l *link) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	kept := make(chan struct{})
+	go func() {
+		defer close(kept)
+		cfwire.Keep(ctx, l.conn, c.Clock, c.cfg.Beat, c.cfg.Suspect)
+		cancel()
+	}()
+	defer func() { cancel(); <-kept }()
+	c.tell(ctx, linkUp{link: l})
+	defer func() { c.tell(context.WithoutCancel(ctx), linkDown{link: l}) }()
+	for {
+		m, err := l.conn.Receive(ctx)
+		if err != nil {
+			return
+		}
+		if m.JobOrders != nil || m.JobEntries != nil {
+			c.tell(ctx, received{link: l, message: m})
+		}
+	}
+}
--- /dev/null
+++ b/internal/cfjobentry/control.go
@@ -0,0 +1,235 @@
+package cfjobentry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cranberryford/pkg/cfclock"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// drainLimit bounds the events that are handled before the planner decides again.
+const drainLimit = 256
+
+// control is the state of the control goroutine. Only follow runs beside it; it has
+// failedSince to itself.
+type control struct {
+	*Entry
+	clock cfclock.Boot
+	book  *cfjob.Book
+	cfg   settings
+	links map[*link]bool
+	// plan is set while this entry is the planner.
+	plan *planning
+	// confirmed is when the store was asked, and answered, last.
+	confirmed time.Duration
+	// planner is when the present planner was heard last; goneEpoch is one that has
+	// resigned or ended.
+	heard     time.Time
+	goneEpoch cfcore.Epoch
+	claiming  bool
+	leaving   bool
+	// watching ends the connection to the present planner.
+	watching func()
+	entryNo  uint64
+	// announced is when this entry's address was last written to the store.
+	announced time.Time
+
+	failedSince time.Time
+}
+
+func newControl(e *Entry) *control {
+	return &control{
+		Entry: e, clock: cfclock.System{}, cfg: settings{e.cfg}, book: cfjob.NewBook(e.codec), links: map[*link]bool{}, watching: func() {},
+	}
+}
+
+func (c *control) boot() time.Duration { return c.clock.Now() }
+
+// run owns the control state until the context ends.
+func (c *control) run(ctx context.Context) error {
+	followed := make(chan error, 1)
+	go func() { followed <- c.follow(ctx) }()
+	defer func() { <-followed }()
+	defer func() { c.watching() }()
+	tick := c.Clock.NewTicker(c.cfg.Planning.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.Chan():
+		case ev := <-c.events:
+			c.handle(ctx, ev)
+			c.drain(ctx)
+		}
+		c.lead(ctx)
+		c.decide(ctx)
+	}
+}
+
+// drain handles the events that wait, so that one decision answers all of them.
+func (c *control) drain(ctx context.Context) {
+	for range drainLimit {
+		select {
+		case ev := <-c.events:
+			c.handle(ctx, ev)
+		default:
+			return
+		}
+	}
+}
+
+func (c *control) handle(ctx context.Context, ev event) {
+	switch ev := ev.(type) {
+	case restored:
+		c.restored(ctx, ev)
+	case followed:
+		c.followed(ctx, ev)
+	case lookup:
+		c.lookup(ev)
+	case count:
+		ev.reply <- c.book.Waiting(ev.queue)
+	case configured:
+		c.configured(ev.config)
+	case linkUp:
+		c.links[ev.link] = true
+		c.greet(ev.link)
+	case linkDown:
+		delete(c.links, ev.link)
+	case reported:
+		c.reported(ev)
+	case peerHeard:
+		if ev.epoch == c.book.Planner.Epoch {
+			c.heard = c.Clock.Now()
+		}
+	case peerGone:
+		c.goneEpoch = max(c.goneEpoch, ev.epoch)
+	case kept:
+		c.kept(ev)
+	case claimed:
+		c.claiming = false
+		if ev.err != nil {
+			c.Log.Warn().Err(ev.err).Msg("claim to be the planner got no confirmation")
+		}
+	case left:
+		c.leaving = true
+		c.resign()
+	}
+}
+
+func (c *control) lookup(ev lookup) {
+	e, known := c.book.Lookup(ev.id)
+	f := found{known: known, next: c.book.Next}
+	if known {
+		f.state = e.State()
+	}
+	ev.reply <- f
+}
+
+// restored replaces the book by what the store holds.
+func (c *control) restored(ctx context.Context, ev restored) {
+	old := c.book.Planner
+	c.book = ev.book
+	c.confirmed = ev.asked
+	c.heard = c.Clock.Now()
+	if old.Epoch != c.book.Planner.Epoch || !c.synced.Load() {
+		c.plannerChanged(ctx)
+	}
+	for _, e := range c.book.Jobs {
+		c.addJob(e)
+	}
+	c.Log.Info().Int64("Offset", c.book.Next).Int("Jobs", len(c.book.Jobs)).Uint64("Epoch", uint64(c.book.Planner.Epoch)).Msg("state read from the store")
+	c.synced.Store(true)
+	c.announce(ctx)
+}
+
+// followed applies a page of records. Those that have been applied are left out.
+func (c *control) followed(ctx context.Context, ev followed) {
+	if ev.applied != nil {
+		defer close(ev.applied)
+	}
+	if ev.from > c.book.Next {
+		return
+	}
+	for _, r := range ev.page.Records {
+		if r.Offset < c.book.Next {
+			continue
+		}
+		c.apply(ctx, r)
+	}
+	c.book.Next = max(c.book.Next, ev.page.Next)
+	if ev.page.Skipped > 0 {
+		c.Scope.Counter("records_skipped").Inc(int64(ev.page.Skipped))
+	}
+	if ev.asked > c.confirmed {
+		c.confirmed = ev.asked
+	}
+}
+
+func (c *control) apply(ctx context.Context, r cfcore.KeyedRecord) {
+	change, err := c.book.Apply(r)
+	if err != nil {
+		c.Log.Warn().Err(err).Str("Key", r.Key).Int64("Offset", r.Offset).Msg("record skipped")
+		c.Scope.Counter("records_skipped").Inc(1)
+		return
+	}
+	switch {
+	case change.JobID != "":
+		if e := c.book.Jobs[change.JobID]; e != nil {
+			c.addJob(e)
+		}
+	case change.Planner:
+		c.plannerChanged(ctx)
+	case change.Entries:
+		c.entryNo++
+		for l := range c.links {
+			c.greet(l)
+		}
+	}
+}
+
+// configured puts a newer configuration in force for the jobs that there are.
+func (c *control) configured(cfg *cfjob.Config) {
+	if c.plan != nil {
+		c.plan.SetQueues(cfg)
+	}
+}
+
+// greet tells an agent or an entry which entries there are, and who is the planner.
+func (c *control) greet(l *link) {
+	m := &cfwire.JobEntries{Epoch: c.book.Planner.Epoch, Planner: c.book.Planner.Address}
+	for _, e := range c.book.Entries {
+		m.Addresses = append(m.Addresses, e.Address)
+	}
+	slices.SortFunc(m.Addresses, netip.AddrPort.Compare)
+	c.send(l, &cfwire.Message{JobEntries: m})
+	if c.plan != nil && c.authority() {
+		c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch}})
+	}
+}
+
+func (c *control) send(l *link, m *cfwire.Message) {
+	if err := l.conn.Send(m); err != nil {
+		c.Log.Debug().Err(err).Str("Peer", l.name).Msg("message not sent")
+		c.Scope.Counter("messages_not_sent").Inc(1)
+	}
+}
+
+// announce writes this entry's address to the store, where others find it.
+func (c *control) announce(ctx context.Context) {
+	r, err := c.codec.Entry(c.cfg.Name, &cfjob.EntryInfo{Instance: c.instance, Address: c.cfg.Inner, Started: c.Clock.Now()})
+	if err != nil {
+		c.Log.Error().Err(err).Msg("address cannot be encoded")
+		return
+	}
+	go func() {
+		if err := c.submits.add(ctx, r); err != nil {
+			c.Log.Warn().Err(err).Msg("address of this entry not written to the store")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/cfjobentry/entry.go
@@ -0,0 +1,224 @@
+// Package cfjobentry is the process that callers submit jobs to. It keeps jobs in
+// the platform's store, follows the store, and is the planner when its claim is the
+// newest one.
+package cfjobentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cranberryford/pkg/cfcommon"
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindListen is an address that cannot be listened on.
+	KindListen Kind = "cannot listen"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// eventQueue is the number of events that wait for the control goroutine.
+const eventQueue = 1024
+
+// headerTimeout bounds the reading of a request's header; the platform's
+// configuration allows 3 s.
+const headerTimeout = 3 * time.Second
+
+// Deps are what the caller of this package decides.
+type Deps struct {
+	Store cfcore.Store
+	// DecodeConfig decodes the operators' configuration, whose key is ConfigKey.
+	DecodeConfig func(data []byte) (*cfjob.Config, error)
+	ConfigKey    string
+	// Front and Readiness make the handlers of the outer interfaces.
+	Front     func(cfjob.Service) http.Handler
+	Readiness func(func() bool) http.Handler
+	Metrics   http.Handler
+}
+
+// Entry is one run of an entry.
+type Entry struct {
+	*cfcommon.Common
+	Deps
+	cfg      cfconfig.JobEntry
+	instance string
+	codec    cfjob.Codec
+	topic    cfcore.Topic
+	events   chan event
+	submits  *appender
+	config   atomic.Pointer[cfjob.Config]
+	// synced is set once the whole store has been read, leaving by a shutdown, and
+	// storeDown while the store does not answer this entry.
+	synced    atomic.Bool
+	leaving   atomic.Bool
+	storeDown atomic.Bool
+	inFlight  sync.WaitGroup
+	leave     chan struct{}
+	leaveOne  sync.Once
+	resigned  chan struct{}
+	servers   []*server
+}
+
+type server struct {
+	name     string
+	listener net.Listener
+	handler  http.Handler
+}
+
+// New returns an entry that listens already. The clean-up function closes the
+// listeners.
+func New(ctx context.Context, common *cfcommon.Common, cfg cfconfig.JobEntry, d Deps) (*Entry, func(), error) {
+	e := &Entry{
+		Common: common, Deps: d, cfg: cfg, instance: uuid.NewString(), codec: cfjob.Codec{Codec: common.Codec},
+		topic: cfcore.Topic{Name: cfg.Topic}, events: make(chan event, eventQueue),
+		leave: make(chan struct{}), resigned: make(chan struct{}),
+	}
+	e.submits = newAppender(e)
+	cleanup := func() {
+		for _, s := range e.servers {
+			_ = s.listener.Close()
+		}
+	}
+	for _, s := range []struct {
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+	}{
+		{"callers", cfg.Callers, d.Front(e)},
+		{"readiness", cfg.Readiness, d.Readiness(e.Ready)},
+		{"inner", cfg.Inner, e.innerHandler(ctx)},
+		{"metrics", cfg.Metrics, d.Metrics},
+	} {
+		if !s.addr.IsValid() {
+			continue
+		}
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr.String())
+		if err != nil {
+			cleanup()
+			return nil, nil, cferror.Wrap("listen for "+s.name, KindListen, err)
+		}
+		e.servers = append(e.servers, &server{name: s.name, listener: l, handler: s.handler})
+	}
+	return e, cleanup, nil
+}
+
+// Ready reports whether this entry should get requests.
+func (e *Entry) Ready() bool {
+	return e.config.Load() != nil && e.synced.Load() && !e.leaving.Load() && !e.storeDown.Load()
+}
+
+// Leave begins a graceful shutdown.
+func (e *Entry) Leave() { e.leaveOne.Do(func() { close(e.leave) }) }
+
+// Run runs the entry until the context ends, or a graceful shutdown has finished.
+func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.Log.Info().Str("Name", e.cfg.Name).Str("Instance", e.instance).Msg("entry started")
+	var done []<-chan error
+	spawn := func(f func(context.Context) error) {
+		c := make(chan error, 1)
+		go func() { c <- f(ctx) }()
+		done = append(done, c)
+	}
+	var servers []*http.Server
+	for _, s := range e.servers {
+		srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, srv)
+		spawn(func(context.Context) error { return srv.Serve(s.listener) })
+	}
+	spawn(newControl(e).run)
+	spawn(e.followConfig)
+	spawn(e.submits.run)
+	e.wait(ctx)
+	e.shutdown(ctx, servers)
+	cancel()
+	for _, c := range done {
+		if err := <-c; !expected(err) {
+			e.Log.Error().Err(err).Msg("part of the entry failed")
+		}
+	}
+	e.Log.Info().Str("Name", e.cfg.Name).Msg("entry ended")
+	return nil
+}
+
+func expected(err error) bool {
+	return err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed)
+}
+
+// wait returns when the entry may end: at once where the context has ended, else
+// when it was told to leave, has resigned as planner and has no requests in flight.
+func (e *Entry) wait(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.leave:
+	}
+	e.leaving.Store(true)
+	e.Log.Info().Str("Name", e.cfg.Name).Msg("entry leaves")
+	e.tell(ctx, left{})
+	select {
+	case <-e.resigned:
+	case <-e.Clock.After(e.cfg.Drain):
+	case <-ctx.Done():
+	}
+}
+
+// shutdown lets requests in flight end. Callers' idle connections are closed only
+// after the balancer had time to turn away.
+func (e *Entry) shutdown(ctx context.Context, servers []*http.Server) {
+	if !e.leaving.Load() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Drain)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-e.Clock.After(e.cfg.Drain / 2):
+	}
+	for i, s := range servers {
+		if e.servers[i].name == "inner" {
+			_ = s.Close()
+			continue
+		}
+		if err := s.Shutdown(ctx); err != nil {
+			e.Log.Warn().Err(err).Str("Server", e.servers[i].name).Msg("requests were cut off by the shutdown")
+		}
+	}
+}
+
+// tell gives an event to the control goroutine.
+func (e *Entry) tell(ctx context.Context, ev event) {
+	select {
+	case e.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Entry) wireOptions(role cfwire.Role) cfwire.Options {
+	return cfwire.Options{
+		Codec: e.Common.Codec, Clock: e.Clock, Key: e.Key, Source: e.cfg.Inner.Addr(),
+		Self: cfwire.Peer{Role: role, Name: e.cfg.Name, Instance: cfcore.InstanceID(e.instance)},
+	}
+}
--- /dev/null
+++ b/internal/cfjobentry/events.go
@@ -0,0 +1,84 @@
+package cfjobentry
+
+import (
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// event is what the control goroutine is told.
+type event interface{ isEvent() }
+
+type (
+	// restored is the whole content of the store, as a new book.
+	restored struct {
+		book  *cfjob.Book
+		asked time.Duration
+	}
+	// followed is a page of records that were read from offset from.
+	followed struct {
+		from  int64
+		page  cfcore.StorePage
+		asked time.Duration
+		// applied is closed when the page has been applied, where it is not nil.
+		applied chan struct{}
+	}
+	// lookup asks for the state of a job.
+	lookup struct {
+		id    string
+		reply chan<- found
+	}
+	// count asks how many jobs of a queue wait.
+	count struct {
+		queue string
+		reply chan<- int
+	}
+	// configured is a newer configuration.
+	configured struct{ config *cfjob.Config }
+	// linkUp and linkDown are the beginning and the end of an agent's connection.
+	linkUp   struct{ link *link }
+	linkDown struct{ link *link }
+	// reported is a report of an agent.
+	reported struct {
+		link   *link
+		report *cfwire.JobReport
+	}
+	// peerHeard is a sign of life of the planner, and peerGone a planner that has
+	// resigned or whose process has ended.
+	peerHeard struct{ epoch cfcore.Epoch }
+	peerGone  struct{ epoch cfcore.Epoch }
+	// kept is the outcome of an append of facts.
+	kept struct {
+		epoch cfcore.Epoch
+		err   error
+	}
+	// claimed is the outcome of an append of a claim. Only the log tells who is the
+	// planner.
+	claimed struct{ err error }
+	// left begins a graceful shutdown.
+	left struct{}
+)
+
+func (restored) isEvent()   {}
+func (followed) isEvent()   {}
+func (lookup) isEvent()     {}
+func (count) isEvent()      {}
+func (configured) isEvent() {}
+func (linkUp) isEvent()     {}
+func (linkDown) isEvent()   {}
+func (reported) isEvent()   {}
+func (peerHeard) isEvent()  {}
+func (peerGone) isEvent()   {}
+func (kept) isEvent()       {}
+func (claimed) isEvent()    {}
+func (left) isEvent()       {}
+
+// found is what is known of a job.
+type found struct {
+	known bool
+	state cfjob.State
+	// next is the offset up to which the store has been read.
+	next int64
+}
--- /dev/null
+++ b/internal/cfjobentry/follow.go
@@ -0,0 +1,170 @@
+package cfjobentry
+
+import (
+	"context"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfjob"
+)
+
+// retryDelay is the pause before a failed call to the store is made again: long
+// enough that an outage does not use up the platform's share of calls.
+const retryDelay = 150 * time.Millisecond
+
+// downAfter is how long the store may fail to answer before this entry asks the
+// balancer for no more requests.
+const downAfter = 700 * time.Millisecond
+
+// follow reads the whole store and then what is added to it.
+func (c *control) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		asked := c.boot()
+		book, err := c.restore(ctx)
+		if err != nil {
+			c.storeFailed(ctx, err)
+			continue
+		}
+		c.tell(ctx, restored{book: book, asked: asked})
+		c.tail(ctx, book.Next)
+	}
+	return ctx.Err()
+}
+
+// restore reads the newest record of each key. The pages are no snapshot: what was
+// added meanwhile is read again from the end before the first page.
+func (c *control) restore(ctx context.Context) (*cfjob.Book, error) {
+	book := cfjob.NewBook(c.codec)
+	after, first := "", true
+	for {
+		page, err := c.Store.Newest(ctx, c.topic, after)
+		if err != nil {
+			return nil, err
+		}
+		if first {
+			book.Next, first = page.End, false
+		}
+		for _, r := range page.Records {
+			if _, err := book.Apply(r); err != nil {
+				c.Log.Warn().Err(err).Str("Key", r.Key).Msg("record skipped")
+				c.Scope.Counter("records_skipped").Inc(1)
+			}
+			after = r.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			return book, nil
+		}
+	}
+}
+
+// tail reads what is added until records have expired that were not read.
+func (c *control) tail(ctx context.Context, next int64) {
+	for ctx.Err() == nil {
+		asked := c.boot()
+		page, err := c.Store.Read(ctx, c.topic, next, c.cfg.StoreTimeout.Wait)
+		if cferror.Is(err, cfcore.StoreExpired) {
+			c.Log.Warn().Int64("Offset", next).Msg("records expired before they were read; reading all again")
+			return
+		}
+		if err != nil {
+			c.storeFailed(ctx, err)
+			continue
+		}
+		c.storeWorks()
+		c.tell(ctx, followed{from: next, page: page, asked: asked})
+		next = page.Next
+	}
+}
+
+// storeFailed notes a call to the store that failed, and waits before the next one.
+func (c *control) storeFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	now := c.Clock.Now()
+	if c.failedSince.IsZero() {
+		c.failedSince = now
+	}
+	if now.Sub(c.failedSince) > downAfter && !c.storeDown.Swap(true) {
+		c.Log.Warn().Err(err).Msg("dependency lost: the store does not answer")
+	}
+	c.Scope.Counter("store_failures").Inc(1)
+	select {
+	case <-ctx.Done():
+	case <-c.Clock.After(retryDelay):
+	}
+}
+
+func (c *control) storeWorks() {
+	c.failedSince = time.Time{}
+	if c.storeDown.Swap(false) {
+		c.Log.Info().Msg("dependency regained: the store answers")
+	}
+}
+
+// followConfig keeps the newest configuration that operators have written.
+func (e *Entry) followConfig(ctx context.Context) error {
+	topic := cfcore.Topic{Name: e.cfg.Operators}
+	for ctx.Err() == nil {
+		next, err := e.readConfig(ctx, topic)
+		for err == nil && ctx.Err() == nil {
+			next, err = e.awaitConfig(ctx, topic, next)
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.Clock.After(retryDelay):
+		}
+	}
+	return ctx.Err()
+}
+
+func (e *Entry) readConfig(ctx context.Context, topic cfcore.Topic) (int64, error) {
+	after, end := "", int64(-1)
+	for {
+		page, err := e.Store.Newest(ctx, topic, after)
+		if err != nil {
+			return 0, err
+		}
+		if end < 0 {
+			end = page.End
+		}
+		for _, r := range page.Records {
+			e.applyOperator(ctx, r)
+			after = r.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			return end, nil
+		}
+	}
+}
+
+func (e *Entry) awaitConfig(ctx context.Context, topic cfcore.Topic, next int64) (int64, error) {
+	page, err := e.Store.Read(ctx, topic, next, e.cfg.StoreTimeout.Wait)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range page.Records {
+		e.applyOperator(ctx, r)
+	}
+	return page.Next, nil
+}
+
+// applyOperator takes in a record of the operators. A version that is not newer
+// than the one in force changes nothing.
+func (e *Entry) applyOperator(ctx context.Context, r cfcore.KeyedRecord) {
+	if r.Key != e.ConfigKey {
+		return
+	}
+	cfg, err := e.DecodeConfig(r.Value)
+	if err != nil {
+		e.Log.Error().Err(err).Int64("Offset", r.Offset).Msg("configuration skipped: it cannot be decoded")
+		return
+	}
+	if old := e.config.Load(); old != nil && old.Version >= cfg.Version {
+		return
+	}
+	e.config.Store(cfg)
+	e.Log.Info().Uint64("Version", cfg.Version).Int("Queues", len(cfg.Queues)).Msg("configuration in force")
+	e.tell(ctx, configured{config: cfg})
+}
--- a/pkg/cfconfig/load.go
+++ b/pkg/cfconfig/load.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
@@ -183,3 +184,43 @@
 	}
 	return out
 }
+
+// LoadJobEntry reads the settings of an entry that serves jobs.
+func LoadJobEntry(name string, data []byte) (JobEntry, error) {
+	cfg := DefaultJobEntry()
+	doc := cfjson.Decode(name, data, &cfg)
+	check(doc, cfg)
+	checkBeat(doc, cfg.Beat, cfg.Suspect)
+	checkDistinct(doc, map[string]netip.AddrPort{
+		"Callers": cfg.Callers, "Readiness": cfg.Readiness, "Inner": cfg.Inner, "Metrics": cfg.Metrics, "Store": cfg.Store,
+	})
+	if cfg.StoreTimeout.Wait >= cfg.Lease.Authority {
+		doc.Add("StoreTimeout.Wait", "%s must be less than Lease.Authority, %s", cfg.StoreTimeout.Wait, cfg.Lease.Authority)
+	}
+	return cfg, doc.Err()
+}
+
+// LoadJobAgent reads the settings of an agent that runs the tasks of jobs.
+func LoadJobAgent(name string, data []byte) (JobAgent, error) {
+	cfg := DefaultJobAgent()
+	doc := cfjson.Decode(name, data, &cfg)
+	check(doc, cfg)
+	checkBeat(doc, cfg.Beat, cfg.Suspect)
+	checkDistinct(doc, map[string]netip.AddrPort{
+		"Worker": cfg.Worker, "Heartbeats": cfg.Heartbeats, "Metrics": cfg.Metrics,
+	})
+	checkUnique(doc, "Entries", cfg.Entries)
+	if cfg.Ask*3 > cfg.Lease.Grant {
+		doc.Add("Ask", "%s must be at most a third of Lease.Grant, %s", cfg.Ask, cfg.Lease.Grant)
+	}
+	if cfg.HoldWait*4 > cfg.Lease.Lease {
+		doc.Add("HoldWait", "%s must be at most a quarter of Lease.Lease, %s", cfg.HoldWait, cfg.Lease.Lease)
+	}
+	return cfg, doc.Err()
+}
+
+func checkBeat(doc *cfjson.Document, beat, suspect time.Duration) {
+	if beat*3 > suspect {
+		doc.Add("Beat", "%s must be at most a third of Suspect, %s", beat, suspect)
+	}
+}
--- /dev/null
+++ b/pkg/cfdispatch/place.go
@@ -0,0 +1,206 @@
+package cfdispatch
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Plan starts what can be started now.
+func (p *Planner) Plan(now time.Time) {
+	blocked := len(p.expected) > 0
+	for _, j := range p.queue(now) {
+		if blocked && j.inherited {
+			continue
+		}
+		for k := range j.steps {
+			if now.Before(j.Due(k)) {
+				continue
+			}
+			for s := range j.steps[k] {
+				if p.stepReady(j, k, s) {
+					p.startStep(now, j, &j.steps[k][s])
+				}
+			}
+		}
+	}
+}
+
+func (p *Planner) stepReady(j *job, k, s int) bool {
+	if j.steps[k][s].remaining == 0 {
+		return false
+	}
+	for _, a := range j.Steps[s].After {
+		if j.steps[k][a].remaining > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// queue returns the jobs that have something to start, the most urgent first.
+func (p *Planner) queue(now time.Time) []*job {
+	var out []*job
+	for _, j := range p.jobs {
+		if !j.over() && j.live < j.remaining {
+			out = append(out, j)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return less(now, out[a], out[b]) })
+	return out
+}
+
+// less orders jobs by priority; among those, jobs that can still be on time come
+// before those that are late, and an earlier objective before a later one.
+func less(now time.Time, a, b *job) bool {
+	if a.queue.Priority != b.queue.Priority {
+		return a.queue.Priority < b.queue.Priority
+	}
+	if la, lb := a.hopeless(now), b.hopeless(now); la != lb {
+		return lb
+	}
+	if !a.objective.Equal(b.objective) {
+		return a.objective.Before(b.objective)
+	}
+	return a.ID < b.ID
+}
+
+// hopeless reports whether a job is past the time after which its caller has no use
+// for it: three times its objective.
+func (j *job) hopeless(now time.Time) bool {
+	return !j.LongRunning() && now.Sub(j.Accepted) > 3*j.objective.Sub(j.Accepted)
+}
+
+func (p *Planner) startStep(now time.Time, j *job, st *stepState) {
+	if j.Steps[st.tasks[0].name.Step].Gang {
+		p.startGang(now, st)
+		return
+	}
+	for _, t := range st.tasks {
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		w := p.choose(now, t)
+		if w == nil {
+			return
+		}
+		p.start(now, t, w, p.newRun())
+	}
+}
+
+// startGang starts all members of a gang with one number, or none.
+func (p *Planner) startGang(now time.Time, st *stepState) {
+	for _, t := range st.tasks {
+		if t.done || len(t.runs) > 0 {
+			return
+		}
+	}
+	id := p.newRun()
+	checkpoint := newestCheckpoint(st)
+	var placed []*run
+	for _, t := range st.tasks {
+		w := p.choose(now, t)
+		if w == nil {
+			for _, r := range placed {
+				p.drop(r)
+			}
+			return
+		}
+		t.checkpoint = checkpoint
+		r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: checkpoint, pace: 100}
+		t.runs = append(t.runs, r)
+		t.j.live++
+		w.add(r)
+		placed = append(placed, r)
+	}
+	for _, r := range placed {
+		p.sendStart(now, r)
+	}
+	st.tasks[0].j.started = true
+}
+
+// newestCheckpoint returns the checkpoint of the member whose run was the last one.
+func newestCheckpoint(st *stepState) string {
+	best := st.tasks[0]
+	for _, t := range st.tasks {
+		if t.checkpoint != "" && (best.checkpoint == "" || t.lastRun > best.lastRun) {
+			best = t
+		}
+	}
+	return best.checkpoint
+}
+
+// choose returns the worker that a task should run on, or nil.
+func (p *Planner) choose(now time.Time, t *task) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range p.workers {
+		if !p.allowed(now, t, w) {
+			continue
+		}
+		score := p.score(now, t, w)
+		if best == nil || score > bestScore || score == bestScore && w.agent < best.agent {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether a worker may run a task now.
+func (p *Planner) allowed(now time.Time, t *task, w *worker) bool {
+	if !w.usable(now, p.cfg.Suspect) || w.state.Service != t.j.queue.Service {
+		return false
+	}
+	if now.Before(w.failures.until) {
+		return false
+	}
+	if r := t.step.Requirement; r != "" && !slices.Contains(w.state.Labels, r) {
+		return false
+	}
+	if !w.used.Add(t.step.Room()).Fits(w.state.Capacity) {
+		return false
+	}
+	return t.step.MaxPerWorker == 0 || p.peers(t, w) < t.step.MaxPerWorker
+}
+
+// peers returns how many tasks of a task's step and occurrence may run on a worker.
+func (p *Planner) peers(t *task, w *worker) int {
+	n := 0
+	for _, o := range t.j.steps[t.name.Occurrence][t.name.Step].tasks {
+		for _, r := range o.runs {
+			if r.w == w {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Weights of the parts of a worker's score, in shares of its processor time.
+const (
+	// fillWeight is how much a filler's wish for processor time counts against the
+	// same amount of reserved time; what is reserved is not all used.
+	fillWeight = 0.5
+	// rackWeight is the worth of being beside the task's data.
+	rackWeight = 0.5
+	// avoidWeight counts against the worker where the task failed last.
+	avoidWeight = 2
+	// streakWeight counts against a worker that failed another job's task last.
+	streakWeight = 0.25
+)
+
+// score rates a worker for a task; more is better.
+func (p *Planner) score(now time.Time, t *task, w *worker) float64 {
+	capacity := float64(max(w.state.Capacity.MilliCores, 1))
+	free := float64(w.state.Capacity.MilliCores-w.used.MilliCores) - fillWeight*float64(w.filling)
+	score := free / capacity
+	if t.step.DataRack != "" && t.step.DataRack == w.state.Rack() {
+		score += rackWeight
+	}
+	if t.avoid == w.agent {
+		score -= avoidWeight
+	}
+	score -= streakWeight * float64(len(w.failures.jobs))
+	_ = now
+	return score
+}
--- /dev/null
+++ b/pkg/cfdispatch/report.go
@@ -0,0 +1,262 @@
+package cfdispatch
+
+import (
+	"slices"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// Report takes in what an agent says.
+func (p *Planner) Report(now time.Time, agent string, m *cfwire.JobReport) {
+	w := p.workers[agent]
+	if w == nil {
+		w = &worker{agent: agent, runs: map[*run]bool{}}
+		p.workers[agent] = w
+	}
+	w.heard = now
+	if m.Worker != nil {
+		p.describe(w, *m.Worker)
+	}
+	w.unreached = m.Lost != nil
+	if m.Lost != nil && (m.Lost.Lapsed || m.Lost.Left) {
+		p.lapse(w)
+		w.known = false
+		delete(p.expected, agent)
+	}
+	if m.Lists != nil {
+		p.lists(now, w, m.Lists)
+	}
+	// The lists are as new as the results: a run that ended is in them.
+	for _, r := range m.Results {
+		p.result(now, w, r)
+	}
+}
+
+// describe takes in the state of a worker. Another life of it has lost all runs.
+func (p *Planner) describe(w *worker, s cfcore.WorkerState) {
+	if s.Born.Before(w.state.Born) {
+		return
+	}
+	if s.Born.After(w.state.Born) {
+		p.lapse(w)
+		w.known, w.seen, w.noted, w.told = false, 0, 0, 0
+		w.failures = failureStreak{}
+	}
+	w.state = s
+}
+
+// result takes in what became of a start.
+func (p *Planner) result(now time.Time, w *worker, res cfwire.JobOrderResult) {
+	r := p.findRun(w, res.Task, res.Run)
+	switch {
+	case r == nil:
+	case res.Refusal == "":
+		if r.phase == starting {
+			r.phase, r.begun = running, now
+		}
+	case r.phase != running:
+		p.drop(r)
+		if res.Refusal == cfcore.ExecutorUnhealthy {
+			w.failures.fail(now, res.Task.Job)
+		}
+	}
+}
+
+func (p *Planner) findRun(w *worker, n cfcore.TaskName, id uint64) *run {
+	t := p.lookup(n)
+	if t == nil {
+		return nil
+	}
+	for _, r := range t.runs {
+		if r.id == id && r.w == w {
+			return r
+		}
+	}
+	return nil
+}
+
+// drop forgets a run that is not there, and never will be.
+func (p *Planner) drop(r *run) {
+	r.w.remove(r)
+	if i := slices.Index(r.task.runs, r); i >= 0 {
+		r.task.runs = slices.Delete(r.task.runs, i, i+1)
+		r.task.j.live--
+	}
+}
+
+// lists takes in what runs on a worker and what has ended there.
+func (p *Planner) lists(now time.Time, w *worker, l *cfcore.RunLists) {
+	if l.Born.Before(w.state.Born) {
+		return
+	}
+	w.known, w.unreached = true, false
+	delete(p.expected, w.agent)
+	for _, row := range l.Running {
+		p.runningRow(now, w, row)
+	}
+	for _, e := range l.Ended {
+		if e.Number <= w.seen {
+			continue
+		}
+		p.ended(now, w, e)
+		w.seen = e.Number
+	}
+}
+
+// runningRow takes in a run that goes on. One that this planner does not know was
+// started by an older one.
+func (p *Planner) runningRow(now time.Time, w *worker, row cfcore.RunningTask) {
+	t := p.lookup(row.Task)
+	if t == nil {
+		p.stopUnknown(w, row)
+		return
+	}
+	r := p.findRun(w, row.Task, row.Run)
+	if r == nil && len(t.runs) > 0 && !t.step.Duplicable {
+		p.stopUnknown(w, row)
+		return
+	}
+	if r == nil {
+		r = &run{task: t, id: row.Run, w: w, phase: running, begun: now, pace: 100}
+		t.runs = append(t.runs, r)
+		t.j.live++
+		w.add(r)
+		t.j.started = true
+	}
+	if r.phase == starting {
+		r.phase = running
+	}
+	r.percent, r.gauge = row.Percent, row.Gauge
+	if row.Checkpoint != "" {
+		r.checkpoint = row.Checkpoint
+	}
+	if t.done || t.j.over() {
+		p.stop(r)
+	}
+}
+
+// stopUnknown stops a run of a job that is not known, or has ended.
+func (p *Planner) stopUnknown(w *worker, row cfcore.RunningTask) {
+	o := p.ordersFor(w)
+	o.Stops = append(o.Stops, cfwire.JobStop{Task: row.Task, Run: row.Run})
+}
+
+// ended takes in the end of a run.
+func (p *Planner) ended(now time.Time, w *worker, e cfcore.EndedTask) {
+	t := p.lookup(e.Task)
+	if t == nil {
+		return
+	}
+	r := p.findRun(w, e.Task, e.Run)
+	var took time.Duration
+	if r != nil {
+		took = now.Sub(r.begun)
+		p.drop(r)
+	}
+	if t.done {
+		return
+	}
+	switch e.How {
+	case cfcore.EndDone:
+		w.failures.succeed()
+		if r != nil && r.checkpoint == "" {
+			p.learnt.add(t, took)
+		}
+		p.finish(now, t)
+	case cfcore.EndFailed:
+		p.failed(now, w, t, e)
+	case cfcore.EndStopped, cfcore.EndLapsed, cfcore.EndBroken, cfcore.EndAlone:
+	}
+	if t.done || t.j.over() {
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	if e.Checkpoint != "" && e.Checkpoint != t.checkpoint {
+		t.checkpoint = e.Checkpoint
+		p.keep(t.j)
+	}
+}
+
+// keep marks a job whose progress has to be kept soon.
+func (p *Planner) keep(j *job) {
+	j.dirty = true
+	p.dirty[j.ID] = j
+}
+
+// finish notes that a task is done; the end of one member counts for its gang.
+func (p *Planner) finish(now time.Time, t *task) {
+	st := &t.j.steps[t.name.Occurrence][t.name.Step]
+	members := []*task{t}
+	if t.step.Gang {
+		members = st.tasks
+	}
+	for _, m := range members {
+		if m.done {
+			continue
+		}
+		m.done = true
+		st.remaining--
+		t.j.remaining--
+		for _, r := range m.runs {
+			p.stop(r)
+		}
+	}
+	p.keep(t.j)
+	if t.j.remaining == 0 && !t.j.over() {
+		t.j.outcome, t.j.ended = cfjob.OutcomeCompleted, now
+	}
+}
+
+// failed notes a run that failed; the last attempt fails the job.
+func (p *Planner) failed(now time.Time, w *worker, t *task, e cfcore.EndedTask) {
+	w.failures.fail(now, t.j.ID)
+	t.avoid = w.agent
+	if t.step.LongRunning || slices.Contains(t.failed, e.Run) {
+		return
+	}
+	t.failed = append(t.failed, e.Run)
+	p.keep(t.j)
+	if len(t.failed) >= t.j.queue.MaxAttempts && !t.j.over() {
+		t.j.outcome, t.j.ended = cfjob.OutcomeFailed, now
+		p.stopAll(t.j)
+	}
+}
+
+// lapse ends all runs of a worker whose leases have ended, or that is gone.
+func (p *Planner) lapse(w *worker) {
+	for r := range w.runs {
+		t := r.task
+		p.drop(r)
+		if t.step.Checkpointing && r.checkpoint != "" && r.checkpoint != t.checkpoint {
+			t.checkpoint = r.checkpoint
+		}
+	}
+}
+
+// Lapse ends the runs of all workers whose agents have been silent for so long that
+// no lease can be left, and returns the agents.
+func (p *Planner) Lapse(now time.Time) []string {
+	var gone []string
+	for agent, w := range p.workers {
+		last := w.answered
+		if w.heard.After(last) {
+			last = w.heard
+		}
+		if now.Sub(last) <= p.cfg.LapseTime() {
+			continue
+		}
+		p.lapse(w)
+		delete(p.workers, agent)
+		gone = append(gone, agent)
+	}
+	if len(p.expected) > 0 && now.After(p.expectedUntil) {
+		for a := range p.expected {
+			gone = append(gone, a)
+		}
+		clear(p.expected)
+	}
+	return gone
+}
--- /dev/null
+++ b/pkg/cfdispatch/worker.go
@@ -0,0 +1,114 @@
+package cfdispatch
+
+import (
+	"time"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// worker is one agent with the life of the worker beside it.
+type worker struct {
+	// agent names the agent.
+	agent string
+	state cfcore.WorkerState
+	// known is set once the worker has listed its runs to this planner.
+	known bool
+	// unreached is set while the agent says that the worker does not answer.
+	unreached bool
+	// recorded is set once the store knows that tasks may be sent to the agent.
+	recorded bool
+	// heard is when the agent's last report came in, and answered when an answer was
+	// last sent that lets it extend leases.
+	heard    time.Time
+	answered time.Time
+	runs     map[*run]bool
+	used     cfcore.Resources
+	// filling is the processor time that filler tasks would like to have.
+	filling int64
+	// seen is the number of the last end that was taken in, and noted that of the
+	// last one on record.
+	seen  uint64
+	noted uint64
+	// told is the number that the agent was told last.
+	told     uint64
+	failures failureStreak
+}
+
+func (w *worker) add(r *run) {
+	w.runs[r] = true
+	w.used = w.used.Add(r.task.step.Room())
+	if r.task.step.Filler {
+		w.filling += r.task.step.Resources.MilliCores
+	}
+}
+
+func (w *worker) remove(r *run) {
+	if !w.runs[r] {
+		return
+	}
+	delete(w.runs, r)
+	w.used = w.used.Sub(r.task.step.Room())
+	if r.task.step.Filler {
+		w.filling -= r.task.step.Resources.MilliCores
+	}
+}
+
+// usable reports whether the worker may get starts now.
+func (w *worker) usable(now time.Time, suspect time.Duration) bool {
+	return w.known && w.recorded && !w.unreached && !w.state.Draining && now.Sub(w.heard) < suspect
+}
+
+// failureStreak notes runs that failed without one that succeeded between them.
+type failureStreak struct {
+	// jobs are the different jobs that failed since the last success.
+	jobs  map[string]bool
+	until time.Time
+	// times is how often in a row the worker was set aside.
+	times int
+}
+
+// Limits on workers that fail what they start.
+const (
+	// streakLimit is the number of different jobs that may fail in a row before a
+	// worker is set aside. One can be the job's own fault; two in a row from
+	// different jobs are rarely so.
+	streakLimit = 2
+	// asideTime is how long a worker is set aside first; it doubles up to
+	// maxAsideTime while the worker goes on failing.
+	asideTime    = 2 * time.Second
+	maxAsideTime = 30 * time.Second
+)
+
+// fail notes a run that failed, and reports whether the worker is set aside for it.
+func (f *failureStreak) fail(now time.Time, jobID string) bool {
+	if f.jobs == nil {
+		f.jobs = map[string]bool{}
+	}
+	f.jobs[jobID] = true
+	if len(f.jobs) < streakLimit || now.Before(f.until) {
+		return false
+	}
+	f.until = now.Add(min(asideTime<<f.times, maxAsideTime))
+	f.times = min(f.times+1, 8)
+	return true
+}
+
+func (f *failureStreak) succeed() { *f = failureStreak{} }
+
+// Unrecorded returns the agents that get no starts before they are on record.
+func (p *Planner) Unrecorded() []string {
+	var out []string
+	for agent, w := range p.workers {
+		if !w.recorded {
+			out = append(out, agent)
+		}
+	}
+	return out
+}
+
+// Recorded says that an agent is on record, and that later planners will ask it.
+func (p *Planner) Recorded(agent string) {
+	if w := p.workers[agent]; w != nil {
+		w.recorded = true
+	}
+}
--- /dev/null
+++ b/pkg/cfjob/check.go
@@ -0,0 +1,71 @@
+package cfjob
+
+import (
+	"encoding/hex"
+
+	"cranberryford/pkg/cferror"
+)
+
+// Limits of a job.
+const (
+	// MaxSpecBytes is what the platform's interface allows for a spec.
+	MaxSpecBytes = 4000
+	// MaxSteps and MaxTasks bound what one job may make the planner hold in memory.
+	MaxSteps = 1000
+	MaxTasks = 100_000
+	// idBytes is the length of a job's ID, before it is written in hexadecimal digits.
+	idBytes = 8
+)
+
+// ValidID reports whether id is 16 hexadecimal digits.
+func ValidID(id string) bool {
+	data, err := hex.DecodeString(id)
+	return err == nil && len(data) == idBytes
+}
+
+// Check returns an error that says why a job can never run, or nil.
+func (j *Job) Check() error {
+	switch {
+	case !ValidID(j.ID):
+		return invalid("id %q is not 16 hexadecimal digits", j.ID)
+	case len(j.Spec) > MaxSpecBytes:
+		return invalid("spec has %d bytes; at most %d are allowed", len(j.Spec), MaxSpecBytes)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return invalid("%d steps; 1 to %d are allowed", len(j.Steps), MaxSteps)
+	}
+	if s := j.Schedule; s != nil && (s.Count < 1 || s.Period < 0) {
+		return invalid("schedule of %d runs each %s", s.Count, s.Period)
+	}
+	for i := range j.Steps {
+		if err := j.checkStep(i); err != nil {
+			return err
+		}
+	}
+	if n := j.Width(); n > MaxTasks || n*j.Occurrences() > MaxTasks {
+		return invalid("%d tasks; at most %d are allowed", n*j.Occurrences(), MaxTasks)
+	}
+	return nil
+}
+
+func (j *Job) checkStep(i int) error {
+	s := &j.Steps[i]
+	switch {
+	case s.Count < 1 || s.Count > MaxTasks:
+		return invalid("step %d has %d tasks; 1 to %d are allowed", i, s.Count, MaxTasks)
+	case !s.Resources.Valid():
+		return invalid("step %d asks for %s", i, s.Resources)
+	case s.Estimate < 0 || s.TailTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
+		return invalid("step %d has a negative value", i)
+	}
+	for _, a := range s.After {
+		// A step waits for earlier ones only, so that no cycle is possible.
+		if a < 0 || a >= i {
+			return invalid("step %d waits for step %d, which is not an earlier one", i, a)
+		}
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return cferror.New("check job", KindInvalid, format, args...)
+}
--- /dev/null
+++ b/pkg/cfwire/jobs.go
@@ -0,0 +1,87 @@
+package cfwire
+
+import (
+	"net/netip"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// JobReport is what an agent tells entries of its worker's tasks. Fields that are
+// nil are the same as in the report before on this connection.
+type JobReport struct {
+	// Ask numbers the agent's question whether it may still extend leases.
+	Ask uint64
+	// Epoch is the newest epoch that the agent knows; it obeys no older one.
+	Epoch   cfcore.Epoch
+	Worker  *cfcore.WorkerState `cbor:",omitempty"`
+	Lists   *cfcore.RunLists    `cbor:",omitempty"`
+	Results []JobOrderResult    `cbor:",omitempty"`
+	Lost    *JobWorkerUnreached `cbor:",omitempty"`
+}
+
+// JobWorkerUnreached says that the agent's worker does not answer.
+type JobWorkerUnreached struct {
+	// For is how long it has not answered.
+	For time.Duration
+	// Lapsed is set when the lease of all that it ran has ended.
+	Lapsed bool
+	// Left is set when the worker said that it ends.
+	Left bool
+}
+
+// JobOrderResult is what became of a start.
+type JobOrderResult struct {
+	Task cfcore.TaskName
+	Run  uint64
+	// Refusal is empty where the run has started. Else the run is not there, and
+	// never will be.
+	Refusal cfcore.ExecutorKind `cbor:",omitempty"`
+}
+
+// JobOrders are the planner's orders to an agent.
+type JobOrders struct {
+	Epoch cfcore.Epoch
+	// Answer is the number of the newest question of the agent.
+	Answer uint64
+	Starts []JobStart `cbor:",omitempty"`
+	Stops  []JobStop  `cbor:",omitempty"`
+	Paces  []JobPace  `cbor:",omitempty"`
+	// Noted is the number of the last end of the life Born that is on record.
+	Noted uint64    `cbor:",omitempty"`
+	Born  time.Time `cbor:",omitzero"`
+}
+
+// JobStart is the order to start a run on one life of a worker.
+type JobStart struct {
+	Worker     string
+	Born       time.Time
+	Task       cfcore.TaskName
+	Run        uint64
+	Spec       string
+	Checkpoint string `cbor:",omitempty"`
+	Ticket     string `cbor:",omitempty"`
+}
+
+// JobStop is the order to stop a run.
+type JobStop struct {
+	Task cfcore.TaskName
+	Run  uint64
+}
+
+// JobPace is the order to let a run work at a share of its speed.
+type JobPace struct {
+	Task    cfcore.TaskName
+	Run     uint64
+	Percent int
+}
+
+// JobEntries tells an agent or a peer which entries there are.
+type JobEntries struct {
+	Addresses []netip.AddrPort
+	// Epoch and Planner are the newest claim that the sender knows.
+	Epoch   cfcore.Epoch
+	Planner netip.AddrPort
+	// Resigned is set when the sender was the planner of Epoch and is no longer.
+	Resigned bool `cbor:",omitempty"`
+}
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -26,6 +26,9 @@
 	Call         *Call         `cbor:",omitempty"`
 	Answer       *Answer       `cbor:",omitempty"`
 	Cancel       *Cancel       `cbor:",omitempty"`
+	JobReport    *JobReport    `cbor:",omitempty"`
+	JobOrders    *JobOrders    `cbor:",omitempty"`
+	JobEntries   *JobEntries   `cbor:",omitempty"`
 }
 
 // Challenge is the first message of either end.
@@ -48,6 +51,8 @@
 	RoleControl Role = "Control"
 	// RoleTraffic is an agent's connection for calls.
 	RoleTraffic Role = "Traffic"
+	// RoleJobs is an agent's connection for the tasks of jobs.
+	RoleJobs Role = "Jobs"
 )
 
 // Peer names the process at one end.
