--- a/internal/cfapp/jobs.go
+++ b/internal/cfapp/jobs.go
@@ -28,7 +28,7 @@
 		stop()
 		return nil, cferror.Wrap("new job entry", KindStart, err)
 	}
-	return &Role{run: e.Run, leave: e.Leave, cleanup: func() { closeEntry(); closeStore(); stop() }}, nil
+	return &Role{run: e.Run, leave: e.Leave, log: common.Log, cleanup: func() { closeEntry(); closeStore(); stop() }}, nil
 }
 
 // NewJobAgent makes an agent that runs the tasks of jobs on the users' platform. It
@@ -47,5 +47,12 @@
 		stop()
 		return nil, cferror.Wrap("new job agent", KindStart, err)
 	}
-	return &Role{run: a.Run, leave: a.Leave, cleanup: func() { closeAgent(); closeWorker(); stop() }}, nil
+	return &Role{
+		run: a.Run, leave: a.Leave, log: common.Log, cleanup: func() { closeAgent(); closeWorker(); stop() },
+		reload: func(cfg any) {
+			if cfg, ok := cfg.(cfconfig.JobAgent); ok {
+				a.SetEntries(ctx, cfg.Entries)
+			}
+		},
+	}, nil
 }
--- a/internal/cfapp/roles.go
+++ b/internal/cfapp/roles.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cranberryford/internal/cfagent"
 	"cranberryford/internal/cfentry"
 	"cranberryford/pkg/cfconfig"
@@ -20,6 +22,9 @@
 	run     func(context.Context) error
 	leave   func()
 	cleanup func()
+	// reload takes in settings that have changed; nil where a role takes none.
+	reload func(cfg any)
+	log    zerolog.Logger
 	// Entry or Agent is the role itself.
 	Entry *cfentry.Entry
 	Agent *cfagent.Agent
@@ -31,6 +36,18 @@
 	return untilLeave(ctx, leave, r.leave, r.run)
 }
 
+// Reload gives the role settings that were read again, or the error of reading them.
+func (r *Role) Reload(cfg any, err error) {
+	if err != nil {
+		r.log.Error().Err(err).Msg("settings not reloaded: the file has faults")
+		return
+	}
+	r.log.Info().Msg("settings reloaded")
+	if r.reload != nil {
+		r.reload(cfg)
+	}
+}
+
 // NewEntry makes an entry that listens already.
 func NewEntry(ctx context.Context, d Deps, cfg cfconfig.Entry) (*Role, error) {
 	common, metrics, stop, err := NewCommon(d, "entry", cfg.LogLevel)
@@ -45,7 +62,7 @@
 		return nil, cferror.Wrap("new entry", KindStart, err)
 	}
 	return &Role{
-		run: e.Run, leave: e.Leave, Entry: e,
+		run: e.Run, leave: e.Leave, Entry: e, log: common.Log,
 		cleanup: func() { closeEntry(); closeLog(); stop() },
 	}, nil
 }
@@ -64,7 +81,7 @@
 		return nil, cferror.Wrap("new agent", KindStart, err)
 	}
 	return &Role{
-		run: a.Run, leave: a.Leave, Agent: a,
+		run: a.Run, leave: a.Leave, Agent: a, log: common.Log,
 		cleanup: func() { closeAgent(); closeVM(); stop() },
 	}, nil
 }
--- a/internal/cfcmd/role.go
+++ b/internal/cfcmd/role.go
@@ -70,6 +70,8 @@
 	if err != nil {
 		return c.fail(err)
 	}
+	stopReloads := c.reloadOnSignal(ctx, role)
+	defer stopReloads()
 	if err := role.Run(ctx, leaveOnSignal(ctx, cancel)); err != nil {
 		return c.fail(err)
 	}
@@ -140,3 +142,26 @@
 	}()
 	return leave
 }
+
+// reloadOnSignal reads the settings file again at each SIGHUP. A file with faults
+// changes nothing. The function that it returns waits for the end of its goroutine.
+func (c *roleCmd) reloadOnSignal(ctx context.Context, role *cfapp.Role) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				cfg, err := load(c.role, c.settings)
+				role.Reload(cfg, err)
+			}
+		}
+	}()
+	return func() { cancel(); <-done }
+}
--- a/internal/cfjobagent/agent.go
+++ b/internal/cfjobagent/agent.go
@@ -94,6 +94,11 @@
 // next run of the agent takes it over.
 func (a *Agent) Leave() { close(a.leave) }
 
+// SetEntries gives the agent other entries to connect to, from its settings.
+func (a *Agent) SetEntries(ctx context.Context, addrs []netip.AddrPort) {
+	a.tell(ctx, entriesSet{addrs: addrs})
+}
+
 // Run runs the agent until the context ends or it is told to leave.
 func (a *Agent) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -35,6 +35,9 @@
 	boot  cfclock.Boot
 	links map[*link]bool
 	dials map[netip.AddrPort]context.CancelFunc
+	// seeds are the entries of the settings, and named those that an entry has named.
+	seeds []netip.AddrPort
+	named []netip.AddrPort
 	// dialDone counts the ends of dial loops.
 	dialDone chan struct{}
 	dialing  int
@@ -76,7 +79,7 @@
 func newControl(a *Agent) *control {
 	c := &control{
 		Agent: a, boot: cfclock.System{}, links: map[*link]bool{}, dials: map[netip.AddrPort]context.CancelFunc{},
-		dialDone: make(chan struct{}), asked: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
+		seeds: a.cfg.Entries, dialDone: make(chan struct{}), asked: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
 	}
 	// An earlier run of this agent may have extended leases until just now.
 	c.leased = c.boot.Now()
@@ -86,7 +89,7 @@
 
 // run owns the control state until the context ends.
 func (c *control) run(ctx context.Context) error {
-	c.dialAll(ctx, nil)
+	c.dialAll(ctx)
 	tick := c.Clock.NewTicker(tickTime)
 	defer tick.Stop()
 	for {
@@ -116,6 +119,9 @@
 	case workerLeft:
 		c.workerLeft(ev.id)
 		close(ev.taken)
+	case entriesSet:
+		c.seeds = ev.addrs
+		c.dialAll(ctx)
 	case linkUp:
 		c.links[ev.link] = true
 	case linkDown:
@@ -179,7 +185,8 @@
 			c.adopt(nil, e.Epoch)
 		}
 		if len(e.Addresses) > 0 {
-			c.dialAll(ctx, e.Addresses)
+			c.named = e.Addresses
+			c.dialAll(ctx)
 		}
 		if e.Resigned && e.Epoch == c.epoch {
 			c.planner = nil
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -1,6 +1,7 @@
 package cfjobagent
 
 import (
+	"net/netip"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -21,6 +22,8 @@
 		id    string
 		taken chan struct{}
 	}
+	// entriesSet is another list of entries in the settings.
+	entriesSet struct{ addrs []netip.AddrPort }
 	// linkUp and linkDown are the beginning and the end of a connection to an entry.
 	linkUp   struct{ link *link }
 	linkDown struct{ link *link }
@@ -51,6 +54,7 @@
 
 func (heartbeat) isEvent()  {}
 func (workerLeft) isEvent() {}
+func (entriesSet) isEvent() {}
 func (linkUp) isEvent()     {}
 func (linkDown) isEvent()   {}
 func (received) isEvent()   {}
--- a/internal/cfjobagent/links.go
+++ b/internal/cfjobagent/links.go
@@ -16,12 +16,12 @@
 
 // dialAll keeps connections to the entries of the settings and to those that
 // entries have named.
-func (c *control) dialAll(ctx context.Context, named []netip.AddrPort) {
+func (c *control) dialAll(ctx context.Context) {
 	want := map[netip.AddrPort]bool{}
-	for _, addr := range c.cfg.Entries {
+	for _, addr := range c.seeds {
 		want[addr] = true
 	}
-	for _, addr := range named {
+	for _, addr := range c.named {
 		want[addr] = true
 	}
 	for addr := range want {
--- a/pkg/cfconfig/jobs.go
+++ b/pkg/cfconfig/jobs.go
@@ -91,7 +91,7 @@
 // DefaultJobAgent returns the defaults of an agent that runs the tasks of jobs.
 func DefaultJobAgent() JobAgent {
 	return JobAgent{
-		Lease: DefaultJobLease(), Ask: 300 * time.Millisecond, HoldWait: 700 * time.Millisecond,
+		Lease: DefaultJobLease(), Ask: 300 * time.Millisecond, HoldWait: 300 * time.Millisecond,
 		OrderTimeout: 400 * time.Millisecond, Beat: 200 * time.Millisecond, Suspect: 800 * time.Millisecond,
 		Reconnect: 200 * time.Millisecond, LogLevel: "info",
 	}
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -107,7 +107,7 @@
 			return
 		}
 		t.checkpoint = checkpoint
-		r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: checkpoint, pace: 100}
+		r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: checkpoint, pace: fullPace}
 		t.runs = append(t.runs, r)
 		t.j.live++
 		w.add(r)
@@ -138,7 +138,7 @@
 		if !p.allowed(now, t, w) {
 			continue
 		}
-		score := p.score(now, t, w)
+		score := p.score(t, w)
 		if best == nil || score > bestScore || score == bestScore && w.agent < best.agent {
 			best, bestScore = w, score
 		}
@@ -187,10 +187,12 @@
 	avoidWeight = 2
 	// streakWeight counts against a worker that failed another job's task last.
 	streakWeight = 0.25
+	// crowdWeight counts against a worker whose fillers wish for more than is left.
+	crowdWeight = 20
 )
 
 // score rates a worker for a task; more is better.
-func (p *Planner) score(now time.Time, t *task, w *worker) float64 {
+func (p *Planner) score(t *task, w *worker) float64 {
 	capacity := float64(max(w.state.Capacity.MilliCores, 1))
 	free := float64(w.state.Capacity.MilliCores-w.used.MilliCores) - fillWeight*float64(w.filling)
 	score := free / capacity
@@ -201,6 +203,9 @@
 		score -= avoidWeight
 	}
 	score -= streakWeight * float64(len(w.failures.jobs))
-	_ = now
+	if t.step.Filler {
+		crowd := float64(w.used.MilliCores+w.filling+t.step.Resources.MilliCores)/capacity - 1
+		score -= crowdWeight * max(0, crowd)
+	}
 	return score
 }
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -69,6 +69,8 @@
 	gauge      int
 	// pace is the share of its speed at which the run was told to work, in percent.
 	pace int
+	// paceSent is when the pace was last sent.
+	paceSent time.Time
 }
 
 // task is one task of a job.
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -97,6 +97,7 @@
 	for _, row := range l.Running {
 		p.runningRow(now, w, row)
 	}
+	p.watchTails(now, w)
 	for _, e := range l.Ended {
 		if e.Number <= w.seen {
 			continue
@@ -120,7 +121,7 @@
 		return
 	}
 	if r == nil {
-		r = &run{task: t, id: row.Run, w: w, phase: running, begun: now, pace: 100}
+		r = &run{task: t, id: row.Run, w: w, phase: running, begun: now, pace: fullPace}
 		t.runs = append(t.runs, r)
 		t.j.live++
 		w.add(r)
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
 )
 
 // worker is one agent with the life of the worker beside it.
@@ -25,6 +26,13 @@
 	used     cfcore.Resources
 	// filling is the processor time that filler tasks would like to have.
 	filling int64
+	// serving is the number of tasks with a tail target, and fillers that of fillers.
+	serving int
+	fillers int
+	// overSince is since when a tail is over its target, and haltedAt when the fillers
+	// were halted; zero where they are not.
+	overSince time.Time
+	haltedAt  time.Time
 	// seen is the number of the last end that was taken in, and noted that of the
 	// last one on record.
 	seen  uint64
@@ -37,8 +45,16 @@
 func (w *worker) add(r *run) {
 	w.runs[r] = true
 	w.used = w.used.Add(r.task.step.Room())
-	if r.task.step.Filler {
-		w.filling += r.task.step.Resources.MilliCores
+	w.count(r.task.step, 1)
+}
+
+func (w *worker) count(s *cfjob.Step, n int) {
+	if s.Filler {
+		w.filling += int64(n) * s.Resources.MilliCores
+		w.fillers += n
+	}
+	if s.TailTarget > 0 {
+		w.serving += n
 	}
 }
 
@@ -48,9 +64,7 @@
 	}
 	delete(w.runs, r)
 	w.used = w.used.Sub(r.task.step.Room())
-	if r.task.step.Filler {
-		w.filling -= r.task.step.Resources.MilliCores
-	}
+	w.count(r.task.step, -1)
 }
 
 // usable reports whether the worker may get starts now.
--- a/pkg/cfnet/transport.go
+++ b/pkg/cfnet/transport.go
@@ -12,7 +12,7 @@
 const dialTimeout = 3 * time.Second
 
 // idleConns is the number of idle connections kept to each host.
-const idleConns = 4
+const idleConns = 32
 
 // Transport returns an HTTP transport that connects from source; the zero value
 // lets the system choose.
