A planner without the store hands over, or goes on by the other entries' promises

Change: the planner asks the other entries each 200 ms. If the store answers one of them and not the planner, it resigns; if it answers none, each promises not to claim for 1.5 s. A watched planner whose port refuses connections counts as gone at once.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -73,7 +73,6 @@
 	// resend is set when the planner has to be told all anew.
 	resend  bool
 	results []cfwire.JobOrderResult
-	lostFor time.Duration
 }
 
 func newControl(a *Agent) *control {
@@ -180,17 +179,8 @@
 
 // received takes in a message of an entry.
 func (c *control) received(ctx context.Context, l *link, m *cfwire.Message) {
-	if e := m.JobEntries; e != nil {
-		if e.Epoch > c.epoch {
-			c.adopt(nil, e.Epoch)
-		}
-		if len(e.Addresses) > 0 {
-			c.named = e.Addresses
-			c.dialAll(ctx)
-		}
-		if e.Resigned && e.Epoch == c.epoch {
-			c.planner = nil
-		}
+	if m.JobEntries != nil {
+		c.entries(ctx, m.JobEntries)
 		return
 	}
 	o := m.JobOrders
@@ -219,6 +209,20 @@
 	}
 }
 
+// entries takes in which entries there are, and who is their planner.
+func (c *control) entries(ctx context.Context, e *cfwire.JobEntries) {
+	if e.Epoch > c.epoch {
+		c.adopt(nil, e.Epoch)
+	}
+	if len(e.Addresses) > 0 {
+		c.named = e.Addresses
+		c.dialAll(ctx)
+	}
+	if e.Resigned && e.Epoch == c.epoch {
+		c.planner = nil
+	}
+}
+
 // adopt obeys a newer epoch, or another connection to its planner. Lists from before
 // may lack a start of an older epoch that is still on its way; only a call with the
 // new epoch as its token rules that out.
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -58,10 +58,10 @@
 	}
 }
 
-// take takes in lists, unless newer ones came before. It reports whether they count.
-func (c *control) take(l cfcore.RunLists, token cfcore.Epoch) bool {
+// take takes in lists, unless newer ones came before.
+func (c *control) take(l cfcore.RunLists, token cfcore.Epoch) {
 	if l.Born.Before(c.worker.Born) {
-		return false
+		return
 	}
 	if l.Born.After(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has started again under its name")
@@ -70,7 +70,7 @@
 	}
 	c.answeredAt = c.boot.Now()
 	if token < c.epoch || c.hasLists && l.Clock < c.lists.Clock {
-		return false
+		return
 	}
 	c.clock = max(c.clock, l.Clock)
 	c.lists, c.hasLists = l, true
@@ -78,7 +78,6 @@
 		c.listed = max(c.listed, e.Number)
 	}
 	c.resend = true
-	return true
 }
 
 // start carries out the order to start a run.
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -35,9 +35,9 @@
 	leaving   bool
 	// watching ends the connection to the present planner.
 	watching func()
-	entryNo  uint64
-	// announced is when this entry's address was last written to the store.
-	announced time.Time
+	// promised is until when this entry has promised not to claim an epoch.
+	promised time.Duration
+	polls    polls
 
 	failedSince time.Time
 }
@@ -54,7 +54,11 @@
 func (c *control) run(ctx context.Context) error {
 	followed := make(chan error, 1)
 	go func() { followed <- c.follow(ctx) }()
-	defer func() { <-followed }()
+	defer func() {
+		if err := <-followed; !expected(err) {
+			c.Log.Error().Err(err).Msg("following the store failed")
+		}
+	}()
 	defer func() { c.watching() }()
 	tick := c.Clock.NewTicker(c.cfg.Planning.Tick)
 	defer tick.Stop()
@@ -68,6 +72,7 @@
 			c.drain(ctx)
 		}
 		c.lead(ctx)
+		c.pollPeers()
 		c.decide(ctx)
 	}
 }
@@ -96,6 +101,25 @@
 		ev.reply <- c.book.Waiting(ev.queue)
 	case configured:
 		c.configured(ev.config)
+	case kept:
+		c.kept(ev)
+	case claimed:
+		c.claiming = false
+		if ev.err != nil {
+			c.Log.Warn().Err(ev.err).Msg("claim to be the planner got no confirmation")
+		}
+	case left:
+		c.leaving = true
+		c.resign("shutdown")
+		close(c.resigned)
+	default:
+		c.handlePeer(ev)
+	}
+}
+
+// handlePeer handles what agents and other entries do.
+func (c *control) handlePeer(ev event) {
+	switch ev := ev.(type) {
 	case linkUp:
 		c.links[ev.link] = true
 		c.greet(ev.link)
@@ -107,18 +131,13 @@
 		if ev.epoch == c.book.Planner.Epoch {
 			c.heard = c.Clock.Now()
 		}
+	case polled:
+		c.heard = c.Clock.Now()
+		c.answerPoll(ev)
+	case answered:
+		c.polls.answered(ev, c.plan)
 	case peerGone:
 		c.goneEpoch = max(c.goneEpoch, ev.epoch)
-	case kept:
-		c.kept(ev)
-	case claimed:
-		c.claiming = false
-		if ev.err != nil {
-			c.Log.Warn().Err(ev.err).Msg("claim to be the planner got no confirmation")
-		}
-	case left:
-		c.leaving = true
-		c.resign()
 	}
 }
 
@@ -186,10 +205,7 @@
 	case change.Planner:
 		c.plannerChanged(ctx)
 	case change.Entries:
-		c.entryNo++
-		for l := range c.links {
-			c.greet(l)
-		}
+		c.greetAll()
 	}
 }
 
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -70,7 +70,6 @@
 	synced    atomic.Bool
 	leaving   atomic.Bool
 	storeDown atomic.Bool
-	inFlight  sync.WaitGroup
 	leave     chan struct{}
 	leaveOne  sync.Once
 	resigned  chan struct{}
@@ -218,7 +217,7 @@
 
 func (e *Entry) wireOptions(role cfwire.Role) cfwire.Options {
 	return cfwire.Options{
-		Codec: e.Common.Codec, Clock: e.Clock, Key: e.Key, Source: e.cfg.Inner.Addr(),
+		Codec: e.Codec, Clock: e.Clock, Key: e.Key, Source: e.cfg.Inner.Addr(),
 		Self: cfwire.Peer{Role: role, Name: e.cfg.Name, Instance: cfcore.InstanceID(e.instance)},
 	}
 }
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -49,6 +49,15 @@
 	// resigned or whose process has ended.
 	peerHeard struct{ epoch cfcore.Epoch }
 	peerGone  struct{ epoch cfcore.Epoch }
+	// polled is a question of the planner, and answered an answer to this entry's.
+	polled struct {
+		conn *cfwire.Conn
+		poll *cfwire.JobPoll
+	}
+	answered struct {
+		link   *link
+		answer *cfwire.JobPollAnswer
+	}
 	// kept is the outcome of an append of facts.
 	kept struct {
 		epoch cfcore.Epoch
@@ -71,6 +80,8 @@
 func (reported) isEvent()   {}
 func (peerHeard) isEvent()  {}
 func (peerGone) isEvent()   {}
+func (polled) isEvent()     {}
+func (answered) isEvent()   {}
 func (kept) isEvent()       {}
 func (claimed) isEvent()    {}
 func (left) isEvent()       {}
--- a/internal/cfjobentry/follow.go
+++ b/internal/cfjobentry/follow.go
@@ -71,7 +71,7 @@
 			c.storeFailed(ctx, err)
 			continue
 		}
-		c.storeWorks()
+		c.storeAnswered()
 		c.tell(ctx, followed{from: next, page: page, asked: asked})
 		next = page.Next
 	}
@@ -96,7 +96,7 @@
 	}
 }
 
-func (c *control) storeWorks() {
+func (c *control) storeAnswered() {
 	c.failedSince = time.Time{}
 	if c.storeDown.Swap(false) {
 		c.Log.Info().Msg("dependency regained: the store answers")
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
 
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -13,8 +16,6 @@
 type link struct {
 	conn *cfwire.Conn
 	name string
-	// told is the number of the entries list that was sent last on it.
-	told uint64
 }
 
 // innerHandler accepts the connections of agents and of other entries.
@@ -50,18 +51,28 @@
 		if err != nil {
 			return
 		}
-		if m.JobReport != nil {
+		switch {
+		case m.JobReport != nil:
 			e.tell(ctx, reported{link: l, report: m.JobReport})
+		case m.JobPollAnswer != nil:
+			e.tell(ctx, answered{link: l, answer: m.JobPollAnswer})
 		}
 	}
 }
 
-// watch keeps a connection to the planner of an epoch and tells whether it lives.
-func (e *Entry) watch(ctx context.Context, epoch cfcore.Epoch, addr netip.AddrPort) {
+// watch keeps a connection to the planner of a claim and tells whether it lives. A
+// planner whose port refuses connections, or that has started again, lives no more.
+func (e *Entry) watch(ctx context.Context, claim cfjob.Claim) {
 	for ctx.Err() == nil {
-		conn, closeConn, err := cfwire.Dial(ctx, addr, e.wireOptions(cfwire.RolePeer))
-		if err == nil {
-			e.watchConn(ctx, conn, epoch)
+		conn, closeConn, err := cfwire.Dial(ctx, claim.Address, e.wireOptions(cfwire.RolePeer))
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			e.tell(ctx, peerGone{epoch: claim.Epoch})
+		case err == nil && string(conn.Peer().Instance) != claim.Instance:
+			e.tell(ctx, peerGone{epoch: claim.Epoch})
+			closeConn()
+		case err == nil:
+			e.watchConn(ctx, conn, claim.Epoch)
 			closeConn()
 		}
 		select {
@@ -86,10 +97,13 @@
 		if err != nil {
 			return
 		}
-		if m.JobEntries != nil && m.JobEntries.Resigned {
+		switch {
+		case m.JobEntries != nil && m.JobEntries.Resigned:
 			e.tell(ctx, peerGone{epoch: epoch})
-			continue
+		case m.JobPoll != nil:
+			e.tell(ctx, polled{conn: conn, poll: m.JobPoll})
+		default:
+			e.tell(ctx, peerHeard{epoch: epoch})
 		}
-		e.tell(ctx, peerHeard{epoch: epoch})
 	}
 }
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -53,7 +53,7 @@
 
 // lead claims the planner's epoch where no planner is heard.
 func (c *control) lead(ctx context.Context) {
-	if c.plan != nil || c.claiming || c.leaving || !c.synced.Load() || c.storeDown.Load() {
+	if c.plan != nil || c.claiming || c.leaving || !c.synced.Load() || !c.storeWorks() || c.boot() < c.promised {
 		return
 	}
 	now := c.Clock.Now()
@@ -126,7 +126,7 @@
 func (c *control) startWatching(ctx context.Context, claim cfjob.Claim) {
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
-	go func() { defer close(done); c.watch(ctx, claim.Epoch, claim.Address) }()
+	go func() { defer close(done); c.watch(ctx, claim) }()
 	c.watching = func() { cancel(); <-done }
 }
 
@@ -189,12 +189,6 @@
 	return j.Queue
 }
 
-// authority reports whether this entry may still give orders: the store has
-// confirmed lately that there is no newer epoch.
-func (c *control) authority() bool {
-	return c.boot()-c.confirmed < c.cfg.Lease.Authority
-}
-
 // reported takes in a report of an agent and answers it.
 func (c *control) reported(ev reported) {
 	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.authority() {
@@ -335,14 +329,14 @@
 
 // resign ends this entry's time as the planner, so that another one can begin
 // without waiting.
-func (c *control) resign() {
-	if c.plan != nil {
-		c.Log.Info().Uint64("Epoch", uint64(c.plan.epoch)).Msg("planner resigns")
-		m := &cfwire.JobEntries{Epoch: c.plan.epoch, Resigned: true}
-		c.plan = nil
-		for l := range c.links {
-			c.send(l, &cfwire.Message{JobEntries: m})
-		}
+func (c *control) resign(reason string) {
+	if c.plan == nil {
+		return
+	}
+	c.Log.Warn().Uint64("Epoch", uint64(c.plan.epoch)).Str("Reason", reason).Msg("planner resigns")
+	m := &cfwire.JobEntries{Epoch: c.plan.epoch, Resigned: true}
+	c.goneEpoch, c.plan = c.plan.epoch, nil
+	for l := range c.links {
+		c.send(l, &cfwire.Message{JobEntries: m})
 	}
-	close(c.resigned)
 }
--- a/pkg/cfconfig/jobs.go
+++ b/pkg/cfconfig/jobs.go
@@ -33,6 +33,7 @@
 	Grant     time.Duration `validate:"min=300ms,max=60s" doc:"how long an agent extends leases after it asked the planner"`
 	Lease     time.Duration `validate:"min=300ms,max=60s" doc:"how long a lease lasts on the worker's clock"`
 	Authority time.Duration `validate:"min=300ms,max=60s" doc:"how long a planner gives orders after it asked the store for a newer epoch"`
+	Promise   time.Duration `validate:"min=300ms,max=60s" doc:"how long an entry without the store promises the planner not to take over"`
 }
 
 // JobPlanning is the planner's periods.
@@ -56,7 +57,7 @@
 		Planning: JobPlanning{
 			Tick: 50 * time.Millisecond, Silence: time.Second, Resend: 600 * time.Millisecond, Keep: 150 * time.Second,
 		},
-		StoreTimeout: StoreTimeout{Call: 1500 * time.Millisecond, Wait: time.Second},
+		StoreTimeout: StoreTimeout{Call: time.Second, Wait: 400 * time.Millisecond},
 		Beat:         200 * time.Millisecond, Suspect: 800 * time.Millisecond, Drain: 5 * time.Second,
 		LogLevel: "info",
 	}
@@ -64,7 +65,7 @@
 
 // DefaultJobLease returns the default periods of leases.
 func DefaultJobLease() JobLease {
-	return JobLease{Grant: 2 * time.Second, Lease: 5 * time.Second, Authority: 2500 * time.Millisecond}
+	return JobLease{Grant: 2 * time.Second, Lease: 5 * time.Second, Authority: 2 * time.Second, Promise: 1500 * time.Millisecond}
 }
 
 // JobAgent is the settings of an agent that runs the tasks of jobs.
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -247,7 +247,7 @@
 // keeps the terms that it had.
 func (p *Planner) SetQueues(cfg *cfjob.Config) {
 	for _, j := range p.jobs {
-		if q, ok := cfg.Queue(j.Job.Queue.Name); ok {
+		if q, ok := cfg.Queue(j.Queue.Name); ok {
 			j.queue = *q
 		}
 	}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -89,22 +89,22 @@
 	streakLimit = 2
 	// asideTime is how long a worker is set aside first; it doubles up to
 	// maxAsideTime while the worker goes on failing.
-	asideTime    = 2 * time.Second
-	maxAsideTime = 30 * time.Second
+	asideTime         = 2 * time.Second
+	maxAsideTime      = 30 * time.Second
+	maxAsideDoublings = 8
 )
 
-// fail notes a run that failed, and reports whether the worker is set aside for it.
-func (f *failureStreak) fail(now time.Time, jobID string) bool {
+// fail notes a run that failed. The worker is set aside where others failed before.
+func (f *failureStreak) fail(now time.Time, jobID string) {
 	if f.jobs == nil {
 		f.jobs = map[string]bool{}
 	}
 	f.jobs[jobID] = true
 	if len(f.jobs) < streakLimit || now.Before(f.until) {
-		return false
+		return
 	}
 	f.until = now.Add(min(asideTime<<f.times, maxAsideTime))
-	f.times = min(f.times+1, 8)
-	return true
+	f.times = min(f.times+1, maxAsideDoublings)
 }
 
 func (f *failureStreak) succeed() { *f = failureStreak{} }
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -76,6 +76,21 @@
 	Percent int
 }
 
+// JobPoll is the planner's question to the other entries, while it is the planner.
+type JobPoll struct {
+	Seq   uint64
+	Epoch cfcore.Epoch
+}
+
+// JobPollAnswer is what another entry answers.
+type JobPollAnswer struct {
+	Seq   uint64
+	Epoch cfcore.Epoch
+	// StoreWorks is set where the store answers the other entry. Where it is not, the
+	// other entry promises not to claim an epoch for the settings' Lease.Promise.
+	StoreWorks bool
+}
+
 // JobEntries tells an agent or a peer which entries there are.
 type JobEntries struct {
 	Addresses []netip.AddrPort
