Place fillers where tails have room

Cause: fillers beside tasks that serve bring tails over their targets, and are then halted. Change: a worker's worst tail, as a share of its target, counts against placing a filler there; what fillers wish for counts against placing a task that serves.

--- a/pkg/cfdispatch/pace.go
+++ b/pkg/cfdispatch/pace.go
@@ -47,6 +47,21 @@
 	return serving, fillers
 }
 
+// maxTail bounds the worst tail, as a share of its target; past it all are the same.
+const maxTail = 3
+
+// worstTail returns the worst tail of the tasks that serve on a worker, as a share of
+// its target.
+func (w *worker) worstTail() float64 {
+	worst := 0.0
+	for r := range w.runs {
+		if r.task.serves() {
+			worst = max(worst, float64(r.tail())/float64(r.task.step.TailTarget))
+		}
+	}
+	return min(worst, maxTail)
+}
+
 // watchTails halts the fillers on a worker where a tail has been over its target for
 // some time, and lets them go on soon after. Holding them at a lower pace all the
 // time was measured to delay most of their jobs past their objectives, since a job
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -189,6 +189,11 @@
 	streakWeight = 0.25
 	// crowdWeight counts against a worker whose fillers wish for more than is left.
 	crowdWeight = 20
+	// tailWeight counts the worst tail of tasks that serve, as a share of its target,
+	// against placing a filler beside them.
+	tailWeight = 1
+	// fillersWeight counts what fillers wish for against placing a task that serves.
+	fillersWeight = 1
 )
 
 // score rates a worker for a task; more is better.
@@ -207,5 +212,11 @@
 		crowd := float64(w.used.MilliCores+w.filling+t.step.Resources.MilliCores)/capacity - 1
 		score -= crowdWeight * max(0, crowd)
 	}
+	switch {
+	case t.step.Filler:
+		score -= tailWeight * w.worstTail()
+	case t.serves():
+		score -= fillersWeight * float64(w.filling) / capacity
+	}
 	return score
 }
