Drop the records of entries that are gone and of jobs that ended long ago

Cause: in an outage the planner goes on only by the promises of all entries on record; an entry that was replaced stayed on record, so that the planner lost its authority after 2 s. Jobs were never dropped, although the store keeps the newest record of each key for good. No test of the dropping yet.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -61,7 +61,6 @@
 	entries []*process
 	agents  []*process
 	workers []*standin.Worker
-	former  []*standin.Worker
 	end     []func()
 	serve   []*http.Server
 }
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -35,6 +35,8 @@
 	leaving   bool
 	// watching ends the connection to the present planner.
 	watching func()
+	// known is set while this entry's own record is in the store.
+	known bool
 	// promised is until when this entry has promised not to claim an epoch.
 	promised time.Duration
 	polls    polls
@@ -164,6 +166,7 @@
 	}
 	c.Log.Info().Int64("Offset", c.book.Next).Int("Jobs", len(c.book.Jobs)).Uint64("Epoch", uint64(c.book.Planner.Epoch)).Msg("state read from the store")
 	c.synced.Store(true)
+	_, c.known = c.book.Entries[c.cfg.Name]
 	c.announce(ctx)
 }
 
@@ -205,7 +208,10 @@
 	case change.Planner:
 		c.plannerChanged(ctx)
 	case change.Entries:
-		c.greetAll()
+		c.entriesChanged()
+		if !c.known {
+			c.announce(ctx)
+		}
 	}
 }
 
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -35,6 +35,9 @@
 	// those that it will know with the next facts.
 	recorded  map[string]bool
 	recording []string
+	// entrySeen is when each entry was last connected.
+	entrySeen map[string]time.Time
+	upkeepAt  time.Time
 	// extra are the records that go with the next facts.
 	extra []cfcore.KeyedRecord
 }
@@ -150,7 +153,7 @@
 	}
 	until := c.Clock.Now().Add(c.cfg.Lease.Authority + s.LapseTime())
 	c.plan = &planning{
-		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recorded: recorded,
+		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recorded: recorded, entrySeen: map[string]time.Time{},
 	}
 	for _, e := range c.book.Jobs {
 		c.addInherited(e)
@@ -213,6 +216,7 @@
 		delete(c.plan.recorded, agent)
 	}
 	c.recordWorkers(now)
+	c.upkeep(now)
 	c.plan.Plan(now)
 	orders := c.plan.Take(now)
 	for l := range c.links {
