--- a/internal/cfapp/common.go
+++ b/internal/cfapp/common.go
@@ -91,11 +91,12 @@
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, metricsInterval)
+	logs, closeLogs := boundedLogs(d.Logs, scope)
 	c := &cfcommon.Common{
-		Log:   zerolog.New(d.Logs).Level(lvl).With().Timestamp().Str("Role", role).Logger(),
+		Log:   zerolog.New(logs).Level(lvl).With().Timestamp().Str("Role", role).Logger(),
 		Clock: d.Clock, Scope: scope, Codec: codec, Key: d.Key, Seed: d.Seed,
 	}
-	return c, reporter.HTTPHandler(), func() { _ = closer.Close() }, nil
+	return c, reporter.HTTPHandler(), func() { closeLogs(); _ = closer.Close() }, nil
 }
 
 // untilLeave runs a role until it ends by itself. The first signal begins a
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -41,12 +41,14 @@
 	promised time.Duration
 	polls    polls
 
+	// ending is when jobs ended whose outcome cannot be seen yet.
+	ending      map[string]time.Time
 	failedSince time.Time
 }
 
 func newControl(e *Entry) *control {
 	return &control{
-		Entry: e, clock: cfclock.System{}, cfg: settings{e.cfg}, book: cfjob.NewBook(e.codec), links: map[*link]bool{}, watching: func() {},
+		Entry: e, clock: cfclock.System{}, cfg: settings{e.cfg}, book: cfjob.NewBook(e.codec), links: map[*link]bool{}, watching: func() {}, ending: map[string]time.Time{},
 	}
 }
 
@@ -204,6 +206,9 @@
 	case change.JobID != "":
 		if e := c.book.Jobs[change.JobID]; e != nil {
 			c.addJob(e)
+			if e.Ended() {
+				c.visible(change.JobID)
+			}
 		}
 	case change.Planner:
 		c.plannerChanged(ctx)
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -23,6 +23,10 @@
 // rankDelay sets the claims of entries apart, by their place in the order of names.
 const rankDelay = 100 * time.Millisecond
 
+// factPause is the least time between two appends of facts that no caller waits for.
+// The platform lets an end be acknowledged 100 ms after it was listed.
+const factPause = 40 * time.Millisecond
+
 // planning is what an entry has while it is the planner.
 type planning struct {
 	*cfdispatch.Planner
@@ -37,7 +41,9 @@
 	recording []string
 	// entrySeen is when each entry was last connected.
 	entrySeen map[string]time.Time
-	upkeepAt  time.Time
+	// batchAt is when facts were last gathered.
+	batchAt  time.Time
+	upkeepAt time.Time
 	// extra are the records that go with the next facts.
 	extra []cfcore.KeyedRecord
 }
@@ -224,9 +230,41 @@
 			c.order(l, o)
 		}
 	}
+	c.logEvents()
 	c.keep(ctx, now)
 }
 
+// logEvents writes down what the planner came to believe.
+func (c *control) logEvents() {
+	for _, e := range c.plan.Events() {
+		l := c.Log.Info().Str("Job", e.Task.Job).Int("Step", e.Task.Step).Int("Index", e.Task.Index).
+			Uint64("Run", e.Run).Str("Agent", e.Agent).Dur("Took", e.Took)
+		switch e.Kind {
+		case cfdispatch.EventEnded:
+			l.Str("How", string(e.How)).Int("FailedAttempts", e.Attempts)
+			c.Scope.Tagged(map[string]string{"how": string(e.How)}).Counter("runs_ended").Inc(1)
+		case cfdispatch.EventDropped:
+			l.Str("Refusal", string(e.Refusal))
+		case cfdispatch.EventOutcome:
+			l.Str("Outcome", string(e.Outcome)).Dur("AfterObjective", e.Late)
+			c.Scope.Timer("job_time").Record(e.Took)
+			c.ending[e.Task.Job] = c.Clock.Now()
+		case cfdispatch.EventLapsed, cfdispatch.EventAdopted, cfdispatch.EventAside:
+		}
+		l.Uint64("Epoch", uint64(c.plan.epoch)).Msg(string(e.Kind))
+	}
+}
+
+// visible measures how long it took from the last end of a job until its outcome
+// could be seen.
+func (c *control) visible(id string) {
+	if at, ok := c.ending[id]; ok {
+		delete(c.ending, id)
+		c.Scope.Timer("outcome_visible").Record(c.Clock.Since(at))
+		c.Log.Info().Str("Job", id).Dur("After", c.Clock.Since(at)).Msg("outcome can be seen")
+	}
+}
+
 // recordWorkers writes the agents down that tasks may be sent to, so that a later
 // planner knows whom to ask.
 func (c *control) recordWorkers(now time.Time) {
@@ -283,6 +321,10 @@
 }
 
 func (c *control) nextBatch(now time.Time) *factBatch {
+	if !c.plan.Urgent() && now.Sub(c.plan.batchAt) < factPause {
+		return nil
+	}
+	c.plan.batchAt = now
 	facts, seen := c.plan.Facts(now, false)
 	records := c.plan.extra
 	c.plan.extra = nil
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -111,6 +111,7 @@
 // result. force asks for everything that is not yet kept.
 func (p *Planner) Facts(now time.Time, force bool) ([]Fact, []Seen) {
 	var facts []Fact
+	p.urgent = false
 	for id, j := range p.dirty {
 		if !j.dirty && !force && now.Sub(j.lazySince) < startedDelay {
 			continue
@@ -128,20 +129,9 @@
 	return facts, seen
 }
 
-// NeedsKeeping reports whether ends wait to be kept.
-func (p *Planner) NeedsKeeping() bool {
-	for _, j := range p.dirty {
-		if j.dirty {
-			return true
-		}
-	}
-	for _, w := range p.workers {
-		if w.seen > w.noted {
-			return true
-		}
-	}
-	return false
-}
+// Urgent reports whether a job has ended whose outcome is not on record: its caller
+// waits for that.
+func (p *Planner) Urgent() bool { return p.urgent }
 
 // Noted says that facts are on record.
 func (p *Planner) Noted(seen []Seen) {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -131,6 +131,8 @@
 	dirty         map[string]*job
 	learnt        durations
 	orders        map[string]*Orders
+	events        []Event
+	urgent        bool
 }
 
 // New returns a planner of an epoch. agents are those that older planners may have
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -18,11 +18,11 @@
 	}
 	w.heard = now
 	if m.Worker != nil {
-		p.describe(w, *m.Worker)
+		p.describe(now, w, *m.Worker)
 	}
 	w.unreached = m.Lost != nil
 	if m.Lost != nil && (m.Lost.Lapsed || m.Lost.Left) {
-		p.lapse(w)
+		p.lapse(now, w)
 		w.known = false
 		delete(p.expected, agent)
 	}
@@ -36,12 +36,12 @@
 }
 
 // describe takes in the state of a worker. Another life of it has lost all runs.
-func (p *Planner) describe(w *worker, s cfcore.WorkerState) {
+func (p *Planner) describe(now time.Time, w *worker, s cfcore.WorkerState) {
 	if s.Born.Before(w.state.Born) {
 		return
 	}
 	if s.Born.After(w.state.Born) {
-		p.lapse(w)
+		p.lapse(now, w)
 		w.known, w.seen, w.noted, w.told = false, 0, 0, 0
 		w.failures = failureStreak{}
 	}
@@ -58,6 +58,7 @@
 			r.phase, r.begun = running, now
 		}
 	case r.phase != running:
+		p.note(Event{Kind: EventDropped, Agent: w.agent, Task: res.Task, Run: res.Run, Refusal: res.Refusal})
 		p.drop(r)
 		if res.Refusal == cfcore.ExecutorUnhealthy {
 			w.failures.fail(now, res.Task.Job)
@@ -126,6 +127,7 @@
 		t.j.live++
 		w.add(r)
 		t.j.started = true
+		p.noteRun(EventAdopted, r, now)
 	}
 	if r.phase == starting {
 		r.phase = running
@@ -157,6 +159,11 @@
 		took = now.Sub(r.begun)
 		p.drop(r)
 	}
+	defer func() {
+		p.note(Event{
+			Kind: EventEnded, Agent: w.agent, Task: e.Task, Run: e.Run, How: e.How, Attempts: len(t.failed), Took: took,
+		})
+	}()
 	if t.done {
 		return
 	}
@@ -208,12 +215,15 @@
 	p.keep(t.j)
 	if t.j.remaining == 0 && !t.j.over() {
 		t.j.outcome, t.j.ended = cfjob.OutcomeCompleted, now
+		p.noteOutcome(now, t.j)
 	}
 }
 
 // failed notes a run that failed; the last attempt fails the job.
 func (p *Planner) failed(now time.Time, w *worker, t *task, e cfcore.EndedTask) {
-	w.failures.fail(now, t.j.ID)
+	if w.failures.fail(now, t.j.ID) {
+		p.note(Event{Kind: EventAside, Agent: w.agent, Task: t.name, Run: e.Run})
+	}
 	t.avoid = w.agent
 	if t.step.LongRunning || slices.Contains(t.failed, e.Run) {
 		return
@@ -222,13 +232,15 @@
 	p.keep(t.j)
 	if len(t.failed) >= t.j.queue.MaxAttempts && !t.j.over() {
 		t.j.outcome, t.j.ended = cfjob.OutcomeFailed, now
+		p.noteOutcome(now, t.j)
 		p.stopAll(t.j)
 	}
 }
 
 // lapse ends all runs of a worker whose leases have ended, or that is gone.
-func (p *Planner) lapse(w *worker) {
+func (p *Planner) lapse(now time.Time, w *worker) {
 	for r := range w.runs {
+		p.noteRun(EventLapsed, r, now)
 		t := r.task
 		p.drop(r)
 		if t.step.Checkpointing && r.checkpoint != "" && r.checkpoint != t.checkpoint {
@@ -249,7 +261,7 @@
 		if now.Sub(last) <= p.cfg.LapseTime() {
 			continue
 		}
-		p.lapse(w)
+		p.lapse(now, w)
 		delete(p.workers, agent)
 		gone = append(gone, agent)
 	}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -94,17 +94,18 @@
 	maxAsideDoublings = 8
 )
 
-// fail notes a run that failed. The worker is set aside where others failed before.
-func (f *failureStreak) fail(now time.Time, jobID string) {
+// fail notes a run that failed, and reports whether the worker is set aside for it.
+func (f *failureStreak) fail(now time.Time, jobID string) bool {
 	if f.jobs == nil {
 		f.jobs = map[string]bool{}
 	}
 	f.jobs[jobID] = true
 	if len(f.jobs) < streakLimit || now.Before(f.until) {
-		return
+		return false
 	}
 	f.until = now.Add(min(asideTime<<f.times, maxAsideTime))
 	f.times = min(f.times+1, maxAsideDoublings)
+	return true
 }
 
 func (f *failureStreak) succeed() { *f = failureStreak{} }
