A new planner lets fillers go on that an older one had halted

Change: the pace of a run that is taken over is unknown and is sent; a filler that uses no processor time is told again. Two tests that failed first.

--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -29,7 +29,7 @@
 
 // start makes a run of a task on a worker and orders it.
 func (p *Planner) start(now time.Time, t *task, w *worker, id uint64) {
-	r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: t.checkpoint, pace: fullPace}
+	r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: t.checkpoint, pace: fullPace, paceSent: now}
 	t.runs = append(t.runs, r)
 	t.j.live++
 	w.add(r)
--- a/pkg/cfdispatch/pace.go
+++ b/pkg/cfdispatch/pace.go
@@ -12,6 +12,8 @@
 const (
 	// fullPace lets a task work at its full speed, in percent.
 	fullPace = 100
+	// unknownPace is the pace of a run that an older planner may have halted.
+	unknownPace = -1
 	// haltAfter is how long a tail may be over its target before the fillers beside it are
 	// halted. The platform allows harm for 4 s; a tail is a figure for the last half
 	// second, and is up to 0.4 s old when it gets here.
@@ -22,8 +24,7 @@
 	// longestHalt is how long fillers are halted where the tail stays over its target
 	// without them.
 	longestHalt = 2 * time.Second
-	// paceRepeat is the time after which a pace below 100 is sent again, since an
-	// order can be lost.
+	// paceRepeat is the time after which a pace is sent again that may not be in force.
 	paceRepeat = 1500 * time.Millisecond
 )
 
@@ -94,7 +95,9 @@
 // setPaces lets fillers work at a pace.
 func (p *Planner) setPaces(now time.Time, w *worker, fillers []*run, pace int) {
 	for _, f := range fillers {
-		if f.pace == pace && (pace == fullPace || now.Sub(f.paceSent) < paceRepeat) {
+		// An order can be lost, or carried out after a newer one.
+		asOrdered := pace == fullPace && f.gauge > 0
+		if f.pace == pace && (asOrdered || now.Sub(f.paceSent) < paceRepeat) {
 			continue
 		}
 		f.pace, f.paceSent = pace, now
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -107,7 +107,7 @@
 			return
 		}
 		t.checkpoint = checkpoint
-		r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: checkpoint, pace: fullPace}
+		r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: checkpoint, pace: fullPace, paceSent: now}
 		t.runs = append(t.runs, r)
 		t.j.live++
 		w.add(r)
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -357,3 +357,35 @@
 	f.report()
 	f.Expect(f.step()).To(HaveLen(1))
 }
+
+// An older planner may have halted a filler just before it ended.
+func TestAdoptedFillersGoOn(t *testing.T) {
+	filler := step(1, 2000)
+	filler.Filler = true
+	old := newFleet(t, newPlanner(), "a")
+	old.add("j", filler)
+	old.step()
+	f := newFleet(t, cfdispatch.New(settings, []string{"a"}, epochStart.Add(time.Minute)), "a")
+	f.AddJob(f.now, &cfjob.Entry{Job: &cfjob.Job{ID: "j", Queue: queue, Steps: []cfjob.Step{filler}}}, queue, true)
+	f.workers = old.workers
+	f.workers["a"].paces["j"] = 0
+	f.report()
+	f.step()
+	f.Expect(f.workers["a"].paces["j"]).To(Equal(100))
+}
+
+// An order to halt a filler may be carried out after the one that let it go on.
+func TestFillersThatStandStillAreToldAgainToGoOn(t *testing.T) {
+	filler := step(1, 2000)
+	filler.Filler = true
+	f := newFleet(t, newPlanner(), "a")
+	f.add("j", filler)
+	f.step()
+	f.workers["a"].paces["j"] = 0
+	for range 10 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.report()
+		f.step()
+	}
+	f.Expect(f.workers["a"].paces["j"]).To(Equal(100))
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if r == nil {
-		r = &run{task: t, id: row.Run, w: w, phase: running, begun: now, pace: fullPace}
+		r = &run{task: t, id: row.Run, w: w, phase: running, begun: now, pace: unknownPace}
 		t.runs = append(t.runs, r)
 		t.j.live++
 		w.add(r)
