Keep room for urgent tasks that fit nowhere, and stop less urgent ones at a checkpoint

Found by the time from acceptance to first start. Change: a task that fits nowhere reserves the worker where the least less urgent work is in its way; after 0.3 s checkpointing runs there are stopped.

--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -4,10 +4,15 @@
 	"slices"
 	"sort"
 	"time"
+
+	"cranberryford/pkg/cfcore"
 )
 
 // Plan starts what can be started now.
 func (p *Planner) Plan(now time.Time) {
+	for _, w := range p.workers {
+		w.reserved = cfcore.Resources{}
+	}
 	blocked := len(p.expected) > 0
 	for _, j := range p.queue(now) {
 		if blocked && j.inherited {
@@ -82,8 +87,12 @@
 		}
 		w := p.choose(now, t)
 		if w == nil {
-			return
+			if !p.reserve(now, t) {
+				return
+			}
+			continue
 		}
+		t.waiting = time.Time{}
 		p.start(now, t, w, p.newRun())
 	}
 }
@@ -148,6 +157,11 @@
 
 // allowed reports whether a worker may run a task now.
 func (p *Planner) allowed(now time.Time, t *task, w *worker) bool {
+	return p.suitable(now, t, w) && w.used.Add(w.reserved).Add(t.step.Room()).Fits(w.state.Capacity)
+}
+
+// suitable reports whether a worker may run a task once it has room for it.
+func (p *Planner) suitable(now time.Time, t *task, w *worker) bool {
 	if !w.usable(now, p.cfg.Suspect) || w.state.Service != t.j.queue.Service {
 		return false
 	}
@@ -157,9 +171,6 @@
 	if r := t.step.Requirement; r != "" && !slices.Contains(w.state.Labels, r) {
 		return false
 	}
-	if !w.used.Add(t.step.Room()).Fits(w.state.Capacity) {
-		return false
-	}
 	return t.step.MaxPerWorker == 0 || p.peers(t, w) < t.step.MaxPerWorker
 }
 
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -84,6 +84,8 @@
 	checkpoint string
 	lastRun    uint64
 	runs       []*run
+	// waiting is since when the task could start but for want of room.
+	waiting time.Time
 	// avoid is the worker on which the task failed last.
 	avoid string
 }
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -389,3 +389,32 @@
 	}
 	f.Expect(f.workers["a"].paces["j"]).To(Equal(100))
 }
+
+// The load: a worker full of tasks that are less urgent, with more of them waiting.
+func TestUrgentTaskGetsRoomFromLessUrgentOnes(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	low := queue
+	low.Priority = 2
+	batch := step(12, 1000)
+	batch.Checkpointing = true
+	f.AddJob(f.now, &cfjob.Entry{Job: &cfjob.Job{ID: "batch", Queue: low, Steps: []cfjob.Step{batch}, Accepted: f.now}}, low, false)
+	f.Expect(f.step()).To(HaveLen(4))
+	f.report()
+	f.add("urgent", step(1, 2500))
+	w := f.workers["a"]
+	for range 5 {
+		f.Expect(f.step()).To(BeEmpty())
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.report()
+	}
+	f.Expect(w.stops).To(Equal([]string{"batch", "batch", "batch"}), "no more than are needed")
+	n := 0
+	for k, s := range w.runs {
+		if n++; n <= 3 {
+			delete(w.runs, k)
+			w.ended = append(w.ended, cfcore.EndedTask{Number: uint64(n), Task: s.Task, Run: s.Run, How: cfcore.EndStopped})
+		}
+	}
+	f.report()
+	f.Expect(f.step()).To(ContainElement("urgent.0@a"))
+}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -24,6 +24,8 @@
 	answered time.Time
 	runs     map[*run]bool
 	used     cfcore.Resources
+	// reserved is the room that waits for an urgent task, as of the last decision.
+	reserved cfcore.Resources
 	// filling is the processor time that filler tasks would like to have.
 	filling int64
 	// serving is the number of tasks with a tail target, and fillers that of fillers.
