Move runs off a draining worker that will not be done in time

Cause: runs on a worker that leaves were lost with it, or waited for their end there. Change: long-running ones move at once, checkpointing ones where they are expected to outlast the worker's notice; others stay.

--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -13,6 +13,7 @@
 	for _, w := range p.workers {
 		w.reserved = cfcore.Resources{}
 	}
+	p.moveOff(now)
 	blocked := len(p.expected) > 0
 	for _, j := range p.queue(now) {
 		if blocked && j.inherited {
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -418,3 +418,24 @@
 	f.report()
 	f.Expect(f.step()).To(ContainElement("urgent.0@a"))
 }
+
+func TestDrainingWorkerIsEmptied(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	long, short, plain := step(1, 100), step(1, 100), step(1, 100)
+	long.LongRunning = true
+	short.Checkpointing, short.Estimate = true, 100*time.Millisecond
+	for _, s := range []*cfjob.Step{&long, &short, &plain} {
+		s.Requirement = "rack-0"
+	}
+	f.add("long", long)
+	f.add("short", short)
+	f.add("plain", plain)
+	f.Expect(f.step()).To(HaveLen(3))
+	f.workers["b"].state.Labels[1] = "rack-0"
+	f.workers["a"].state.Draining, f.workers["a"].state.Remaining = true, 3*time.Second
+	f.report()
+	f.Expect(f.step()).To(BeEmpty())
+	f.Expect(f.workers["a"].stops).To(Equal([]string{"long"}), "the others are done in time, or would start anew")
+	f.end("long", cfcore.EndStopped)
+	f.Expect(f.step()).To(ConsistOf("long.0@b"))
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -46,6 +46,7 @@
 		w.failures = failureStreak{}
 	}
 	w.state = s
+	w.drainsUntil = now.Add(s.Remaining)
 }
 
 // result takes in what became of a start.
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -22,8 +22,10 @@
 	// last sent that lets it extend leases.
 	heard    time.Time
 	answered time.Time
-	runs     map[*run]bool
-	used     cfcore.Resources
+	// drainsUntil is when a draining worker may end, by its last word.
+	drainsUntil time.Time
+	runs        map[*run]bool
+	used        cfcore.Resources
 	// reserved is the room that waits for an urgent task, as of the last decision.
 	reserved cfcore.Resources
 	// filling is the processor time that filler tasks would like to have.
