Move runs that stand still; second runs of slow tasks that may run twice

Change: a run without progress for 1.5 s (fillers and gangs aside) is stopped where another worker can run its task; a task that may run twice gets a second run after 2.5 times its expected duration, at most one in 20 runs. Two tests that play the load.

--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -249,7 +249,7 @@
 			l.Str("Outcome", string(e.Outcome)).Dur("AfterObjective", e.Late)
 			c.Scope.Timer("job_time").Record(e.Took)
 			c.ending[e.Task.Job] = c.Clock.Now()
-		case cfdispatch.EventLapsed, cfdispatch.EventAdopted, cfdispatch.EventAside:
+		case cfdispatch.EventLapsed, cfdispatch.EventStuck, cfdispatch.EventAdopted, cfdispatch.EventAside:
 		}
 		l.Uint64("Epoch", uint64(c.plan.epoch)).Msg(string(e.Kind))
 	}
--- a/pkg/cfdispatch/events.go
+++ b/pkg/cfdispatch/events.go
@@ -18,6 +18,8 @@
 	EventDropped EventKind = "run is not there"
 	// EventLapsed is a run whose leases have surely ended, or whose worker is gone.
 	EventLapsed EventKind = "run given up with its worker"
+	// EventStuck is a run that shows no progress, and is stopped for it.
+	EventStuck EventKind = "run stands still"
 	// EventAdopted is a run that an older planner had started.
 	EventAdopted EventKind = "run taken over"
 	// EventOutcome is the end of a job.
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -14,6 +14,7 @@
 		w.reserved = cfcore.Resources{}
 	}
 	p.moveOff(now)
+	p.moveStuck(now)
 	blocked := len(p.expected) > 0
 	for _, j := range p.queue(now) {
 		if blocked && j.inherited {
@@ -48,7 +49,7 @@
 func (p *Planner) queue(now time.Time) []*job {
 	var out []*job
 	for _, j := range p.jobs {
-		if !j.over() && j.live < j.remaining {
+		if !j.over() && (j.live < j.remaining || j.duplicable) {
 			out = append(out, j)
 		}
 	}
@@ -83,6 +84,9 @@
 		return
 	}
 	for _, t := range st.tasks {
+		if !t.done && p.wantsCopy(now, t) {
+			p.copyTask(now, t)
+		}
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -66,6 +66,8 @@
 	checkpoint string
 	ticket     string
 	percent    int
+	// progressed is when the percentage last rose.
+	progressed time.Time
 	gauge      int
 	// pace is the share of its speed at which the run was told to work, in percent.
 	pace int
@@ -112,9 +114,11 @@
 	chain     time.Duration
 	dirty     bool
 	lazySince time.Time
-	// late is set for jobs that an older planner can have started.
+	// inherited is set for jobs that an older planner can have started.
 	inherited bool
-	live      int
+	// duplicable is set where tasks of the job may run twice.
+	duplicable bool
+	live       int
 }
 
 func (j *job) over() bool { return j.cancelled || j.outcome != cfjob.OutcomeNone }
@@ -125,6 +129,8 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	nextRun uint64
+	// copies is the number of second runs of tasks.
+	copies uint64
 	// expected are the agents that an older planner may have sent starts to, and
 	// that have not reported to this one.
 	expected map[string]bool
@@ -183,6 +189,7 @@
 			for i := range j.Steps[s].Count {
 				t := &task{j: j, pos: pos, step: &j.Steps[s], name: cfcore.TaskName{Job: j.ID, Occurrence: k, Step: s, Index: i}}
 				t.restore(pr)
+				j.duplicable = j.duplicable || t.step.Duplicable
 				if !t.done {
 					st.remaining++
 					j.remaining++
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -37,9 +37,11 @@
 	ended []cfcore.EndedTask
 	// tails are the gauges that running tasks report, by step.
 	tails map[int]int
-	paces map[string]int
-	stops []string
-	noted uint64
+	// progress is what running tasks report beyond 50 percent.
+	progress int
+	paces    map[string]int
+	stops    []string
+	noted    uint64
 }
 
 func newFleet(t *testing.T, p *cfdispatch.Planner, agents ...string) *fleet {
@@ -75,7 +77,7 @@
 		lists := &cfcore.RunLists{Born: w.state.Born, Clock: f.now.Sub(epochStart), Ended: w.ended}
 		for _, s := range w.runs {
 			lists.Running = append(lists.Running, cfcore.RunningTask{
-				Task: s.Task, Run: s.Run, Checkpoint: "cp-" + s.Task.Job, Percent: 50, Gauge: w.tails[s.Task.Step],
+				Task: s.Task, Run: s.Run, Checkpoint: "cp-" + s.Task.Job, Percent: 50 + w.progress, Gauge: w.tails[s.Task.Step],
 			})
 		}
 		f.Report(f.now, a, &cfwire.JobReport{Worker: &w.state, Lists: lists})
@@ -439,3 +441,45 @@
 	f.end("long", cfcore.EndStopped)
 	f.Expect(f.step()).To(ConsistOf("long.0@b"))
 }
+
+func TestRunsThatStandStillMove(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", step(1, 100))
+	on := strings.TrimPrefix(f.step()[0], "j.0@")
+	for i := range 10 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		if i < 4 {
+			f.workers[on].progress += 5
+		}
+		f.report()
+		f.step()
+		if i < 7 {
+			f.Expect(f.workers[on].stops).To(BeEmpty(), "look %d", i)
+		}
+	}
+	f.Expect(f.workers[on].stops).NotTo(BeEmpty())
+	f.end("j", cfcore.EndStopped)
+	f.Expect(f.step()).To(HaveLen(1))
+	f.Expect(f.workers[on].runs).To(BeEmpty(), "it goes on elsewhere")
+}
+
+func TestSlowTaskThatMayRunTwiceDoes(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	plain, twice := step(20, 100), step(1, 100)
+	twice.Duplicable = true
+	f.add("plain", plain)
+	f.add("twice", twice)
+	f.Expect(f.step()).To(HaveLen(21))
+	var again []string
+	for range 10 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		for _, w := range f.workers {
+			w.progress++
+		}
+		f.report()
+		again = append(again, f.step()...)
+	}
+	f.Expect(again).To(ConsistOf(HavePrefix("twice.0@")))
+	f.end("twice", cfcore.EndDone)
+	f.Expect(f.outcome("twice")).To(Equal(cfjob.OutcomeCompleted))
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -133,7 +133,8 @@
 	if r.phase == starting {
 		r.phase = running
 	}
-	r.percent, r.gauge = row.Percent, row.Gauge
+	r.advance(now, row.Percent)
+	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
