Leases on a mute worker end: count from the last reading of its clock

Its agent lived and sent a hold each 0.3 s without an answer; it counted the lease from the last sending, so that it never lapsed. Ruled out: the planner (it was told Lost without Lapsed), room (free). Change: an extension is bound to the last reading of the worker's clock, however late it is carried out; the agent counts from that reading. A spec with processes failed first.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -61,8 +61,10 @@
 	entries []*process
 	agents  []*process
 	workers []*standin.Worker
-	end     []func()
-	serve   []*http.Server
+	// stopWorker ends the life of each worker; its address then gives no answers.
+	stopWorker []func()
+	end        []func()
+	serve      []*http.Server
 }
 
 func (f *fleet) addr(host int) netip.AddrPort {
@@ -108,6 +110,7 @@
 		f.agents = append(f.agents, p)
 		ctx, cancel := context.WithCancel(context.Background())
 		f.end = append(f.end, cancel)
+		f.stopWorker = append(f.stopWorker, cancel)
 		w := standin.NewWorker(ctx, fmt.Sprintf("w-%d", i), service, beats)
 		f.workers = append(f.workers, w)
 		f.listen(worker, w)
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -225,3 +225,14 @@
 	Entry("it resets connections", standin.Reset),
 	Entry("it is silent", standin.Silent),
 )
+
+var _ = It("starts lasting tasks elsewhere when their worker is gone and its agent lives", func() {
+	f := newFleet(2, 2)
+	Expect(f.submit(1, oneStep(6, "lasts"))).To(BeTrue())
+	Eventually(f.runs, 5*time.Second).Should(HaveLen(6))
+	lost := len(f.workers[0].History())
+	Expect(lost).To(BeNumerically(">", 0))
+	f.stopWorker[0]()
+	Eventually(func() int { return len(f.workers[1].History()) }, 8*time.Second, 50*time.Millisecond).Should(Equal(6))
+	f.ranOnce()
+})
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -65,8 +65,9 @@
 	holding    bool
 	holdAt     time.Duration
 	answeredAt time.Duration
-	// leased is when a call was last sent that may have extended a lease.
-	leased   time.Duration
+	// clockAt is when the newest reading of the worker's clock came in. Every lease ends
+	// by LeaseTime after that reading, also where a call that extends it comes late.
+	clockAt  time.Duration
 	inFlight map[orderKey]bool
 	// uncertain are starts that an attempt without an answer may still carry out.
 	uncertain map[orderKey]bool
@@ -81,8 +82,8 @@
 		seeds: a.cfg.Entries, dialDone: make(chan struct{}), asked: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
 	}
 	// An earlier run of this agent may have extended leases until just now.
-	c.leased = c.boot.Now()
-	c.answeredAt = c.leased
+	c.clockAt = c.boot.Now()
+	c.answeredAt = c.clockAt
 	return c
 }
 
@@ -156,12 +157,19 @@
 	}
 	changed := !sameLife || s.Draining != c.worker.Draining || s.Remaining != c.worker.Remaining
 	c.worker, c.hasWorker = s, true
-	c.clock = max(c.clock, s.Clock)
+	c.readClock(s.Clock)
 	if changed {
 		c.resend = true
 	}
 }
 
+// readClock takes in a reading of the worker's clock.
+func (c *control) readClock(reading time.Duration) {
+	if reading > c.clock {
+		c.clock, c.clockAt = reading, c.boot.Now()
+	}
+}
+
 // newLife forgets what an earlier life of the worker ran.
 func (c *control) newLife() {
 	c.clock, c.lists, c.hasLists, c.noted, c.listed = 0, cfcore.RunLists{}, false, 0, 0
@@ -254,7 +262,7 @@
 
 // lapsed reports whether every lease that was extended has surely ended.
 func (c *control) lapsed() bool {
-	return c.boot.Now()-c.leased > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+lapseMargin
+	return c.boot.Now()-c.clockAt > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+lapseMargin
 }
 
 // report tells the planner what has changed, and asks it for time.
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -23,9 +23,6 @@
 	if c.hasLists && c.listed <= c.noted {
 		h.Wait = c.cfg.HoldWait
 	}
-	if h.Until > 0 {
-		c.leased = now
-	}
 	c.holding = true
 	o := c.currentOrder()
 	go func() {
@@ -72,7 +69,7 @@
 	if token < c.epoch || c.hasLists && l.Clock < c.lists.Clock {
 		return
 	}
-	c.clock = max(c.clock, l.Clock)
+	c.readClock(l.Clock)
 	c.lists, c.hasLists = l, true
 	for _, e := range l.Ended {
 		c.listed = max(c.listed, e.Number)
@@ -97,7 +94,6 @@
 		return
 	}
 	c.inFlight[key] = true
-	c.leased = c.boot.Now()
 	o := c.currentOrder()
 	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, Until: until}
 	go func() {
