One serve loop for connections and one function that listens

Read as a newcomer: the loop that keeps and reads a connection stood three times in the job roles, the listening twice.

--- a/internal/cfjobagent/agent.go
+++ b/internal/cfjobagent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 
@@ -15,21 +14,9 @@
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfconfig"
 	"cranberryford/pkg/cfcore"
-	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfnet"
 )
 
-// Kind is the kind of an Error of this package.
-type Kind string
-
-// The kinds of errors.
-const (
-	// KindListen is an address that cannot be listened on.
-	KindListen Kind = "cannot listen"
-)
-
-// Error is the error type of this package.
-type Error = cferror.Error[Kind]
-
 // eventQueue is the number of events that wait for the control goroutine.
 const eventQueue = 256
 
@@ -48,15 +35,10 @@
 	cfg      cfconfig.JobAgent
 	instance string
 	events   chan event
-	servers  []*server
+	servers  []cfnet.Server
 	leave    chan struct{}
 }
 
-type server struct {
-	listener net.Listener
-	handler  http.Handler
-}
-
 // New returns an agent that listens already. The clean-up function closes the
 // listeners.
 func New(ctx context.Context, common *cfcommon.Common, cfg cfconfig.JobAgent, d Deps) (*Agent, func(), error) {
@@ -64,30 +46,12 @@
 		Common: common, Deps: d, cfg: cfg, instance: uuid.NewString(),
 		events: make(chan event, eventQueue), leave: make(chan struct{}),
 	}
-	cleanup := func() {
-		for _, s := range a.servers {
-			_ = s.listener.Close()
-		}
-	}
-	for _, s := range []struct {
-		name    string
-		addr    netip.AddrPort
-		handler http.Handler
-	}{
-		{"heartbeats", cfg.Heartbeats, d.Heartbeats(registry{a})},
-		{"metrics", cfg.Metrics, d.Metrics},
-	} {
-		if !s.addr.IsValid() {
-			continue
-		}
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr.String())
-		if err != nil {
-			cleanup()
-			return nil, nil, cferror.Wrap("listen for "+s.name, KindListen, err)
-		}
-		a.servers = append(a.servers, &server{listener: l, handler: s.handler})
-	}
-	return a, cleanup, nil
+	servers, cleanup, err := cfnet.Listen(ctx, []cfnet.Server{
+		{Name: "heartbeats", Address: cfg.Heartbeats, Handler: d.Heartbeats(registry{a})},
+		{Name: "metrics", Address: cfg.Metrics, Handler: d.Metrics},
+	})
+	a.servers = servers
+	return a, cleanup, err
 }
 
 // Leave ends the agent. What runs on the worker goes on under its leases, and the
@@ -107,9 +71,9 @@
 	var servers []*http.Server
 	served := make(chan error, len(a.servers))
 	for _, s := range a.servers {
-		srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: a.cfg.OrderTimeout * 5}
+		srv := &http.Server{Handler: s.Handler, ReadHeaderTimeout: a.cfg.OrderTimeout * 5}
 		servers = append(servers, srv)
-		go func() { served <- srv.Serve(s.listener) }()
+		go func() { served <- srv.Serve(s.Listener) }()
 	}
 	controlled := make(chan error, 1)
 	go func() { controlled <- newControl(a).run(ctx) }()
--- a/internal/cfjobagent/links.go
+++ b/internal/cfjobagent/links.go
@@ -60,24 +60,11 @@
 }
 
 func (c *control) serve(ctx context.Context, l *link) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	kept := make(chan struct{})
-	go func() {
-		defer close(kept)
-		cfwire.Keep(ctx, l.conn, c.Clock, c.cfg.Beat, c.cfg.Suspect)
-		cancel()
-	}()
-	defer func() { cancel(); <-kept }()
 	c.tell(ctx, linkUp{link: l})
 	defer func() { c.tell(context.WithoutCancel(ctx), linkDown{link: l}) }()
-	for {
-		m, err := l.conn.Receive(ctx)
-		if err != nil {
-			return
-		}
+	cfwire.Serve(ctx, l.conn, c.Clock, c.cfg.Beat, c.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		if m.JobOrders != nil || m.JobEntries != nil {
 			c.tell(ctx, received{link: l, message: m})
 		}
-	}
+	})
 }
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,26 +16,17 @@
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfconfig"
 	"cranberryford/pkg/cfcore"
-	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfnet"
 	"cranberryford/pkg/cfwire"
 )
 
-// Kind is the kind of an Error of this package.
-type Kind string
-
-// The kinds of errors.
-const (
-	// KindListen is an address that cannot be listened on.
-	KindListen Kind = "cannot listen"
-)
-
-// Error is the error type of this package.
-type Error = cferror.Error[Kind]
-
 // eventQueue is the number of events that wait for the control goroutine.
 const eventQueue = 1024
 
+// innerServer names the server of other entries and agents.
+const innerServer = "inner"
+
 // headerTimeout bounds the reading of a request's header; the platform's
 // configuration allows 3 s.
 const headerTimeout = 3 * time.Second
@@ -73,13 +62,7 @@
 	leave     chan struct{}
 	leaveOne  sync.Once
 	resigned  chan struct{}
-	servers   []*server
-}
-
-type server struct {
-	name     string
-	listener net.Listener
-	handler  http.Handler
+	servers   []cfnet.Server
 }
 
 // New returns an entry that listens already. The clean-up function closes the
@@ -91,32 +74,14 @@
 		leave: make(chan struct{}), resigned: make(chan struct{}),
 	}
 	e.submits = newAppender(e)
-	cleanup := func() {
-		for _, s := range e.servers {
-			_ = s.listener.Close()
-		}
-	}
-	for _, s := range []struct {
-		name    string
-		addr    netip.AddrPort
-		handler http.Handler
-	}{
-		{"callers", cfg.Callers, d.Front(e)},
-		{"readiness", cfg.Readiness, d.Readiness(e.Ready)},
-		{"inner", cfg.Inner, e.innerHandler(ctx)},
-		{"metrics", cfg.Metrics, d.Metrics},
-	} {
-		if !s.addr.IsValid() {
-			continue
-		}
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr.String())
-		if err != nil {
-			cleanup()
-			return nil, nil, cferror.Wrap("listen for "+s.name, KindListen, err)
-		}
-		e.servers = append(e.servers, &server{name: s.name, listener: l, handler: s.handler})
-	}
-	return e, cleanup, nil
+	servers, cleanup, err := cfnet.Listen(ctx, []cfnet.Server{
+		{Name: "callers", Address: cfg.Callers, Handler: d.Front(e)},
+		{Name: "readiness", Address: cfg.Readiness, Handler: d.Readiness(e.Ready)},
+		{Name: innerServer, Address: cfg.Inner, Handler: e.innerHandler(ctx)},
+		{Name: "metrics", Address: cfg.Metrics, Handler: d.Metrics},
+	})
+	e.servers = servers
+	return e, cleanup, err
 }
 
 // Ready reports whether this entry should get requests.
@@ -140,9 +105,9 @@
 	}
 	var servers []*http.Server
 	for _, s := range e.servers {
-		srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+		srv := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
 		servers = append(servers, srv)
-		spawn(func(context.Context) error { return srv.Serve(s.listener) })
+		spawn(func(context.Context) error { return srv.Serve(s.Listener) })
 	}
 	spawn(newControl(e).run)
 	spawn(e.followConfig)
@@ -197,12 +162,12 @@
 	case <-e.Clock.After(e.cfg.Drain / 2):
 	}
 	for i, s := range servers {
-		if e.servers[i].name == "inner" {
+		if e.servers[i].Name == innerServer {
 			_ = s.Close()
 			continue
 		}
 		if err := s.Shutdown(ctx); err != nil {
-			e.Log.Warn().Err(err).Str("Server", e.servers[i].name).Msg("requests were cut off by the shutdown")
+			e.Log.Warn().Err(err).Str("Server", e.servers[i].Name).Msg("requests were cut off by the shutdown")
 		}
 	}
 }
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -34,30 +34,17 @@
 }
 
 func (e *Entry) serveConn(ctx context.Context, conn *cfwire.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	kept := make(chan struct{})
-	go func() {
-		defer close(kept)
-		cfwire.Keep(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect)
-		cancel()
-	}()
-	defer func() { cancel(); <-kept }()
 	l := &link{conn: conn, name: conn.Peer().Name}
 	e.tell(ctx, linkUp{link: l})
 	defer func() { e.tell(context.WithoutCancel(ctx), linkDown{link: l}) }()
-	for {
-		m, err := conn.Receive(ctx)
-		if err != nil {
-			return
-		}
+	cfwire.Serve(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		switch {
 		case m.JobReport != nil:
 			e.tell(ctx, reported{link: l, report: m.JobReport})
 		case m.JobPollAnswer != nil:
 			e.tell(ctx, answered{link: l, answer: m.JobPollAnswer})
 		}
-	}
+	})
 }
 
 // watch keeps a connection to the planner of a claim and tells whether it lives. A
@@ -83,20 +70,7 @@
 }
 
 func (e *Entry) watchConn(ctx context.Context, conn *cfwire.Conn, epoch cfcore.Epoch) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	kept := make(chan struct{})
-	go func() {
-		defer close(kept)
-		cfwire.Keep(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect)
-		cancel()
-	}()
-	defer func() { cancel(); <-kept }()
-	for {
-		m, err := conn.Receive(ctx)
-		if err != nil {
-			return
-		}
+	cfwire.Serve(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		switch {
 		case m.JobEntries != nil && m.JobEntries.Resigned:
 			e.tell(ctx, peerGone{epoch: epoch})
@@ -105,5 +79,5 @@
 		default:
 			e.tell(ctx, peerHeard{epoch: epoch})
 		}
-	}
+	})
 }
--- /dev/null
+++ b/pkg/cfnet/servers.go
@@ -0,0 +1,55 @@
+package cfnet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"cranberryford/pkg/cferror"
+)
+
+// Kind is the kind of an Error of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindListen is an address that cannot be listened on.
+	KindListen Kind = "cannot listen"
+)
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
+// Server is an interface that a process serves over HTTP.
+type Server struct {
+	Name    string
+	Address netip.AddrPort
+	Handler http.Handler
+	// Listener is set by Listen.
+	Listener net.Listener
+}
+
+// Listen listens for each server that has an address, and returns those. The clean-up
+// function closes the listeners.
+func Listen(ctx context.Context, servers []Server) ([]Server, func(), error) {
+	var out []Server
+	cleanup := func() {
+		for _, s := range out {
+			_ = s.Listener.Close()
+		}
+	}
+	for _, s := range servers {
+		if !s.Address.IsValid() {
+			continue
+		}
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Address.String())
+		if err != nil {
+			cleanup()
+			return nil, nil, cferror.Wrap("listen for "+s.Name, KindListen, err)
+		}
+		s.Listener = l
+		out = append(out, s)
+	}
+	return out, cleanup, nil
+}
