The first planner claims at once; a failed case no longer loads the next one

An entry that finds its own record new in the store waited 2 s before it claimed, also where there had never been a planner. Four more cases failed with it: the load of the case that panicked went on, on the addresses of the next ones. Change: no wait while there was no planner; the load ends with its case; the test waits for a planner. A spec that failed first: a job is completed within 1.5 s of the first start.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -252,6 +252,13 @@
 
 // planner returns the entry that is the planner, by its log.
 func (f *fleet) planner() int {
+	GinkgoHelper()
+	best := -1
+	Eventually(func() int { best = f.loggedPlanner(); return best }, 5*time.Second, 50*time.Millisecond).Should(BeNumerically(">=", 0))
+	return best
+}
+
+func (f *fleet) loggedPlanner() int {
 	best, at := -1, ""
 	for i := range f.entries {
 		data, err := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("entry-%d.log", i)))
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -50,11 +50,14 @@
 	GinkgoHelper()
 	stop := make(chan struct{})
 	accepted := f.load(1, stop)
-	time.Sleep(time.Second)
-	fault()
-	time.Sleep(time.Second)
-	close(stop)
-	jobs := <-accepted
+	var jobs []int
+	func() {
+		// The load ends also where the fault fails: the next case has the same addresses.
+		defer func() { close(stop); jobs = <-accepted }()
+		time.Sleep(time.Second)
+		fault()
+		time.Sleep(time.Second)
+	}()
 	Expect(len(jobs)).To(BeNumerically(">", 10))
 	for _, n := range jobs {
 		f.completes(n, 25*time.Second)
@@ -75,6 +78,12 @@
 		f.ranOnce()
 	})
 
+	It("has a planner at once when everything starts for the first time", func() {
+		f := newFleet(3, 2)
+		Expect(f.submit(1, oneStep(2, "100ms"))).To(BeTrue())
+		f.completes(1, 1500*time.Millisecond)
+	})
+
 	It("refuses what can never run, and says what it does not know", func() {
 		f := newFleet(2, 1)
 		for _, body := range []string{
--- a/internal/cfjobentry/upkeep.go
+++ b/internal/cfjobentry/upkeep.go
@@ -74,10 +74,11 @@
 
 // entriesChanged takes in that the entries have changed. An entry whose record was
 // dropped writes it again, and does not claim an epoch before a planner without the
-// store must have seen that there is another entry.
+// store must have seen that there is another entry. Where there was no planner yet,
+// none has to see it.
 func (c *control) entriesChanged() {
 	_, known := c.book.Entries[c.cfg.Name]
-	if known && !c.known {
+	if known && !c.known && c.book.Planner.Epoch > 0 {
 		c.promised = max(c.promised, c.boot()+c.cfg.Lease.Authority)
 	}
 	c.known = known
