A task that stands still by its own fault is moved at most four times

The stand-in reported 50 % of every task at all times, and the specs did not declare lasting tasks as such; a real task that stands still by its own fault would have been moved the same way. Ruled out: the outage itself (the next step started, no lease lapsed, by the planner's lines). The bounds of the specs are as they were.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -192,9 +192,12 @@
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
 
+// lasts is the spec of tasks that last until their job is cancelled.
+const lasts = "lasts"
+
 // oneStep is a job of some tasks that take a time each.
 func oneStep(tasks int, takes string) string {
-	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":100,"mem_mb":10,"estimated_ms":300}]}`, takes, tasks)
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":100,"mem_mb":10,"estimated_ms":300,"long_running":%t}]}`, takes, tasks, takes == lasts)
 }
 
 // submit hands a job in, as often as a caller would, and returns whether it was accepted.
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -105,7 +105,7 @@
 
 	It("stops what a cancelled job runs", func() {
 		f := newFleet(2, 2)
-		Expect(f.submit(1, oneStep(4, "lasts"))).To(BeTrue())
+		Expect(f.submit(1, oneStep(4, lasts))).To(BeTrue())
 		Eventually(f.runs, 5*time.Second).Should(HaveLen(4))
 		status, _ := f.call(0, http.MethodDelete, queuePrefix+jobID(1), "")
 		Expect(status).To(Equal(200))
@@ -214,7 +214,7 @@
 var _ = DescribeTable("leases go on and nothing is evicted while the store is down:",
 	func(fault standin.Fault) {
 		f := newFleet(3, 2)
-		Expect(f.submit(1, oneStep(4, "lasts"))).To(BeTrue())
+		Expect(f.submit(1, oneStep(4, lasts))).To(BeTrue())
 		two := `{"spec":"1500ms","steps":[{"count":2,"cpu":100,"mem_mb":10},{"count":2,"cpu":100,"mem_mb":10,"after":[0]}]}`
 		Expect(f.submit(2, two)).To(BeTrue())
 		Eventually(f.runs, 5*time.Second).Should(HaveLen(6))
@@ -237,7 +237,7 @@
 
 var _ = It("starts lasting tasks elsewhere when their worker is gone and its agent lives", func() {
 	f := newFleet(2, 2)
-	Expect(f.submit(1, oneStep(6, "lasts"))).To(BeTrue())
+	Expect(f.submit(1, oneStep(6, lasts))).To(BeTrue())
 	Eventually(f.runs, 5*time.Second).Should(HaveLen(6))
 	lost := len(f.workers[0].History())
 	Expect(lost).To(BeNumerically(">", 0))
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -86,6 +86,8 @@
 	checkpoint string
 	lastRun    uint64
 	runs       []*run
+	// moves is how often the task was moved because it stood still.
+	moves int
 	// waiting is since when the task could start but for want of room.
 	waiting time.Time
 	// avoid is the worker on which the task failed last.
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -483,3 +483,19 @@
 	f.end("twice", cfcore.EndDone)
 	f.Expect(f.outcome("twice")).To(Equal(cfjob.OutcomeCompleted))
 }
+
+// A task that stands still wherever it runs is not moved for ever.
+func TestTaskThatStandsStillEverywhereIsMovedSeldom(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", step(1, 100))
+	starts := len(f.step())
+	for range 200 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.report()
+		if starts += len(f.step()); len(f.workers["a"].stops)+len(f.workers["b"].stops) > 0 {
+			f.workers["a"].stops, f.workers["b"].stops = nil, nil
+			f.end("j", cfcore.EndStopped)
+		}
+	}
+	f.Expect(starts).To(And(BeNumerically(">", 1), BeNumerically("<", 6)), "starts in a minute")
+}
--- a/pkg/cfdispatch/stragglers.go
+++ b/pkg/cfdispatch/stragglers.go
@@ -9,6 +9,9 @@
 	// expected duration; workers are looked at each 300 ms.
 	stuckAfter = 1500 * time.Millisecond
 	stuckShare = 0.05
+	// maxMoves bounds how often a task is moved for it; its patience doubles each time,
+	// since a task may stand still by its own fault.
+	maxMoves = 4
 	// copyAfter is how many times its expected duration a run may take, and leastCopy the
 	// least time, before a task that may run twice gets a second run.
 	copyAfter = 2.5
@@ -42,6 +45,7 @@
 				r.task.avoid = former
 				continue
 			}
+			r.task.moves++
 			p.noteRun(EventStuck, r, now)
 			w.failures.fail(now, r.task.j.ID)
 			p.stop(r)
@@ -51,11 +55,12 @@
 
 func (p *Planner) stuck(now time.Time, r *run) bool {
 	s := r.task.step
-	if r.phase != running || s.LongRunning || s.Filler || s.Gang || r.percent >= fullPace || r.progressed.IsZero() {
+	if r.task.moves >= maxMoves || r.phase != running || s.LongRunning || s.Filler || s.Gang || r.percent >= fullPace || r.progressed.IsZero() {
 		return false
 	}
 	expected := p.learnt.expect(r.task.j.queue.Name, s.Estimate)
-	return now.Sub(r.progressed) > stuckAfter+time.Duration(stuckShare*float64(expected))
+	patience := stuckAfter + time.Duration(stuckShare*float64(expected))
+	return now.Sub(r.progressed) > patience<<r.task.moves
 }
 
 // wantsCopy reports whether a task that may run twice should: its only run takes much
