--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -53,17 +53,22 @@
 	granted  time.Duration
 	hasGrant bool
 
-	worker     cfcore.WorkerState
-	hasWorker  bool
-	left       bool
-	leftBorn   time.Time
-	clock      time.Duration
-	lists      cfcore.RunLists
-	hasLists   bool
-	noted      uint64
-	listed     uint64
-	holding    bool
-	holdAt     time.Duration
+	// worker is the present life of the worker, and left is set once it said that it ends.
+	worker    cfcore.WorkerState
+	hasWorker bool
+	left      bool
+	// clock is the newest reading of the worker's clock.
+	clock time.Duration
+	// lists are the newest ones that a call with the present epoch returned.
+	lists    cfcore.RunLists
+	hasLists bool
+	// noted is the number of the last end on record, and listed that of the last one listed.
+	noted  uint64
+	listed uint64
+	// holding is set while the regular call is under way; the next one is due at holdAt.
+	holding bool
+	holdAt  time.Duration
+	// answeredAt is when the worker last answered a call.
 	answeredAt time.Duration
 	// clockAt is when the newest reading of the worker's clock came in. Every lease ends
 	// by LeaseTime after that reading, also where a call that extends it comes late.
@@ -180,7 +185,7 @@
 func (c *control) workerLeft(id string) {
 	if c.hasWorker && c.worker.ID == id {
 		c.Log.Info().Str("Worker", id).Msg("worker has left")
-		c.left, c.leftBorn = true, c.worker.Born
+		c.left = true
 		c.resend = true
 	}
 }
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -27,12 +27,13 @@
 	plan *planning
 	// confirmed is when the store was asked, and answered, last.
 	confirmed time.Duration
-	// planner is when the present planner was heard last; goneEpoch is one that has
-	// resigned or ended.
-	heard     time.Time
+	// heard is when the present planner was heard last.
+	heard time.Time
+	// goneEpoch is the newest epoch whose planner is known to have resigned or ended.
 	goneEpoch cfcore.Epoch
-	claiming  bool
-	leaving   bool
+	// claiming is set while an append of a claim is under way, leaving by a shutdown.
+	claiming bool
+	leaving  bool
 	// watching ends the connection to the present planner.
 	watching func()
 	// known is set while this entry's own record is in the store.
@@ -42,7 +43,8 @@
 	polls    polls
 
 	// ending is when jobs ended whose outcome cannot be seen yet.
-	ending      map[string]time.Time
+	ending map[string]time.Time
+	// failedSince is since when calls to the store have failed; it belongs to follow.
 	failedSince time.Time
 }
 
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// Forget drops jobs that ended before a time, once nothing of them runs.
+// Forget drops a job that has ended and of which nothing runs.
 func (p *Planner) Forget(id string) { delete(p.jobs, id) }
 
 // Live reports whether a run of a job may exist.
