State that nothing reads is out; one copy of an entry's settings

Cause: read again, the change kept counts of serving tasks and fillers, a job's chain, the offset of a claim, an agent's set of connections with an event for it, a flag that was always set, and a second, wrapped copy of the entry's settings. Nothing read them. Change: they are gone; a broken comment is mended. Behaviour as before. Checked: lint, go test ./pkg/cfdispatch ./pkg/cfjob, and of integration/jobs the callers' interface and the killed planner.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -33,7 +33,6 @@
 type control struct {
 	*Agent
 	boot  cfclock.Boot
-	links map[*link]bool
 	dials map[netip.AddrPort]context.CancelFunc
 	// seeds are the entries of the settings, and named those that an entry has named.
 	seeds []netip.AddrPort
@@ -83,7 +82,7 @@
 
 func newControl(a *Agent) *control {
 	c := &control{
-		Agent: a, boot: cfclock.System{}, links: map[*link]bool{}, dials: map[netip.AddrPort]context.CancelFunc{},
+		Agent: a, boot: cfclock.System{}, dials: map[netip.AddrPort]context.CancelFunc{},
 		seeds: a.cfg.Entries, dialDone: make(chan struct{}), asked: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
 	}
 	// An earlier run of this agent may have extended leases until just now.
@@ -127,10 +126,7 @@
 	case entriesSet:
 		c.seeds = ev.addrs
 		c.dialAll(ctx)
-	case linkUp:
-		c.links[ev.link] = true
 	case linkDown:
-		delete(c.links, ev.link)
 		if c.planner == ev.link {
 			c.planner = nil
 		}
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -24,8 +24,7 @@
 	}
 	// entriesSet is another list of entries in the settings.
 	entriesSet struct{ addrs []netip.AddrPort }
-	// linkUp and linkDown are the beginning and the end of a connection to an entry.
-	linkUp   struct{ link *link }
+	// linkDown is the end of a connection to an entry.
 	linkDown struct{ link *link }
 	// received is a message of an entry.
 	received struct {
@@ -38,8 +37,6 @@
 		err   error
 		// token is the epoch that the call carried.
 		token cfcore.Epoch
-		// regular is set for the call that is made again and again.
-		regular bool
 	}
 	// ordered is the outcome of a start or a stop.
 	ordered struct {
@@ -55,7 +52,6 @@
 func (heartbeat) isEvent()  {}
 func (workerLeft) isEvent() {}
 func (entriesSet) isEvent() {}
-func (linkUp) isEvent()     {}
 func (linkDown) isEvent()   {}
 func (received) isEvent()   {}
 func (held) isEvent()       {}
--- a/internal/cfjobagent/links.go
+++ b/internal/cfjobagent/links.go
@@ -11,7 +11,6 @@
 // link is a connection to an entry.
 type link struct {
 	conn *cfwire.Conn
-	addr netip.AddrPort
 }
 
 // dialAll keeps connections to the entries of the settings and to those that
@@ -48,7 +47,7 @@
 		})
 		if err == nil {
 			c.Log.Info().Str("Entry", addr.String()).Msg("dependency regained: connected to an entry")
-			c.serve(ctx, &link{conn: conn, addr: addr})
+			c.serve(ctx, &link{conn: conn})
 			closeConn()
 			c.Log.Warn().Str("Entry", addr.String()).Msg("dependency lost: connection to an entry ended")
 		}
@@ -60,7 +59,6 @@
 }
 
 func (c *control) serve(ctx context.Context, l *link) {
-	c.tell(ctx, linkUp{link: l})
 	defer func() { c.tell(context.WithoutCancel(ctx), linkDown{link: l}) }()
 	cfwire.Serve(ctx, l.conn, c.Clock, c.cfg.Beat, c.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		if m.JobOrders != nil || m.JobEntries != nil {
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -27,7 +27,7 @@
 	o := c.currentOrder()
 	go func() {
 		lists, err := c.Executor.Hold(ctx, o, h)
-		c.tell(ctx, held{lists: lists, err: err, token: o.Token, regular: true})
+		c.tell(ctx, held{lists: lists, err: err, token: o.Token})
 	}()
 }
 
@@ -36,10 +36,7 @@
 }
 
 func (c *control) held(ev held) {
-	if ev.regular {
-		c.holding = false
-		c.holdAt = 0
-	}
+	c.holding, c.holdAt = false, 0
 	if ev.err != nil {
 		c.holdAt = c.boot.Now() + holdPause
 		if cferror.Is(ev.err, cfcore.ExecutorOther) {
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -21,7 +21,6 @@
 	*Entry
 	clock cfclock.Boot
 	book  *cfjob.Book
-	cfg   settings
 	links map[*link]bool
 	// plan is set while this entry is the planner.
 	plan *planning
@@ -50,7 +49,7 @@
 
 func newControl(e *Entry) *control {
 	return &control{
-		Entry: e, clock: cfclock.System{}, cfg: settings{e.cfg}, book: cfjob.NewBook(e.codec), links: map[*link]bool{}, watching: func() {}, ending: map[string]time.Time{},
+		Entry: e, clock: cfclock.System{}, book: cfjob.NewBook(e.codec), links: map[*link]bool{}, watching: func() {}, ending: map[string]time.Time{},
 	}
 }
 
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"cranberryford/pkg/cfconfig"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cferror"
@@ -14,9 +13,6 @@
 	"cranberryford/pkg/cfwire"
 )
 
-// settings are the entry's settings, as the control goroutine uses them.
-type settings struct{ cfconfig.JobEntry }
-
 // producerName is the name of the sequence of appends that only the planner makes.
 const producerName = "planner"
 
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -113,7 +113,6 @@
 	remaining int
 	// objective is when the job should be completed.
 	objective time.Time
-	chain     time.Duration
 	dirty     bool
 	lazySince time.Time
 	// inherited is set for jobs that an older planner can have started.
@@ -174,8 +173,7 @@
 		return
 	}
 	j.build(e.Progress)
-	j.chain = p.chain(j)
-	j.objective = now.Add(time.Duration(float64(j.chain)*max(q.Stretch, 1)) + q.Latency)
+	j.objective = now.Add(time.Duration(float64(p.chain(j))*max(q.Stretch, 1)) + q.Latency)
 	if j.Accepted.Before(now) && inherited {
 		j.objective = j.objective.Add(j.Accepted.Sub(now))
 	}
--- a/pkg/cfdispatch/reserve.go
+++ b/pkg/cfdispatch/reserve.go
@@ -13,8 +13,9 @@
 const preemptAfter = 300 * time.Millisecond
 
 // reserve keeps room on one worker for a task that fits nowhere, so that less urgent
-// ones do not take it as it becomes free. It reports whether there is such a worker. Load: urgent tasks that are wider than what
-// is left on any worker, beside a queue of small ones that fill each gap at once.
+// ones do not take it as it becomes free. It reports whether there is such a worker.
+// Load: urgent tasks that are wider than what is left on any worker, beside a queue of
+// small ones that fill each gap at once.
 func (p *Planner) reserve(now time.Time, t *task) bool {
 	if t.waiting.IsZero() {
 		t.waiting = now
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"cranberryford/pkg/cfcore"
-	"cranberryford/pkg/cfjob"
 )
 
 // worker is one agent with the life of the worker beside it.
@@ -30,9 +29,6 @@
 	reserved cfcore.Resources
 	// filling is the processor time that filler tasks would like to have.
 	filling int64
-	// serving is the number of tasks with a tail target, and fillers that of fillers.
-	serving int
-	fillers int
 	// overSince is since when a tail is over its target, and haltedAt when the fillers
 	// were halted; zero where they are not.
 	overSince time.Time
@@ -49,16 +45,8 @@
 func (w *worker) add(r *run) {
 	w.runs[r] = true
 	w.used = w.used.Add(r.task.step.Room())
-	w.count(r.task.step, 1)
-}
-
-func (w *worker) count(s *cfjob.Step, n int) {
-	if s.Filler {
-		w.filling += int64(n) * s.Resources.MilliCores
-		w.fillers += n
-	}
-	if s.TailTarget > 0 {
-		w.serving += n
+	if r.task.step.Filler {
+		w.filling += r.task.step.Resources.MilliCores
 	}
 }
 
@@ -68,7 +56,9 @@
 	}
 	delete(w.runs, r)
 	w.used = w.used.Sub(r.task.step.Room())
-	w.count(r.task.step, -1)
+	if r.task.step.Filler {
+		w.filling -= r.task.step.Resources.MilliCores
+	}
 }
 
 // usable reports whether the worker may get starts now.
--- a/pkg/cfjob/book.go
+++ b/pkg/cfjob/book.go
@@ -26,9 +26,8 @@
 	Jobs    map[string]*Entry
 	Entries map[string]EntryInfo
 	Workers map[string]time.Time
-	// Planner is the newest claim, and ClaimOffset its place.
-	Planner     Claim
-	ClaimOffset int64
+	// Planner is the newest claim.
+	Planner Claim
 	// Next is the offset up to which records have been applied.
 	Next int64
 }
@@ -60,7 +59,7 @@
 	case prefixWorker:
 		return Change{}, b.applyWorker(name, r.Value)
 	case keyPlanner:
-		return b.applyClaim(r)
+		return b.applyClaim(r.Value)
 	}
 	return Change{}, cferror.New("apply record", KindRecord, "unknown key %q", r.Key)
 }
@@ -132,15 +131,15 @@
 	return nil
 }
 
-func (b *Book) applyClaim(r cfcore.KeyedRecord) (Change, error) {
+func (b *Book) applyClaim(value []byte) (Change, error) {
 	var c *Claim
-	if err := decodeInto(b.codec, &c, r.Value); err != nil || c == nil {
+	if err := decodeInto(b.codec, &c, value); err != nil || c == nil {
 		return Change{}, err
 	}
 	if c.Epoch <= b.Planner.Epoch {
 		return Change{}, nil
 	}
-	b.Planner, b.ClaimOffset = *c, r.Offset
+	b.Planner = *c
 	return Change{Planner: true}, nil
 }
 
