One place for the keys of a run's log lines, and for how a part ends as told

Cause: four lines wrote a run's keys out, three places the same test of an end, and a cancellation repeated the look-up of a state. Change: cfcommon.WithRun, cfcommon.EndedAsTold, and Cancel asks State. Behaviour as before.

--- a/internal/cfagent/agent.go
+++ b/internal/cfagent/agent.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"cranberryford/pkg/cfadmit"
@@ -100,7 +99,7 @@
 	cancel()
 	_ = server.Close()
 	for _, done := range []<-chan error{served, controlDone, vmDone} {
-		if err := <-done; !expected(err) {
+		if err := <-done; !cfcommon.EndedAsTold(err) {
 			a.Log.Error().Err(err).Msg("part of the agent failed")
 		}
 	}
@@ -108,11 +107,6 @@
 	return nil
 }
 
-// expected reports whether a part of the process ended as it was told to.
-func expected(err error) bool {
-	return err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed)
-}
-
 // wait returns when the agent may end.
 func (a *Agent) wait(ctx context.Context) {
 	select {
--- a/internal/cfjobagent/agent.go
+++ b/internal/cfjobagent/agent.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"cranberryford/pkg/cfcommon"
@@ -94,7 +93,7 @@
 }
 
 func (a *Agent) logEnd(err error) {
-	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, http.ErrServerClosed) {
+	if !cfcommon.EndedAsTold(err) {
 		a.Log.Error().Err(err).Msg("part of the agent failed")
 	}
 }
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfwire"
@@ -200,8 +201,7 @@
 	if ev.err != nil {
 		l = c.Log.Warn().Err(ev.err)
 	}
-	l.Str("Job", ev.key.task.Job).Int("Step", ev.key.task.Step).Int("Index", ev.key.task.Index).
-		Uint64("Run", ev.key.run).Bool("Stop", ev.key.stop).Uint64("Epoch", uint64(ev.token)).Msg("order carried out")
+	cfcommon.WithRun(l, ev.key.task, ev.key.run).Bool("Stop", ev.key.stop).Uint64("Epoch", uint64(ev.token)).Msg("order carried out")
 }
 
 // refusalOf returns the kind of a worker's refusal.
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberryford/pkg/cfclock"
+	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfwire"
@@ -60,7 +61,7 @@
 	followed := make(chan error, 1)
 	go func() { followed <- c.follow(ctx) }()
 	defer func() {
-		if err := <-followed; !expected(err) {
+		if err := <-followed; !cfcommon.EndedAsTold(err) {
 			c.Log.Error().Err(err).Msg("following the store failed")
 		}
 	}()
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"cranberryford/pkg/cfcommon"
@@ -116,7 +115,7 @@
 	e.shutdown(ctx, servers)
 	cancel()
 	for _, c := range done {
-		if err := <-c; !expected(err) {
+		if err := <-c; !cfcommon.EndedAsTold(err) {
 			e.Log.Error().Err(err).Msg("part of the entry failed")
 		}
 	}
@@ -124,10 +123,6 @@
 	return nil
 }
 
-func expected(err error) bool {
-	return err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed)
-}
-
 // wait returns when the entry may end: at once where the context has ended, else
 // when it was told to leave, has resigned as planner and has no requests in flight.
 func (e *Entry) wait(ctx context.Context) {
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cferror"
@@ -233,8 +234,7 @@
 // logEvents writes down what the planner came to believe.
 func (c *control) logEvents() {
 	for _, e := range c.plan.Events() {
-		l := c.Log.Info().Str("Job", e.Task.Job).Int("Step", e.Task.Step).Int("Index", e.Task.Index).
-			Uint64("Run", e.Run).Str("Agent", e.Agent).Dur("Took", e.Took)
+		l := cfcommon.WithRun(c.Log.Info(), e.Task, e.Run).Str("Agent", e.Agent).Dur("Took", e.Took)
 		switch e.Kind {
 		case cfdispatch.EventEnded:
 			l.Str("How", string(e.How)).Int("FailedAttempts", e.Attempts)
@@ -284,12 +284,10 @@
 
 func (c *control) order(l *link, o *cfdispatch.Orders) {
 	for _, s := range o.Starts {
-		c.Log.Info().Str("Job", s.Task.Job).Int("Step", s.Task.Step).Int("Index", s.Task.Index).Uint64("Run", s.Run).
-			Str("Agent", l.name).Str("Checkpoint", s.Checkpoint).Msg("start ordered")
+		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Str("Checkpoint", s.Checkpoint).Msg("start ordered")
 	}
 	for _, s := range o.Stops {
-		c.Log.Info().Str("Job", s.Task.Job).Int("Step", s.Task.Step).Int("Index", s.Task.Index).Uint64("Run", s.Run).
-			Str("Agent", l.name).Msg("stop ordered")
+		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Msg("stop ordered")
 	}
 	c.Scope.Counter("starts_ordered").Inc(int64(len(o.Starts)))
 	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{
--- a/internal/cfjobentry/service.go
+++ b/internal/cfjobentry/service.go
@@ -72,16 +72,15 @@
 	return cfjob.Reply{State: f.state}
 }
 
+// over reports whether a job in a state will run no more.
+func over(s cfjob.State) bool {
+	return s == cfjob.StateCancelled || s == cfjob.StateCompleted || s == cfjob.StateFailed
+}
+
 // Cancel implements cfjob.Service.
 func (e *Entry) Cancel(ctx context.Context, id string) cfjob.Reply {
-	f, err := e.lookSynced(ctx, id)
-	switch {
-	case err != nil:
-		return cfjob.Reply{Verdict: cfjob.VerdictRefused, RetryAfter: outageRetry}
-	case !f.known:
-		return cfjob.Reply{Verdict: cfjob.VerdictNoJob}
-	case f.state == cfjob.StateCancelled || f.state == cfjob.StateCompleted || f.state == cfjob.StateFailed:
-		return cfjob.Reply{State: f.state}
+	if r := e.State(ctx, id); r.Verdict != cfjob.VerdictDone || over(r.State) {
+		return r
 	}
 	r, err := e.codec.Cancel(id, e.Clock.Now())
 	if err == nil {
