A gang's start goes through the same code as any other

Cause: the start of a gang made its runs by a copy of the code for one task, and the copy did not put on record that the job had begun: it counted as waiting until its first end. Change: place and order serve both. Test that failed first. Checked: go test ./pkg/cfdispatch, lint.

--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -29,11 +29,22 @@
 
 // start makes a run of a task on a worker and orders it.
 func (p *Planner) start(now time.Time, t *task, w *worker, id uint64) {
+	p.order(now, t.place(now, w, id))
+}
+
+// place makes a run of a task on a worker, which takes its room there.
+func (t *task) place(now time.Time, w *worker, id uint64) *run {
 	r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: t.checkpoint, pace: fullPace, paceSent: now}
 	t.runs = append(t.runs, r)
 	t.j.live++
 	w.add(r)
+	return r
+}
+
+// order orders the start of a run, and notes that its job has begun.
+func (p *Planner) order(now time.Time, r *run) {
 	p.sendStart(now, r)
+	t := r.task
 	if !t.j.started {
 		t.j.started = true
 		t.j.lazySince = now
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -121,16 +121,11 @@
 			return
 		}
 		t.checkpoint = checkpoint
-		r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: checkpoint, pace: fullPace, paceSent: now}
-		t.runs = append(t.runs, r)
-		t.j.live++
-		w.add(r)
-		placed = append(placed, r)
+		placed = append(placed, t.place(now, w, id))
 	}
 	for _, r := range placed {
-		p.sendStart(now, r)
+		p.order(now, r)
 	}
-	st.tasks[0].j.started = true
 }
 
 // newestCheckpoint returns the checkpoint of the member whose run was the last one.
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -499,3 +499,15 @@
 	}
 	f.Expect(starts).To(And(BeNumerically(">", 1), BeNumerically("<", 6)), "starts in a minute")
 }
+
+// A job counts as waiting until it is on record that it has begun.
+func TestStartedGangIsOnRecord(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	gang := step(2, 100)
+	gang.Gang = true
+	f.add("j", gang)
+	f.Expect(f.step()).To(HaveLen(2))
+	facts, _ := f.Facts(f.now.Add(time.Second), false)
+	f.Expect(facts).To(HaveLen(1))
+	f.Expect(facts[0].Progress.Started).To(BeTrue())
+}
