A job that a new planner finds running is on record as begun

Cause: the twin of the gang's start: taking a run over set the same flag and left it off record. Change: one function notes that a job has begun. Test that failed first. Checked: go test ./pkg/cfdispatch, lint.

--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -44,12 +44,17 @@
 // order orders the start of a run, and notes that its job has begun.
 func (p *Planner) order(now time.Time, r *run) {
 	p.sendStart(now, r)
-	t := r.task
-	if !t.j.started {
-		t.j.started = true
-		t.j.lazySince = now
-		p.dirty[t.j.ID] = t.j
+	p.begin(now, r.task.j)
+}
+
+// begin notes that a job has begun. It is put on record with the next facts, or
+// soon after.
+func (p *Planner) begin(now time.Time, j *job) {
+	if j.started {
+		return
 	}
+	j.started, j.lazySince = true, now
+	p.dirty[j.ID] = j
 }
 
 func (p *Planner) sendStart(now time.Time, r *run) {
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -511,3 +511,17 @@
 	f.Expect(facts).To(HaveLen(1))
 	f.Expect(facts[0].Progress.Started).To(BeTrue())
 }
+
+// The older planner may have ended before it put on record that a job had begun.
+func TestAdoptedJobIsOnRecordAsStarted(t *testing.T) {
+	old := newFleet(t, newPlanner(), "a")
+	old.add("j", step(1, 100))
+	old.step()
+	f := newFleet(t, cfdispatch.New(settings, []string{"a"}, epochStart.Add(time.Minute)), "a")
+	f.AddJob(f.now, &cfjob.Entry{Job: &cfjob.Job{ID: "j", Queue: queue, Steps: []cfjob.Step{step(1, 100)}}}, queue, true)
+	f.workers = old.workers
+	f.report()
+	facts, _ := f.Facts(f.now.Add(time.Second), false)
+	f.Expect(facts).To(HaveLen(1))
+	f.Expect(facts[0].Progress.Started).To(BeTrue())
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -127,7 +127,7 @@
 		t.runs = append(t.runs, r)
 		t.j.live++
 		w.add(r)
-		t.j.started = true
+		p.begin(now, t.j)
 		p.noteRun(EventAdopted, r, now)
 	}
 	if r.phase == starting {
