--- a/pkg/cfnet/transport.go
+++ b/pkg/cfnet/transport.go
@@ -11,8 +11,9 @@
 // dialTimeout bounds the opening of one connection.
 const dialTimeout = 3 * time.Second
 
-// idleConns is the number of idle connections kept to each host.
-const idleConns = 32
+// hostConns is the number of connections to each host; further calls wait for one.
+// The platform's workers take 64 and reset those beyond.
+const hostConns = 32
 
 // Transport returns an HTTP transport that connects from source; the zero value
 // lets the system choose.
@@ -21,5 +22,5 @@
 	if source.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
 	}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: idleConns}
+	return &http.Transport{DialContext: d.DialContext, MaxConnsPerHost: hostConns, MaxIdleConnsPerHost: hostConns}
 }
