--- a/internal/cfapp/common.go
+++ b/internal/cfapp/common.go
@@ -76,7 +76,7 @@
 
 // NewCommon returns the common dependencies of one process, and the handler of
 // its metrics. The clean-up function stops the reporting.
-func NewCommon(d Deps, role, level string) (*cfcommon.Common, http.Handler, func(), error) {
+func NewCommon(d Deps, role, node, level string) (*cfcommon.Common, http.Handler, func(), error) {
 	lvl, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return nil, nil, nil, cferror.Wrap("new process", KindStart, err)
@@ -93,7 +93,7 @@
 	}, metricsInterval)
 	logs, closeLogs := boundedLogs(d.Logs, scope)
 	c := &cfcommon.Common{
-		Log:   zerolog.New(logs).Level(lvl).With().Timestamp().Str("Role", role).Logger(),
+		Log:   zerolog.New(logs).Level(lvl).With().Timestamp().Str("Role", role).Str("Node", node).Logger(),
 		Clock: d.Clock, Scope: scope, Codec: codec, Key: d.Key, Seed: d.Seed,
 	}
 	return c, reporter.HTTPHandler(), func() { closeLogs(); _ = closer.Close() }, nil
--- a/internal/cfapp/jobs.go
+++ b/internal/cfapp/jobs.go
@@ -14,7 +14,7 @@
 // NewJobEntry makes an entry that serves jobs on the users' platform. It listens
 // already.
 func NewJobEntry(ctx context.Context, d Deps, cfg cfconfig.JobEntry) (*Role, error) {
-	common, metrics, stop, err := NewCommon(d, "job-entry", cfg.LogLevel)
+	common, metrics, stop, err := NewCommon(d, "job-entry", cfg.Name, cfg.LogLevel)
 	if err != nil {
 		return nil, err
 	}
@@ -34,7 +34,7 @@
 // NewJobAgent makes an agent that runs the tasks of jobs on the users' platform. It
 // listens already.
 func NewJobAgent(ctx context.Context, d Deps, cfg cfconfig.JobAgent) (*Role, error) {
-	common, metrics, stop, err := NewCommon(d, "job-agent", cfg.LogLevel)
+	common, metrics, stop, err := NewCommon(d, "job-agent", cfg.Name, cfg.LogLevel)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cfapp/roles.go
+++ b/internal/cfapp/roles.go
@@ -50,7 +50,7 @@
 
 // NewEntry makes an entry that listens already.
 func NewEntry(ctx context.Context, d Deps, cfg cfconfig.Entry) (*Role, error) {
-	common, metrics, stop, err := NewCommon(d, "entry", cfg.LogLevel)
+	common, metrics, stop, err := NewCommon(d, "entry", cfg.Name, cfg.LogLevel)
 	if err != nil {
 		return nil, err
 	}
@@ -69,7 +69,7 @@
 
 // NewAgent makes an agent that listens already.
 func NewAgent(ctx context.Context, d Deps, cfg cfconfig.Agent) (*Role, error) {
-	common, metrics, stop, err := NewCommon(d, "agent", cfg.LogLevel)
+	common, metrics, stop, err := NewCommon(d, "agent", cfg.Worker, cfg.LogLevel)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cfcmd/show.go
+++ b/internal/cfcmd/show.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"flag"
+	"io"
+	"os"
+	"path/filepath"
 
 	"github.com/google/subcommands"
 
 	"cranberryford/internal/cfapi"
+	"cranberryford/internal/cftrace"
 	"cranberryford/pkg/cferror"
 )
 
@@ -42,8 +46,12 @@
 	})
 }
 
-// explainCmd tells a task's story.
-type explainCmd struct{ client }
+// explainCmd tells a task's story, or a job's from saved logs.
+type explainCmd struct {
+	client
+	logs    string
+	context bool
+}
 
 // Name implements subcommands.Command.
 func (*explainCmd) Name() string { return "explain" }
@@ -55,14 +63,27 @@
 func (*explainCmd) Usage() string {
 	return `explain [flags] TASK
 Tell all that happened to a task, from the log. A task is named WORKLOAD/INDEX.
+With -logs, tell all that happened to a job, by its ID, from what the processes
+have written to standard output; no entry is asked.
 Example: cranberryford explain flagged-fountains/0
+Example: cranberryford explain -logs 'saved/*.log' -context 5c0e7a21d94b36f8
 ` + clientHelp
 }
 
+// SetFlags implements subcommands.Command.
+func (c *explainCmd) SetFlags(f *flag.FlagSet) {
+	c.client.SetFlags(f)
+	f.StringVar(&c.logs, "logs", "", "pattern of the files with saved logs")
+	f.BoolVar(&c.context, "context", false, "add what the processes that the job met say of themselves")
+}
+
 // Execute implements subcommands.Command.
 func (c *explainCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
-		return c.fail(cferror.New("explain", KindUsage, "name one task, as WORKLOAD/INDEX"))
+		return c.fail(cferror.New("explain", KindUsage, "name one task, as WORKLOAD/INDEX, or one job with -logs"))
+	}
+	if c.logs != "" {
+		return c.explainLogs(f.Arg(0))
 	}
 	return c.run(ctx, func(ctx context.Context, api *cfapi.Client) error {
 		e, err := api.ExplainTask(ctx, cfapi.ExplainTaskParams{Task: f.Arg(0)})
@@ -77,6 +98,35 @@
 	})
 }
 
+// explainLogs tells a job's story from saved logs.
+func (c *explainCmd) explainLogs(id string) subcommands.ExitStatus {
+	names, err := filepath.Glob(c.logs)
+	if err != nil || len(names) == 0 {
+		return c.fail(cferror.New("explain", KindUsage, "no file is named %s", c.logs))
+	}
+	var logs []io.Reader
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return c.fail(cferror.Wrap("explain", KindUsage, err))
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	s, err := cftrace.Read(id, c.context, logs...)
+	if err != nil {
+		return c.fail(cferror.Wrap("explain", KindFailed, err))
+	}
+	if c.json {
+		if err := c.printJSON(s); err != nil {
+			return c.fail(err)
+		}
+		return subcommands.ExitSuccess
+	}
+	c.Story(id, s)
+	return subcommands.ExitSuccess
+}
+
 // auditCmd shows the audit trail.
 type auditCmd struct {
 	client
