An entry that the store turns away hands records to another one

Ruled out: taking over too late (1.2 s, by the lines); an outage of the whole store (other entries went on). Change: after a first try that fails, and at once while the store is known not to answer, records go to another entry over the inner connections; where there is none, as at a planner that has just resigned, one is opened. A second try of its own comes last. A record added twice changes nothing; after an unknown outcome nothing is refused.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -209,6 +209,39 @@
 	}),
 )
 
+var _ = DescribeTable("an entry that the store turns away accepts jobs through another one:",
+	func(planner bool, fault standin.Fault) {
+		f := newFleet(3, 2)
+		e := f.planner()
+		if !planner {
+			e = (e + 1) % len(f.entries)
+		}
+		host := f.entries[e].front.Addr().String()
+		f.store.SetFault(func(r *http.Request) standin.Fault {
+			if strings.HasPrefix(r.RemoteAddr, host+":") {
+				return fault
+			}
+			return standin.Healthy
+		})
+		// Past the time in which the entry finds out, and the planner hands over.
+		for n := 1; n <= 12; n++ {
+			status, _ := f.call(e, http.MethodPost, queuePrefix+jobID(n), oneStep(2, "100ms"))
+			Expect(status).To(Equal(200), "submission %d", n)
+			time.Sleep(200 * time.Millisecond)
+		}
+		f.store.SetFault(healthy)
+		for n := 1; n <= 12; n++ {
+			f.completes(n, 10*time.Second)
+		}
+		f.ranOnce()
+	},
+	Entry("a planner, 503", true, standin.Down),
+	Entry("a planner, resets", true, standin.Reset),
+	Entry("another entry, 503", false, standin.Down),
+	Entry("another entry, resets", false, standin.Reset),
+	Entry("another entry, silence", false, standin.Silent),
+)
+
 func healthy(*http.Request) standin.Fault { return standin.Healthy }
 
 var _ = DescribeTable("leases go on and nothing is evicted while the store is down:",
--- a/internal/cfjobentry/appends.go
+++ b/internal/cfjobentry/appends.go
@@ -12,9 +12,6 @@
 	// maxBatch bounds the records of one append. Their size stays far below what the
 	// platform allows for a call.
 	maxBatch = 64
-	// appendTries is how often an append is made before its caller is answered. The
-	// record is the same each time, so that a second effect changes nothing.
-	appendTries = 2
 	// appendWorkers is the number of appends of callers' records under way.
 	appendWorkers = 2
 )
@@ -96,34 +93,47 @@
 		records[i] = s.record
 	}
 	begun := a.Clock.Now()
-	err := a.tryAppend(ctx, records)
+	err := a.append(ctx, records)
 	a.Scope.Timer("submission_append").Record(a.Clock.Since(begun))
 	for _, s := range batch {
 		s.reply <- err
 	}
 }
 
-// tryAppend repeats an append that failed. Once an outcome was unknown, a later
-// rejection says nothing of it.
-func (a *appender) tryAppend(ctx context.Context, records []cfcore.KeyedRecord) error {
-	var unknown error
-	for try := range appendTries {
-		_, err := a.Store.Append(ctx, a.topic, records, cfcore.AppendOptions{})
-		if err == nil {
-			return nil
-		}
-		a.Log.Warn().Err(err).Int("Records", len(records)).Int("Try", try).Msg("append of submissions failed")
-		if !cferror.Is(err, cfcore.StoreRejected) {
-			unknown = err
-		} else if try == appendTries-1 && unknown == nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-		case <-a.Clock.After(time.Duration(try+1) * appendPause):
-		}
+// append adds records to the store: by itself, then through another entry, in case the
+// store turns only this one away, and once more by itself. Once an outcome was
+// unknown, a later rejection says nothing of it. The records are the same each time, so
+// that a second effect changes nothing.
+func (a *appender) append(ctx context.Context, records []cfcore.KeyedRecord) error {
+	if a.storeDown.Load() {
+		return a.relay.append(ctx, records)
+	}
+	err := a.appendOnce(ctx, records)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	relayed := a.relay.append(ctx, records)
+	if !cferror.Is(relayed, cfcore.StoreRejected) {
+		return relayed
+	}
+	select {
+	case <-ctx.Done():
+		return err
+	case <-a.Clock.After(appendPause):
+	}
+	again := a.appendOnce(ctx, records)
+	if again == nil || cferror.Is(err, cfcore.StoreRejected) {
+		return again
+	}
+	return err
+}
+
+func (a *appender) appendOnce(ctx context.Context, records []cfcore.KeyedRecord) error {
+	_, err := a.Store.Append(ctx, a.topic, records, cfcore.AppendOptions{})
+	if err != nil {
+		a.Log.Warn().Err(err).Int("Records", len(records)).Msg("append of submissions failed")
 	}
-	return unknown
+	return err
 }
 
 // appendPause is the pause before an append is tried again.
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -171,6 +171,7 @@
 	c.Log.Info().Int64("Offset", c.book.Next).Int("Jobs", len(c.book.Jobs)).Uint64("Epoch", uint64(c.book.Planner.Epoch)).Msg("state read from the store")
 	c.synced.Store(true)
 	_, c.known = c.book.Entries[c.cfg.Name]
+	c.shareAddresses()
 	c.announce(ctx)
 }
 
@@ -242,6 +243,18 @@
 	}
 }
 
+// shareAddresses tells the relay where the other entries are.
+func (c *control) shareAddresses() {
+	var addrs []netip.AddrPort
+	for name, e := range c.book.Entries {
+		if name != c.cfg.Name {
+			addrs = append(addrs, e.Address)
+		}
+	}
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	c.relay.addresses.Store(&addrs)
+}
+
 func (c *control) send(l *link, m *cfwire.Message) {
 	if err := l.conn.Send(m); err != nil {
 		c.Log.Debug().Err(err).Str("Peer", l.name).Msg("message not sent")
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -52,6 +52,7 @@
 	topic    cfcore.Topic
 	events   chan event
 	submits  *appender
+	relay    *relay
 	config   atomic.Pointer[cfjob.Config]
 	// synced is set once the whole store has been read, leaving by a shutdown, and
 	// storeDown while the store does not answer this entry.
@@ -72,7 +73,7 @@
 		topic: cfcore.Topic{Name: cfg.Topic}, events: make(chan event, eventQueue),
 		leave: make(chan struct{}), resigned: make(chan struct{}),
 	}
-	e.submits = newAppender(e)
+	e.submits, e.relay = newAppender(e), newRelay(e)
 	servers, cleanup, err := cfnet.Listen(ctx, []cfnet.Server{
 		{Name: "callers", Address: cfg.Callers, Handler: d.Front(e)},
 		{Name: "readiness", Address: cfg.Readiness, Handler: d.Readiness(e.Ready)},
@@ -111,9 +112,11 @@
 	spawn(newControl(e).run)
 	spawn(e.followConfig)
 	spawn(e.submits.run)
+	spawn(e.relay.run)
 	e.wait(ctx)
 	e.shutdown(ctx, servers)
 	cancel()
+	e.relay.wait()
 	for _, c := range done {
 		if err := <-c; !cfcommon.EndedAsTold(err) {
 			e.Log.Error().Err(err).Msg("part of the entry failed")
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -37,12 +37,17 @@
 	l := &link{conn: conn, name: conn.Peer().Name}
 	e.tell(ctx, linkUp{link: l})
 	defer func() { e.tell(context.WithoutCancel(ctx), linkDown{link: l}) }()
+	if conn.Peer().Role == cfwire.RolePeer {
+		defer e.relay.join(conn)()
+	}
 	cfwire.Serve(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		switch {
 		case m.JobReport != nil:
 			e.tell(ctx, reported{link: l, report: m.JobReport})
 		case m.JobPollAnswer != nil:
 			e.tell(ctx, answered{link: l, answer: m.JobPollAnswer})
+		default:
+			e.relayed(ctx, conn, m)
 		}
 	})
 }
@@ -70,14 +75,30 @@
 }
 
 func (e *Entry) watchConn(ctx context.Context, conn *cfwire.Conn, epoch cfcore.Epoch) {
+	defer e.relay.join(conn)()
 	cfwire.Serve(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		switch {
 		case m.JobEntries != nil && m.JobEntries.Resigned:
 			e.tell(ctx, peerGone{epoch: epoch})
 		case m.JobPoll != nil:
 			e.tell(ctx, polled{conn: conn, poll: m.JobPoll})
+		case e.relayed(ctx, conn, m):
 		default:
 			e.tell(ctx, peerHeard{epoch: epoch})
 		}
 	})
 }
+
+// relayed handles what another entry has to do with records, and reports whether the
+// message was about that.
+func (e *Entry) relayed(ctx context.Context, conn *cfwire.Conn, m *cfwire.Message) bool {
+	switch {
+	case m.JobAppend != nil:
+		e.relay.serve(ctx, conn, m.JobAppend)
+	case m.JobAppendAnswer != nil:
+		e.relay.answered(m.JobAppendAnswer)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/cfjobentry/relay.go
@@ -0,0 +1,215 @@
+package cfjobentry
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfwire"
+)
+
+const (
+	// relayTimeout bounds the wait for another entry's answer: callers wait for 3 s, and
+	// the first try takes up to 1 s of that.
+	relayTimeout = time.Second
+	// relayKeep is how long a connection is kept that was opened for records; outages of
+	// the store last seconds.
+	relayKeep = 30 * time.Second
+	// relaySlots bounds the appends that an entry makes for others at the same time.
+	relaySlots = 16
+)
+
+// relay hands callers' records to other entries, where the store turns this one away
+// and answers them. A record that is added twice changes nothing.
+type relay struct {
+	*Entry
+	mu sync.Mutex
+	// conns are the connections to other entries: to the planner, at the planner those
+	// of all others, and one that was opened for records where there is no such.
+	conns map[*cfwire.Conn]bool
+	// joined is closed when another connection is there.
+	joined  chan struct{}
+	seq     uint64
+	waiting map[uint64]chan cfcore.StoreKind
+	// slots holds a value for each append that is under way for another entry.
+	slots chan struct{}
+	// addresses are those of the other entries on record, and wanted asks for a
+	// connection to one of them.
+	addresses atomic.Pointer[[]netip.AddrPort]
+	wanted    chan struct{}
+}
+
+func newRelay(e *Entry) *relay {
+	return &relay{
+		Entry: e, conns: map[*cfwire.Conn]bool{}, waiting: map[uint64]chan cfcore.StoreKind{},
+		slots: make(chan struct{}, relaySlots), joined: make(chan struct{}), wanted: make(chan struct{}, 1),
+	}
+}
+
+// join adds a connection to another entry. The function takes it out.
+func (r *relay) join(conn *cfwire.Conn) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[conn] = true
+	close(r.joined)
+	r.joined = make(chan struct{})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, conn)
+	}
+}
+
+// append adds records through other entries, one after the other. A StoreRejected
+// error says that none of them did or ever will.
+func (r *relay) append(ctx context.Context, records []cfcore.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	failure := cfcore.StoreRejected
+	for _, conn := range r.connected(ctx) {
+		f := r.ask(ctx, conn, records)
+		if f == "" {
+			r.Log.Info().Str("Entry", conn.Peer().Name).Int("Records", len(records)).Msg("records added through another entry")
+			r.Scope.Counter("records_relayed").Inc(int64(len(records)))
+			return nil
+		}
+		if f != cfcore.StoreRejected {
+			failure = f
+		}
+	}
+	return cferror.New("append through another entry", failure, "%d records", len(records))
+}
+
+// connected returns the connections to other entries. Where there is none, it waits
+// for one.
+func (r *relay) connected(ctx context.Context) []*cfwire.Conn {
+	for {
+		r.mu.Lock()
+		conns, joined := slices.Collect(maps.Keys(r.conns)), r.joined
+		r.mu.Unlock()
+		if len(conns) > 0 {
+			return conns
+		}
+		select {
+		case r.wanted <- struct{}{}:
+		default:
+		}
+		select {
+		case <-joined:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// run opens a connection to another entry whenever one is wanted: an entry that was
+// the planner has none once another one is.
+func (r *relay) run(ctx context.Context) error {
+	next := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.wanted:
+		}
+		addrs := r.addresses.Load()
+		if addrs == nil || len(*addrs) == 0 {
+			continue
+		}
+		next++
+		addr := (*addrs)[next%len(*addrs)]
+		conn, closeConn, err := cfwire.Dial(ctx, addr, r.wireOptions(cfwire.RolePeer))
+		if err != nil {
+			r.Log.Warn().Err(err).Str("Entry", addr.String()).Msg("no connection to another entry")
+			continue
+		}
+		keep, cancel := context.WithTimeout(ctx, relayKeep)
+		r.watchConn(keep, conn, 0)
+		cancel()
+		closeConn()
+	}
+}
+
+// ask asks one entry, and returns why it did not add the records; empty where it did.
+func (r *relay) ask(ctx context.Context, conn *cfwire.Conn, records []cfcore.KeyedRecord) cfcore.StoreKind {
+	answer := make(chan cfcore.StoreKind, 1)
+	r.mu.Lock()
+	r.seq++
+	seq := r.seq
+	r.waiting[seq] = answer
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.waiting, seq)
+	}()
+	if err := conn.Send(&cfwire.Message{JobAppend: &cfwire.JobAppend{Seq: seq, Records: records}}); err != nil {
+		r.Log.Debug().Err(err).Str("Entry", conn.Peer().Name).Msg("records not sent to another entry")
+		return cfcore.StoreRejected
+	}
+	select {
+	case f := <-answer:
+		return f
+	case <-conn.Done():
+	case <-ctx.Done():
+	}
+	return cfcore.StoreUnknown
+}
+
+// answered takes in another entry's answer.
+func (r *relay) answered(a *cfwire.JobAppendAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answer := r.waiting[a.Seq]; answer != nil {
+		answer <- a.Failure
+		delete(r.waiting, a.Seq)
+	}
+}
+
+// serve adds records for another entry. It asks no third one.
+func (r *relay) serve(ctx context.Context, conn *cfwire.Conn, m *cfwire.JobAppend) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		r.reply(conn, m.Seq, cfcore.StoreRejected)
+		return
+	}
+	go func() {
+		defer func() { <-r.slots }()
+		r.reply(conn, m.Seq, r.serveAppend(ctx, m.Records))
+	}()
+}
+
+func (r *relay) serveAppend(ctx context.Context, records []cfcore.KeyedRecord) cfcore.StoreKind {
+	if r.storeDown.Load() {
+		return cfcore.StoreRejected
+	}
+	err := r.submits.appendOnce(ctx, records)
+	switch {
+	case err == nil:
+		return ""
+	case cferror.Is(err, cfcore.StoreRejected):
+		return cfcore.StoreRejected
+	}
+	return cfcore.StoreUnknown
+}
+
+func (r *relay) reply(conn *cfwire.Conn, seq uint64, failure cfcore.StoreKind) {
+	if err := conn.Send(&cfwire.Message{JobAppendAnswer: &cfwire.JobAppendAnswer{Seq: seq, Failure: failure}}); err != nil {
+		r.Log.Debug().Err(err).Msg("answer to another entry not sent")
+	}
+}
+
+// wait returns when no append for another entry is under way. Their context must have
+// ended.
+func (r *relay) wait() {
+	for range relaySlots {
+		r.slots <- struct{}{}
+	}
+}
--- a/internal/cfjobentry/service.go
+++ b/internal/cfjobentry/service.go
@@ -31,9 +31,6 @@
 		e.Log.Info().Str("Job", j.ID).Str("State", string(f.state)).Msg("submission repeated: the job is known")
 		return cfjob.Reply{Verdict: cfjob.VerdictDone, State: f.state}
 	}
-	if e.storeDown.Load() {
-		return e.refuse(j, "the store does not answer")
-	}
 	j.Accepted = begun
 	r, err := e.codec.Job(j)
 	if err != nil {
--- a/internal/cfjobentry/upkeep.go
+++ b/internal/cfjobentry/upkeep.go
@@ -82,5 +82,6 @@
 		c.promised = max(c.promised, c.boot()+c.cfg.Lease.Authority)
 	}
 	c.known = known
+	c.shareAddresses()
 	c.greetAll()
 }
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -102,3 +102,16 @@
 	// Resigned is set when the sender was the planner of Epoch and is no longer.
 	Resigned bool `cbor:",omitempty"`
 }
+
+// JobAppend asks another entry to add records to the store.
+type JobAppend struct {
+	Seq     uint64
+	Records []cfcore.KeyedRecord
+}
+
+// JobAppendAnswer is what became of the records.
+type JobAppendAnswer struct {
+	Seq uint64
+	// Failure is empty where the records are in the store.
+	Failure cfcore.StoreKind `cbor:",omitempty"`
+}
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -13,24 +13,26 @@
 
 // Message is one message. Exactly one field is set.
 type Message struct {
-	Challenge     *Challenge     `cbor:",omitempty"`
-	Proof         *Proof         `cbor:",omitempty"`
-	Beat          *Beat          `cbor:",omitempty"`
-	Ask           *Ask           `cbor:",omitempty"`
-	Grant         *Grant         `cbor:",omitempty"`
-	Desired       *Desired       `cbor:",omitempty"`
-	Poll          *Poll          `cbor:",omitempty"`
-	PollAnswer    *PollAnswer    `cbor:",omitempty"`
-	StateRequest  *StateRequest  `cbor:",omitempty"`
-	StateAnswer   *StateAnswer   `cbor:",omitempty"`
-	Call          *Call          `cbor:",omitempty"`
-	Answer        *Answer        `cbor:",omitempty"`
-	Cancel        *Cancel        `cbor:",omitempty"`
-	JobReport     *JobReport     `cbor:",omitempty"`
-	JobOrders     *JobOrders     `cbor:",omitempty"`
-	JobEntries    *JobEntries    `cbor:",omitempty"`
-	JobPoll       *JobPoll       `cbor:",omitempty"`
-	JobPollAnswer *JobPollAnswer `cbor:",omitempty"`
+	Challenge       *Challenge       `cbor:",omitempty"`
+	Proof           *Proof           `cbor:",omitempty"`
+	Beat            *Beat            `cbor:",omitempty"`
+	Ask             *Ask             `cbor:",omitempty"`
+	Grant           *Grant           `cbor:",omitempty"`
+	Desired         *Desired         `cbor:",omitempty"`
+	Poll            *Poll            `cbor:",omitempty"`
+	PollAnswer      *PollAnswer      `cbor:",omitempty"`
+	StateRequest    *StateRequest    `cbor:",omitempty"`
+	StateAnswer     *StateAnswer     `cbor:",omitempty"`
+	Call            *Call            `cbor:",omitempty"`
+	Answer          *Answer          `cbor:",omitempty"`
+	Cancel          *Cancel          `cbor:",omitempty"`
+	JobReport       *JobReport       `cbor:",omitempty"`
+	JobOrders       *JobOrders       `cbor:",omitempty"`
+	JobEntries      *JobEntries      `cbor:",omitempty"`
+	JobPoll         *JobPoll         `cbor:",omitempty"`
+	JobPollAnswer   *JobPollAnswer   `cbor:",omitempty"`
+	JobAppend       *JobAppend       `cbor:",omitempty"`
+	JobAppendAnswer *JobAppendAnswer `cbor:",omitempty"`
 }
 
 // Challenge is the first message of either end.
