A restarted agent does not judge starts of its earlier run

Change: an agent answers for a life only where it knows a later one; until it knows its worker it says that the worker is not reached, so that it gets no starts; in its first 15 s a refusal is followed by a stop, since an order of its earlier run may be carried out up to 12 s late. A worker that refused a start gets none for 100 ms.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -75,6 +75,8 @@
 	inFlight map[orderKey]bool
 	// uncertain are starts that an attempt without an answer may still carry out.
 	uncertain map[orderKey]bool
+	// startedAt is when this run of the agent began.
+	startedAt time.Duration
 	// resend is set when the planner has to be told all anew.
 	resend  bool
 	results []cfwire.JobOrderResult
@@ -87,7 +89,7 @@
 	}
 	// An earlier run of this agent may have extended leases until just now.
 	c.clockAt = c.boot.Now()
-	c.answeredAt = c.clockAt
+	c.answeredAt, c.startedAt = c.clockAt, c.clockAt
 	return c
 }
 
@@ -276,6 +278,23 @@
 	if !due && !c.resend && len(c.results) == 0 {
 		return
 	}
+	r := c.changes()
+	if due {
+		c.ask++
+		r.Ask, c.askedAt = c.ask, now
+		if len(c.asked) > asksKept {
+			clear(c.asked)
+		}
+		c.asked[c.ask] = now
+	}
+	if err := c.planner.conn.Send(&cfwire.Message{JobReport: r}); err != nil {
+		c.Log.Debug().Err(err).Msg("report not sent")
+		c.planner = nil
+	}
+}
+
+// changes returns a report of what the planner was not told yet.
+func (c *control) changes() *cfwire.JobReport {
 	r := &cfwire.JobReport{Epoch: c.epoch, Results: c.results}
 	c.results = nil
 	if c.resend && c.hasWorker {
@@ -286,20 +305,10 @@
 			r.Lists = &l
 		}
 	}
-	if d, lost := c.unreached(); c.left || lost {
+	// An agent that has just started does not know what its worker runs.
+	if d, lost := c.unreached(); c.left || lost || !c.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreached{For: d, Lapsed: c.lapsed(), Left: c.left}
 	}
 	c.resend = false
-	if due {
-		c.ask++
-		r.Ask, c.askedAt = c.ask, now
-		if len(c.asked) > asksKept {
-			clear(c.asked)
-		}
-		c.asked[c.ask] = now
-	}
-	if err := c.planner.conn.Send(&cfwire.Message{JobReport: r}); err != nil {
-		c.Log.Debug().Err(err).Msg("report not sent")
-		c.planner = nil
-	}
+	return r
 }
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfcore"
@@ -13,6 +14,10 @@
 // start of the same run has no other effect.
 const startTries = 2
 
+// lateOrders is how long after it was sent an order without an answer may still be
+// carried out; the platform speaks of seconds, and its bench of up to 12.
+const lateOrders = 15 * time.Second
+
 // hold keeps one call for the worker's lists under way. The call also extends the
 // leases, where the planner lets it.
 func (c *control) hold(ctx context.Context) {
@@ -81,14 +86,15 @@
 	if c.inFlight[key] {
 		return
 	}
-	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.left {
+	if c.hasWorker && s.Born.Before(c.worker.Born) {
+		// The life that the run was for has ended, and the run with it.
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorOther})
 		return
 	}
 	until := c.leaseUntil()
-	if until == 0 || c.worker.Draining {
-		// Whether an earlier attempt has started the run is not known here; the planner
-		// asks again, or stops the run.
+	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.left || until == 0 || c.worker.Draining {
+		// Whether an earlier attempt, maybe of an earlier run of this agent, has started the
+		// run is not known here; the planner asks again, or stops the run.
 		return
 	}
 	c.inFlight[key] = true
@@ -183,8 +189,9 @@
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
-	case c.uncertain[ev.key]:
-		// An earlier attempt may still be carried out; a stop rules it out.
+	case c.uncertain[ev.key] || c.boot.Now()-c.startedAt < lateOrders:
+		// An earlier attempt, maybe of an earlier run of this agent, may still be carried
+		// out; a stop rules it out.
 		c.logOrder(ev)
 		c.stop(ctx, cfwire.JobStop{Task: ev.key.task, Run: ev.key.run})
 		return
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -553,3 +553,25 @@
 	f.Expect(facts).To(HaveLen(1))
 	f.Expect(facts[0].Progress.Started).To(BeTrue())
 }
+
+// The load: a worker whose refusals come back within 2 ms. Each start is priced, and
+// takes time of both processes.
+func TestRefusedStartsAreNotRepeatedAtOnce(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	f.add("j", step(1, 100))
+	starts := 0
+	for range 500 {
+		f.Plan(f.now)
+		var results []cfwire.JobOrderResult
+		if o := f.Take(f.now)["a"]; o != nil {
+			for _, s := range o.Starts {
+				starts++
+				results = append(results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorFull})
+			}
+		}
+		f.now = f.now.Add(2 * time.Millisecond)
+		f.Report(f.now, "a", &cfwire.JobReport{Results: results})
+	}
+	f.Expect(starts).To(BeNumerically("<=", 10), "in a second")
+	f.Expect(starts).To(BeNumerically(">", 1), "the worker is tried again")
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -61,6 +61,7 @@
 	case r.phase != running:
 		p.note(Event{Kind: EventDropped, Agent: w.agent, Task: res.Task, Run: res.Run, Refusal: res.Refusal})
 		p.drop(r)
+		w.refusedAt = now
 		if res.Refusal == cfcore.ExecutorUnhealthy {
 			w.failures.fail(now, res.Task.Job)
 		}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -40,8 +40,14 @@
 	// told is the number that the agent was told last.
 	told     uint64
 	failures failureStreak
+	// refusedAt is when the worker last refused a start.
+	refusedAt time.Time
 }
 
+// refusePause is how long a worker gets no starts after it refused one: its next lists
+// tell why by then.
+const refusePause = 100 * time.Millisecond
+
 func (w *worker) add(r *run) {
 	w.runs[r] = true
 	w.used = w.used.Add(r.task.step.Room())
@@ -63,7 +69,8 @@
 
 // usable reports whether the worker may get starts now.
 func (w *worker) usable(now time.Time, suspect time.Duration) bool {
-	return w.known && w.recorded && !w.unreached && !w.state.Draining && now.Sub(w.heard) < suspect
+	return w.known && w.recorded && !w.unreached && !w.state.Draining && now.Sub(w.heard) < suspect &&
+		now.Sub(w.refusedAt) >= refusePause
 }
 
 // failureStreak notes runs that failed without one that succeeded between them.
