Entries tell the planner what they accept

Ruled out: room (starts of known jobs went on), the hand-over itself (45 ms). Change: what an entry has added for its callers is applied there at once and sent to the planner, which acts on it before it reads it. Reading it again changes nothing. Test: one in integration/jobs, failed before.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -242,6 +242,27 @@
 	Entry("another entry, silence", false, standin.Silent),
 )
 
+var _ = It("starts what other entries accept while the store leaves the planner without answers", func() {
+	f := newFleet(3, 2)
+	Expect(f.submit(100, oneStep(4, "1ms"))).To(BeTrue())
+	f.completes(100, 5*time.Second)
+	before := len(f.runs())
+	p := f.planner()
+	host := f.entries[p].front.Addr().String()
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if strings.HasPrefix(r.RemoteAddr, host+":") {
+			return standin.Silent
+		}
+		return standin.Healthy
+	})
+	// The planner has authority for 2 s after the store last answered it.
+	for n := 1; n <= 8; n++ {
+		Expect(f.submit(n*len(f.entries)+p+1, oneStep(1, "5s"))).To(BeTrue())
+		Eventually(f.runs, 500*time.Millisecond, 10*time.Millisecond).Should(HaveLen(before+n), "job %d starts without delay", n)
+	}
+	f.store.SetFault(healthy)
+})
+
 func healthy(*http.Request) standin.Fault { return standin.Healthy }
 
 var _ = DescribeTable("leases go on and nothing is evicted while the store is down:",
--- a/internal/cfjobentry/appends.go
+++ b/internal/cfjobentry/appends.go
@@ -94,6 +94,10 @@
 	}
 	begun := a.Clock.Now()
 	err := a.append(ctx, records)
+	if err == nil {
+		a.tell(ctx, accepted{records: records})
+		a.relay.announce(records)
+	}
 	a.Scope.Timer("submission_append").Record(a.Clock.Since(begun))
 	for _, s := range batch {
 		s.reply <- err
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -77,6 +77,7 @@
 			c.handle(ctx, ev)
 			c.drain(ctx)
 		}
+		c.leads.Store(c.plan != nil)
 		c.lead(ctx)
 		c.pollPeers()
 		c.decide(ctx)
@@ -101,6 +102,10 @@
 		c.restored(ctx, ev)
 	case followed:
 		c.followed(ctx, ev)
+	case accepted:
+		for _, r := range ev.records {
+			c.apply(ctx, r)
+		}
 	case lookup:
 		c.lookup(ev)
 	case count:
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -56,8 +56,10 @@
 	config   atomic.Pointer[cfjob.Config]
 	// synced is set once the whole store has been read, leaving by a shutdown, and
 	// storeDown while the store does not answer this entry.
-	synced    atomic.Bool
-	leaving   atomic.Bool
+	synced  atomic.Bool
+	leaving atomic.Bool
+	// leads is set while this entry is the planner.
+	leads     atomic.Bool
 	storeDown atomic.Bool
 	leave     chan struct{}
 	leaveOne  sync.Once
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -25,6 +25,8 @@
 		// applied is closed when the page has been applied, where it is not nil.
 		applied chan struct{}
 	}
+	// accepted are records that are in the store, which this entry may not have read yet.
+	accepted struct{ records []cfcore.KeyedRecord }
 	// lookup asks for the state of a job.
 	lookup struct {
 		id    string
@@ -72,6 +74,7 @@
 
 func (restored) isEvent()   {}
 func (followed) isEvent()   {}
+func (accepted) isEvent()   {}
 func (lookup) isEvent()     {}
 func (count) isEvent()      {}
 func (configured) isEvent() {}
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -93,6 +93,8 @@
 // message was about that.
 func (e *Entry) relayed(ctx context.Context, conn *cfwire.Conn, m *cfwire.Message) bool {
 	switch {
+	case m.JobAccepted != nil:
+		e.tell(ctx, accepted{records: m.JobAccepted.Records})
 	case m.JobAppend != nil:
 		e.relay.serve(ctx, conn, m.JobAppend)
 	case m.JobAppendAnswer != nil:
--- a/internal/cfjobentry/relay.go
+++ b/internal/cfjobentry/relay.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// announce tells the planner of records that are in the store, so that it can act on
+// them before it reads them: it may be the one that the store turns away. The planner
+// has no need to tell the others.
+func (r *relay) announce(records []cfcore.KeyedRecord) {
+	if r.leads.Load() {
+		return
+	}
+	r.mu.Lock()
+	conns := slices.Collect(maps.Keys(r.conns))
+	r.mu.Unlock()
+	for _, conn := range conns {
+		if err := conn.Send(&cfwire.Message{JobAccepted: &cfwire.JobAccepted{Records: records}}); err != nil {
+			r.Log.Debug().Err(err).Str("Entry", conn.Peer().Name).Msg("accepted records not sent to the planner")
+		}
+	}
+}
+
 // ask asks one entry, and returns why it did not add the records; empty where it did.
 func (r *relay) ask(ctx context.Context, conn *cfwire.Conn, records []cfcore.KeyedRecord) cfcore.StoreKind {
 	answer := make(chan cfcore.StoreKind, 1)
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -103,6 +103,12 @@
 	Resigned bool `cbor:",omitempty"`
 }
 
+// JobAccepted tells the planner what another entry has added to the store for its
+// callers.
+type JobAccepted struct {
+	Records []cfcore.KeyedRecord
+}
+
 // JobAppend asks another entry to add records to the store.
 type JobAppend struct {
 	Seq     uint64
