--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
@@ -34,6 +35,10 @@
 
 var program string
 
+// key is the key that the processes share. Each run of the tests has its own:
+// processes that an interrupted run left behind have the same addresses, and would join.
+var key = uuid.NewString()
+
 var _ = BeforeSuite(func() {
 	var err error
 	program, err = gexec.Build("cranberryford/cmd/cranberryford")
@@ -136,7 +141,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		f.end = append(f.end, func() { _ = out.Close() })
 		cmd := exec.Command(program, role, "-settings", file)
-		cmd.Env = append(os.Environ(), "CRANBERRYFORD_KEY=a-key-for-tests-only")
+		cmd.Env = append(os.Environ(), "CRANBERRYFORD_KEY="+key)
 		s, err := gexec.Start(cmd, out, out)
 		Expect(err).NotTo(HaveOccurred())
 		return s
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -145,6 +145,24 @@
 		Eventually(p.session, 8*time.Second).Should(gexecExit())
 		p.restart()
 	}),
+	Entry("all entries are told to end, one after the other", func(f *fleet) {
+		for _, p := range f.entries {
+			p.signal(syscall.SIGTERM)
+			Eventually(p.session, 8*time.Second).Should(gexecExit())
+			p.restart()
+			Eventually(func() int { return f.get(p.ready, "/readiness") }, 5*time.Second, 20*time.Millisecond).Should(Equal(200))
+		}
+	}),
+	Entry("all agents are told to end, one after the other, twice", func(f *fleet) {
+		for range 2 {
+			for _, p := range f.agents {
+				p.signal(syscall.SIGTERM)
+				Eventually(p.session, 5*time.Second).Should(gexecExit())
+				p.restart()
+				time.Sleep(400 * time.Millisecond)
+			}
+		}
+	}),
 	Entry("all processes are killed", func(f *fleet) {
 		for _, p := range append(f.entries, f.agents...) {
 			p.kill()
--- a/internal/cfdriver/cli.go
+++ b/internal/cfdriver/cli.go
@@ -49,6 +49,3 @@
 	Expect(err).NotTo(HaveOccurred())
 	return string(data)
 }
-
-// SharedKey is the key that the processes of a test share.
-const SharedKey = sharedKey
--- a/internal/cfdriver/cluster.go
+++ b/internal/cfdriver/cluster.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
@@ -35,10 +36,14 @@
 	standinPath string
 )
 
+// SharedKey is the key that the processes of a test share. Each run of the tests has its
+// own: processes that an interrupted run left behind have the same addresses, and would
+// join.
+var SharedKey = uuid.NewString()
+
 const (
-	sharedKey = "a-shared-key-for-tests-only"
-	token     = "a-token-for-tests-only"
-	operator  = "alice"
+	token    = "a-token-for-tests-only"
+	operator = "alice"
 )
 
 // Proc is one process under test.
@@ -157,7 +162,7 @@
 	if s.Lease != "" {
 		c.lease = `"Lease": ` + s.Lease + ","
 	}
-	Expect(os.WriteFile(c.path("key"), []byte(sharedKey), 0o600)).To(Succeed())
+	Expect(os.WriteFile(c.path("key"), []byte(SharedKey), 0o600)).To(Succeed())
 	DeferCleanup(c.reportLogs)
 	c.startPlatform()
 	for i := range s.Entries {
