The planner tells entries of progress; reads of the store no longer follow each record

Change: progress that is on record goes to the other entries over the inner connections and is applied at once; after a read with records a settled entry pauses 100 ms (none while it may have to take over); the configuration is waited for 1 s a read. Progress has a stamp: an older record that is read after a newer one was told changes nothing. An entry now tells its address when it connects.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -127,6 +127,9 @@
 	return f
 }
 
+// reads returns the number of reads of the store so far.
+func (f *fleet) reads() int { return f.store.Calls("/log-read") }
+
 func (f *fleet) configure(version int) {
 	_, err := f.store.Append(context.Background(), operatorTopic, operatorRecord(fmt.Sprintf(config, version)), noOptions)
 	Expect(err).NotTo(HaveOccurred())
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -260,6 +260,22 @@
 	Entry("another entry, silence", false, standin.Silent),
 )
 
+var _ = It("makes no more reads of the store for more jobs", func() {
+	f := newFleet(3, 2)
+	Expect(f.submit(1000, oneStep(1, "1ms"))).To(BeTrue())
+	f.completes(1000, 5*time.Second)
+	const playTime = 4 * time.Second
+	reads := f.reads()
+	stop := make(chan struct{})
+	accepted := f.load(1, stop)
+	time.Sleep(playTime)
+	close(stop)
+	Expect(len(<-accepted)).To(BeNumerically(">", 40))
+	// A read of the jobs each 100 ms at most, and one of the configuration each second.
+	perEntry := int(playTime/(100*time.Millisecond)) + int(playTime/time.Second) + 1
+	Expect(f.reads() - reads).To(BeNumerically("<=", len(f.entries)*perEntry))
+})
+
 var _ = It("starts what other entries accept while the store leaves the planner without answers", func() {
 	f := newFleet(3, 2)
 	Expect(f.submit(100, oneStep(4, "1ms"))).To(BeTrue())
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -78,6 +78,7 @@
 			c.drain(ctx)
 		}
 		c.leads.Store(c.plan != nil)
+		c.settled.Store(c.plan != nil || !c.claiming && c.Clock.Since(c.heard) < c.cfg.Planning.Silence/2)
 		c.lead(ctx)
 		c.pollPeers()
 		c.decide(ctx)
@@ -113,7 +114,7 @@
 	case configured:
 		c.configured(ev.config)
 	case kept:
-		c.kept(ev)
+		c.kept(ctx, ev)
 	case claimed:
 		c.claiming = false
 		if ev.err != nil {
@@ -257,7 +258,7 @@
 		}
 	}
 	slices.SortFunc(addrs, netip.AddrPort.Compare)
-	c.relay.addresses.Store(&addrs)
+	c.relay.recorded.Store(&addrs)
 }
 
 func (c *control) send(l *link, m *cfwire.Message) {
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -59,7 +59,9 @@
 	synced  atomic.Bool
 	leaving atomic.Bool
 	// leads is set while this entry is the planner.
-	leads     atomic.Bool
+	leads atomic.Bool
+	// settled is set while this entry is the planner or hears it.
+	settled   atomic.Bool
 	storeDown atomic.Bool
 	leave     chan struct{}
 	leaveOne  sync.Once
--- a/internal/cfjobentry/follow.go
+++ b/internal/cfjobentry/follow.go
@@ -17,6 +17,16 @@
 // balancer for no more requests.
 const downAfter = 700 * time.Millisecond
 
+// followPause is the pause after a read that returned records, so that the number of
+// calls does not grow with the number of records: entries tell the planner of what they
+// accept, and the planner tells them of progress. An entry that may have to take over
+// reads without a pause.
+const followPause = 100 * time.Millisecond
+
+// configWait is how long a read waits for another configuration. It bounds the time that
+// a silent connection delays one; the platform allows 2 s and more for that.
+const configWait = time.Second
+
 // follow reads the whole store and then what is added to it.
 func (c *control) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -74,6 +84,12 @@
 		c.storeAnswered()
 		c.tell(ctx, followed{from: next, page: page, asked: asked})
 		next = page.Next
+		if len(page.Records) > 0 && c.settled.Load() {
+			select {
+			case <-ctx.Done():
+			case <-c.Clock.After(followPause):
+			}
+		}
 	}
 }
 
@@ -140,7 +156,7 @@
 }
 
 func (e *Entry) awaitConfig(ctx context.Context, topic cfcore.Topic, next int64) (int64, error) {
-	page, err := e.Store.Read(ctx, topic, next, e.cfg.StoreTimeout.Wait)
+	page, err := e.Store.Read(ctx, topic, next, configWait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 		switch {
 		case m.JobReport != nil:
 			e.tell(ctx, reported{link: l, report: m.JobReport})
+		case m.JobEntries != nil:
+			e.relay.heardFrom(l.name, m.JobEntries.Addresses)
 		case m.JobPollAnswer != nil:
 			e.tell(ctx, answered{link: l, answer: m.JobPollAnswer})
 		default:
@@ -76,6 +79,9 @@
 
 func (e *Entry) watchConn(ctx context.Context, conn *cfwire.Conn, epoch cfcore.Epoch) {
 	defer e.relay.join(conn)()
+	if err := conn.Send(&cfwire.Message{JobEntries: &cfwire.JobEntries{Addresses: []netip.AddrPort{e.cfg.Inner}}}); err != nil {
+		e.Log.Debug().Err(err).Str("Entry", conn.Peer().Name).Msg("own address not sent")
+	}
 	cfwire.Serve(ctx, conn, e.Clock, e.cfg.Beat, e.cfg.Suspect, func(ctx context.Context, m *cfwire.Message) {
 		switch {
 		case m.JobEntries != nil && m.JobEntries.Resigned:
@@ -93,8 +99,8 @@
 // message was about that.
 func (e *Entry) relayed(ctx context.Context, conn *cfwire.Conn, m *cfwire.Message) bool {
 	switch {
-	case m.JobAccepted != nil:
-		e.tell(ctx, accepted{records: m.JobAccepted.Records})
+	case m.JobRecords != nil:
+		e.tell(ctx, accepted{records: m.JobRecords.Records})
 	case m.JobAppend != nil:
 		e.relay.serve(ctx, conn, m.JobAppend)
 	case m.JobAppendAnswer != nil:
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -47,7 +47,9 @@
 
 // factBatch is one append of facts. It is repeated as it is until its outcome is known.
 type factBatch struct {
-	records  []cfcore.KeyedRecord
+	records []cfcore.KeyedRecord
+	// progress are those of the records that entries can be told of.
+	progress []cfcore.KeyedRecord
 	seen     []cfdispatch.Seen
 	agents   []string
 	sequence uint64
@@ -55,6 +57,12 @@
 	retryAt  time.Time
 }
 
+// stampBits is the number of bits of a stamp below the epoch.
+const stampBits = 32
+
+// stamp returns a number that is greater than that of any facts before.
+func (p *planning) stamp() uint64 { return uint64(p.epoch)<<stampBits | p.sequence }
+
 func (b *factBatch) has(agent string) bool { return b != nil && slices.Contains(b.agents, agent) }
 
 // lead claims the planner's epoch where no planner is heard.
@@ -322,26 +330,29 @@
 	facts, seen := c.plan.Facts(now, false)
 	records := c.plan.extra
 	c.plan.extra = nil
+	var progress []cfcore.KeyedRecord
 	for _, f := range facts {
+		f.Progress.Stamp = c.plan.stamp()
 		r, err := c.codec.Progress(f.ID, f.Progress)
 		if err != nil {
 			c.Log.Error().Err(err).Str("Job", f.ID).Msg("progress cannot be encoded")
 			continue
 		}
-		records = append(records, r)
+		progress = append(progress, r)
 	}
+	records = append(records, progress...)
 	if len(records) == 0 {
 		c.plan.Noted(seen)
 		return nil
 	}
-	b := &factBatch{records: records, seen: seen, agents: c.plan.recording, sequence: c.plan.sequence}
+	b := &factBatch{records: records, progress: progress, seen: seen, agents: c.plan.recording, sequence: c.plan.sequence}
 	c.plan.recording = nil
 	c.plan.sequence++
 	return b
 }
 
 // kept takes in the outcome of an append of facts.
-func (c *control) kept(ev kept) {
+func (c *control) kept(ctx context.Context, ev kept) {
 	if c.plan == nil || c.plan.epoch != ev.epoch || c.plan.pending == nil {
 		return
 	}
@@ -355,6 +366,7 @@
 			c.plan.Recorded(agent)
 		}
 		c.plan.pending = nil
+		c.share(ctx, b.progress)
 	case cferror.Is(ev.err, cfcore.StoreFenced):
 		c.Log.Warn().Uint64("Epoch", uint64(ev.epoch)).Msg("no longer the planner: the store has fenced this epoch")
 		c.plan = nil
@@ -367,6 +379,23 @@
 	}
 }
 
+// share applies records that are in the store, and tells the other entries of them, so
+// that callers see an outcome before the entry that they ask has read it.
+func (c *control) share(ctx context.Context, records []cfcore.KeyedRecord) {
+	if len(records) == 0 {
+		return
+	}
+	for _, r := range records {
+		c.apply(ctx, r)
+	}
+	m := &cfwire.Message{JobRecords: &cfwire.JobRecords{Records: records}}
+	for l := range c.links {
+		if l.conn.Peer().Role == cfwire.RolePeer {
+			c.send(l, m)
+		}
+	}
+}
+
 // resign ends this entry's time as the planner, so that another one can begin
 // without waiting.
 func (c *control) resign(reason string) {
--- a/internal/cfjobentry/relay.go
+++ b/internal/cfjobentry/relay.go
@@ -21,6 +21,8 @@
 	// relayKeep is how long a connection is kept that was opened for records; outages of
 	// the store last seconds.
 	relayKeep = 30 * time.Second
+	// maxTold bounds the addresses that are kept of entries that have connected.
+	maxTold = 64
 	// relaySlots bounds the appends that an entry makes for others at the same time.
 	relaySlots = 16
 )
@@ -39,15 +41,18 @@
 	waiting map[uint64]chan cfcore.StoreKind
 	// slots holds a value for each append that is under way for another entry.
 	slots chan struct{}
-	// addresses are those of the other entries on record, and wanted asks for a
-	// connection to one of them.
-	addresses atomic.Pointer[[]netip.AddrPort]
-	wanted    chan struct{}
+	// recorded are the addresses of the other entries on record, and told those that
+	// entries gave when they connected, by name. An entry that is cut from the store as
+	// it starts has read no records of others.
+	recorded atomic.Pointer[[]netip.AddrPort]
+	told     map[string]netip.AddrPort
+	// wanted asks for a connection to an entry.
+	wanted chan struct{}
 }
 
 func newRelay(e *Entry) *relay {
 	return &relay{
-		Entry: e, conns: map[*cfwire.Conn]bool{}, waiting: map[uint64]chan cfcore.StoreKind{},
+		Entry: e, conns: map[*cfwire.Conn]bool{}, waiting: map[uint64]chan cfcore.StoreKind{}, told: map[string]netip.AddrPort{},
 		slots: make(chan struct{}, relaySlots), joined: make(chan struct{}), wanted: make(chan struct{}, 1),
 	}
 }
@@ -108,6 +113,25 @@
 	}
 }
 
+// heardFrom takes in where an entry that has connected can be reached.
+func (r *relay) heardFrom(name string, addrs []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(addrs) > 0 && len(r.told) < maxTold {
+		r.told[name] = addrs[0]
+	}
+}
+
+// addresses returns where other entries may be reached.
+func (r *relay) addresses() []netip.AddrPort {
+	if addrs := r.recorded.Load(); addrs != nil && len(*addrs) > 0 {
+		return *addrs
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.SortedFunc(maps.Values(r.told), netip.AddrPort.Compare)
+}
+
 // run opens a connection to another entry whenever one is wanted: an entry that was
 // the planner has none once another one is.
 func (r *relay) run(ctx context.Context) error {
@@ -118,12 +142,12 @@
 			return ctx.Err()
 		case <-r.wanted:
 		}
-		addrs := r.addresses.Load()
-		if addrs == nil || len(*addrs) == 0 {
+		addrs := r.addresses()
+		if len(addrs) == 0 {
 			continue
 		}
 		next++
-		addr := (*addrs)[next%len(*addrs)]
+		addr := addrs[next%len(addrs)]
 		conn, closeConn, err := cfwire.Dial(ctx, addr, r.wireOptions(cfwire.RolePeer))
 		if err != nil {
 			r.Log.Warn().Err(err).Str("Entry", addr.String()).Msg("no connection to another entry")
@@ -147,7 +171,7 @@
 	conns := slices.Collect(maps.Keys(r.conns))
 	r.mu.Unlock()
 	for _, conn := range conns {
-		if err := conn.Send(&cfwire.Message{JobAccepted: &cfwire.JobAccepted{Records: records}}); err != nil {
+		if err := conn.Send(&cfwire.Message{JobRecords: &cfwire.JobRecords{Records: records}}); err != nil {
 			r.Log.Debug().Err(err).Str("Entry", conn.Peer().Name).Msg("accepted records not sent to the planner")
 		}
 	}
--- a/pkg/cfjob/book.go
+++ b/pkg/cfjob/book.go
@@ -81,7 +81,21 @@
 	case prefixCancel:
 		return decodeInto(b.codec, &e.Cancelled, value)
 	}
-	return decodeInto(b.codec, &e.Progress, value)
+	return b.applyProgress(e, value)
+}
+
+// applyProgress keeps the newest progress of a job. The planner tells entries of it
+// before they read it, so that an older one may come after it.
+func (b *Book) applyProgress(e *Entry, value []byte) error {
+	var p *Progress
+	if err := decodeInto(b.codec, &p, value); err != nil {
+		return err
+	}
+	if p != nil && e.Progress != nil && p.Stamp < e.Progress.Stamp {
+		return nil
+	}
+	e.Progress = p
+	return nil
 }
 
 // applySubmission keeps the first submission of a job; a repeated one changes nothing.
--- a/pkg/cfjob/job_test.go
+++ b/pkg/cfjob/job_test.go
@@ -117,6 +117,17 @@
 	s.Expect(s.book.Jobs).To(BeEmpty())
 }
 
+// Entries are told of progress before they read it; what they read then is older.
+func TestOlderProgressChangesNothing(t *testing.T) {
+	s := newStory(t)
+	s.apply(s.codec.Job(valid()))
+	s.apply(s.codec.Progress(id, &cfjob.Progress{Stamp: 2, Outcome: cfjob.OutcomeCompleted}))
+	s.apply(s.codec.Progress(id, &cfjob.Progress{Stamp: 1, Started: true}))
+	s.Expect(s.state()).To(Equal(cfjob.StateCompleted))
+	s.apply(s.codec.Progress(id, &cfjob.Progress{Stamp: 3, Outcome: cfjob.OutcomeFailed}))
+	s.Expect(s.state()).To(Equal(cfjob.StateFailed))
+}
+
 func TestOnlyNewerClaimsCount(t *testing.T) {
 	s := newStory(t)
 	s.Expect(s.apply(s.codec.Claim(&cfjob.Claim{Epoch: 2, Instance: "a"})).Planner).To(BeTrue())
--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -47,6 +47,8 @@
 // Progress is what has to last of a job after it was accepted. Only the planner
 // writes it.
 type Progress struct {
+	// Stamp orders the records of a job: a later one has a greater stamp.
+	Stamp   uint64 `cbor:",omitempty"`
 	Started bool
 	Outcome Outcome `cbor:",omitempty"`
 	// Ended is when the job got its outcome.
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -103,9 +103,9 @@
 	Resigned bool `cbor:",omitempty"`
 }
 
-// JobAccepted tells the planner what another entry has added to the store for its
-// callers.
-type JobAccepted struct {
+// JobRecords tells of records that are in the store: the planner of what an entry has
+// added for its callers, and entries of progress that the planner has added.
+type JobRecords struct {
 	Records []cfcore.KeyedRecord
 }
 
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -31,7 +31,7 @@
 	JobEntries      *JobEntries      `cbor:",omitempty"`
 	JobPoll         *JobPoll         `cbor:",omitempty"`
 	JobPollAnswer   *JobPollAnswer   `cbor:",omitempty"`
-	JobAccepted     *JobAccepted     `cbor:",omitempty"`
+	JobRecords      *JobRecords      `cbor:",omitempty"`
 	JobAppend       *JobAppend       `cbor:",omitempty"`
 	JobAppendAnswer *JobAppendAnswer `cbor:",omitempty"`
 }
