Lasting fillers do not wait in turn

Cause, found on reading: the bound on crowding held for fillers that last too, and only a job with nothing running was let past it; the platform takes each lasting task for lost when it has not run for 6 s beside room. No deployment at hand has such tasks. Change: only fillers that end wait. Test: TestLastingFillersDoNotWaitInTurn, failed before.

--- a/pkg/cfdispatch/harm_test.go
+++ b/pkg/cfdispatch/harm_test.go
@@ -300,3 +300,14 @@
 	// not wait for the others.
 	h.Expect(onTime).To(BeNumerically(">=", (fleetTime*objective-jobs*taskTime)/(width*taskTime)))
 }
+
+// The platform takes a task that lasts for lost when it has not run for 6 s beside room,
+// whether others of its job run or not.
+func TestLastingFillersDoNotWaitInTurn(t *testing.T) {
+	h := newHarmPlay(t, 1)
+	lasting := filler("x", 20)
+	lasting.LongRunning = true
+	h.submit("x", lasting)
+	h.play()
+	h.Expect(h.runs["w0"]).To(HaveLen(20))
+}
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -92,7 +92,7 @@
 		}
 		w := p.choose(now, t)
 		if w == nil {
-			if t.step.Filler {
+			if t.waitsInTurn() {
 				t.j.starve(now)
 				return
 			}
@@ -106,6 +106,10 @@
 	}
 }
 
+// waitsInTurn reports whether the task waits where fillers would crowd. One that lasts
+// would wait for others that last.
+func (t *task) waitsInTurn() bool { return t.step.Filler && !t.step.LongRunning }
+
 // starveAfter is how long a job of fillers may have nothing running because of others;
 // the platform lets a job wait for 3 s beside room for it.
 const starveAfter = 1500 * time.Millisecond
@@ -180,7 +184,7 @@
 // which memory is no bound. Side by side all of them would be late; in turn those come
 // through that the fleet has time for.
 func (p *Planner) allowed(now time.Time, t *task, w *worker) bool {
-	if t.step.Filler && w.crowd(t) > maxCrowd && !t.j.starved(now) {
+	if t.waitsInTurn() && w.crowd(t) > maxCrowd && !t.j.starved(now) {
 		return false
 	}
 	return p.suitable(now, t, w) && w.used.Add(w.reserved).Add(t.step.Room()).Fits(w.state.Capacity)
