A silent store is noticed by the first call that it leaves unanswered

In a silent outage each append takes 1 s and one more through another entry; submissions that came meanwhile waited behind it for as long, and the entry took the store for down only after two reads of 1.4 s had failed. Change: an append without an answer, with no other answer of the store for 0.7 s, makes the entry take the store for down; what waits is refused at once, and truly, since it was never sent.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -260,6 +260,29 @@
 	Entry("another entry, silence", false, standin.Silent),
 )
 
+var _ = It("answers each of many submissions before its caller's time is over while the store is silent", func() {
+	f := newFleet(3, 2)
+	f.store.SetFault(func(*http.Request) standin.Fault { return standin.Silent })
+	const callers = 30
+	answered := make(chan time.Duration, callers)
+	for n := range callers {
+		go func() {
+			defer GinkgoRecover()
+			// Callers come one after the other, as the outage goes on.
+			time.Sleep(time.Duration(n) * 50 * time.Millisecond)
+			begun := time.Now()
+			status, _ := f.call(0, http.MethodPost, queuePrefix+jobID(n+1), oneStep(1, "1ms"))
+			Expect(status).To(Or(Equal(503), Equal(504)))
+			answered <- time.Since(begun)
+		}()
+	}
+	// One try of a second, one through another entry, and some time of the process.
+	for range callers {
+		Expect(<-answered).To(BeNumerically("<", 2500*time.Millisecond))
+	}
+	f.store.SetFault(healthy)
+})
+
 var _ = It("makes no more reads of the store for more jobs", func() {
 	f := newFleet(3, 2)
 	Expect(f.submit(1000, oneStep(1, "1ms"))).To(BeTrue())
--- a/internal/cfjobentry/appends.go
+++ b/internal/cfjobentry/appends.go
@@ -136,9 +136,22 @@
 	_, err := a.Store.Append(ctx, a.topic, records, cfcore.AppendOptions{})
 	if err != nil {
 		a.Log.Warn().Err(err).Int("Records", len(records)).Msg("append of submissions failed")
+		a.suspectStore(err)
 	}
 	return err
 }
 
+// suspectStore takes the store for down where no call was answered lately, reads
+// included: the records that wait behind the one that failed get their answers at once.
+// Load: a store that is silent, so that each call takes its whole time.
+func (a *appender) suspectStore(err error) {
+	if cferror.Is(err, cfcore.StoreRejected) {
+		return
+	}
+	if a.Clock.Since(time.Unix(0, a.storeAnswer.Load())) > downAfter {
+		a.noteStoreDown(err)
+	}
+}
+
 // appendPause is the pause before an append is tried again.
 const appendPause = 30 * time.Millisecond
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -63,10 +63,12 @@
 	// settled is set while this entry is the planner or hears it.
 	settled   atomic.Bool
 	storeDown atomic.Bool
-	leave     chan struct{}
-	leaveOne  sync.Once
-	resigned  chan struct{}
-	servers   []cfnet.Server
+	// storeAnswer is when the store last answered a call, in nanoseconds since 1970.
+	storeAnswer atomic.Int64
+	leave       chan struct{}
+	leaveOne    sync.Once
+	resigned    chan struct{}
+	servers     []cfnet.Server
 }
 
 // New returns an entry that listens already. The clean-up function closes the
--- a/internal/cfjobentry/follow.go
+++ b/internal/cfjobentry/follow.go
@@ -102,8 +102,8 @@
 	if c.failedSince.IsZero() {
 		c.failedSince = now
 	}
-	if now.Sub(c.failedSince) > downAfter && !c.storeDown.Swap(true) {
-		c.Log.Warn().Err(err).Msg("dependency lost: the store does not answer")
+	if now.Sub(c.failedSince) > downAfter {
+		c.noteStoreDown(err)
 	}
 	c.Scope.Counter("store_failures").Inc(1)
 	select {
@@ -112,8 +112,16 @@
 	}
 }
 
+// noteStoreDown notes that the store does not answer this entry.
+func (e *Entry) noteStoreDown(err error) {
+	if !e.storeDown.Swap(true) {
+		e.Log.Warn().Err(err).Msg("dependency lost: the store does not answer")
+	}
+}
+
 func (c *control) storeAnswered() {
 	c.failedSince = time.Time{}
+	c.storeAnswer.Store(c.Clock.Now().UnixNano())
 	if c.storeDown.Swap(false) {
 		c.Log.Info().Msg("dependency regained: the store answers")
 	}
