A configuration reaches an entry that the store turns away

Cause: an entry reads the operators' configuration from the store only.

Ruled out: pushing each configuration to all entries (256 KB to 15 entries over links of 20 Mbit/s take 1.5 s); reading it by another path of the store (it turns the machine away, not the call).

Change: polls, their answers and the first message of a connection carry versions. An entry without the store opens a connection to another one, learns of all addresses and of a newer planner from it, and follows that planner. A version that is not newer never replaces one. Dials that fail pause 50 ms.

Found by the new tests on the way: the planner resigned between hearing of a version and asking for it (asking now follows a timer, not the next poll); an entry that was cut off early knew only the dead planner's address (entries now tell all addresses).

An entry that has no configuration yet is not served by another one.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -45,6 +45,10 @@
 	// promised is until when this entry has promised not to claim an epoch.
 	promised time.Duration
 	polls    polls
+	configs  configWatch
+	// named is the newest claim that another entry has told of, and that may not have been
+	// read yet.
+	named cfjob.Claim
 
 	// ending is when jobs ended whose outcome cannot be seen yet.
 	ending map[string]time.Time
@@ -84,6 +88,11 @@
 		c.leads.Store(c.plan != nil)
 		c.settled.Store(c.plan != nil || c.book.Planner.Epoch > c.goneEpoch && c.Clock.Since(c.heard) < c.cfg.Planning.Silence/2)
 		c.lead(ctx)
+		c.askConfig()
+		if c.storeDown.Load() {
+			// Only another entry can tell of a newer configuration.
+			c.relay.want()
+		}
 		c.pollPeers()
 		c.decide(ctx)
 	}
@@ -132,12 +141,12 @@
 		c.resign("shutdown")
 		close(c.resigned)
 	default:
-		c.handlePeer(ev)
+		c.handlePeer(ctx, ev)
 	}
 }
 
 // handlePeer handles what agents and other entries do.
-func (c *control) handlePeer(ev event) {
+func (c *control) handlePeer(ctx context.Context, ev event) {
 	switch ev := ev.(type) {
 	case linkUp:
 		c.links[ev.link] = true
@@ -155,8 +164,11 @@
 		c.answerPoll(ev)
 	case answered:
 		c.polls.answered(ev, c.plan)
+		c.heardVersion(ev.link.conn, ev.answer.Config)
 	case peerGone:
 		c.goneEpoch = max(c.goneEpoch, ev.epoch)
+	case peerNamed:
+		c.plannerNamed(ctx, ev)
 	}
 }
 
@@ -245,7 +257,8 @@
 
 // greet tells an agent or an entry which entries there are, and who is the planner.
 func (c *control) greet(l *link) {
-	m := &cfwire.JobEntries{Epoch: c.book.Planner.Epoch, Planner: c.book.Planner.Address}
+	claim := c.newestClaim()
+	m := &cfwire.JobEntries{Epoch: claim.Epoch, Planner: claim.Address, Config: c.configVersion()}
 	for _, e := range c.book.Entries {
 		m.Addresses = append(m.Addresses, e.Address)
 	}
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -53,7 +53,7 @@
 	events   chan event
 	submits  *appender
 	relay    *relay
-	config   atomic.Pointer[cfjob.Config]
+	config   atomic.Pointer[configuration]
 	// synced is set once the whole store has been read, leaving by a shutdown, and
 	// storeDown while the store does not answer this entry.
 	synced  atomic.Bool
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -51,6 +51,11 @@
 	// resigned or whose process has ended.
 	peerHeard struct{ epoch cfcore.Epoch }
 	peerGone  struct{ epoch cfcore.Epoch }
+	// peerNamed is which planner and which configuration another entry knows.
+	peerNamed struct {
+		conn    *cfwire.Conn
+		entries *cfwire.JobEntries
+	}
 	// polled is a question of the planner, and answered an answer to this entry's.
 	polled struct {
 		conn *cfwire.Conn
@@ -86,6 +91,7 @@
 func (reported) isEvent()   {}
 func (peerHeard) isEvent()  {}
 func (peerGone) isEvent()   {}
+func (peerNamed) isEvent()  {}
 func (polled) isEvent()     {}
 func (answered) isEvent()   {}
 func (kept) isEvent()       {}
--- a/internal/cfjobentry/follow.go
+++ b/internal/cfjobentry/follow.go
@@ -23,10 +23,6 @@
 // reads without a pause.
 const followPause = 100 * time.Millisecond
 
-// configWait is how long a read waits for another configuration. It bounds the time that
-// a silent connection delays one; the platform allows 2 s and more for that.
-const configWait = time.Second
-
 // follow reads the whole store and then what is added to it.
 func (c *control) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -126,69 +122,3 @@
 		c.Log.Info().Msg("dependency regained: the store answers")
 	}
 }
-
-// followConfig keeps the newest configuration that operators have written.
-func (e *Entry) followConfig(ctx context.Context) error {
-	topic := cfcore.Topic{Name: e.cfg.Operators}
-	for ctx.Err() == nil {
-		next, err := e.readConfig(ctx, topic)
-		for err == nil && ctx.Err() == nil {
-			next, err = e.awaitConfig(ctx, topic, next)
-		}
-		select {
-		case <-ctx.Done():
-		case <-e.Clock.After(retryDelay):
-		}
-	}
-	return ctx.Err()
-}
-
-func (e *Entry) readConfig(ctx context.Context, topic cfcore.Topic) (int64, error) {
-	after, end := "", int64(-1)
-	for {
-		page, err := e.Store.Newest(ctx, topic, after)
-		if err != nil {
-			return 0, err
-		}
-		if end < 0 {
-			end = page.End
-		}
-		for _, r := range page.Records {
-			e.applyOperator(ctx, r)
-			after = r.Key
-		}
-		if !page.More || len(page.Records) == 0 {
-			return end, nil
-		}
-	}
-}
-
-func (e *Entry) awaitConfig(ctx context.Context, topic cfcore.Topic, next int64) (int64, error) {
-	page, err := e.Store.Read(ctx, topic, next, configWait)
-	if err != nil {
-		return 0, err
-	}
-	for _, r := range page.Records {
-		e.applyOperator(ctx, r)
-	}
-	return page.Next, nil
-}
-
-// applyOperator takes in a record of the operators. A version that is not newer
-// than the one in force changes nothing.
-func (e *Entry) applyOperator(ctx context.Context, r cfcore.KeyedRecord) {
-	if r.Key != e.ConfigKey {
-		return
-	}
-	cfg, err := e.DecodeConfig(r.Value)
-	if err != nil {
-		e.Log.Error().Err(err).Int64("Offset", r.Offset).Msg("configuration skipped: it cannot be decoded")
-		return
-	}
-	if old := e.config.Load(); old != nil && old.Version >= cfg.Version {
-		return
-	}
-	e.config.Store(cfg)
-	e.Log.Info().Uint64("Version", cfg.Version).Int("Queues", len(cfg.Queues)).Msg("configuration in force")
-	e.tell(ctx, configured{config: cfg})
-}
--- a/internal/cfjobentry/leading.go
+++ b/internal/cfjobentry/leading.go
@@ -88,6 +88,29 @@
 	c.begin(claim)
 }
 
+// newestClaim returns the newest claim that is known, read or not.
+func (c *control) newestClaim() cfjob.Claim {
+	if c.named.Epoch > c.book.Planner.Epoch {
+		return c.named
+	}
+	return c.book.Planner
+}
+
+// plannerNamed takes in which planner another entry knows. An entry that the store turns
+// away connects to one of which it has not read: that planner tells it which
+// configuration there is.
+func (c *control) plannerNamed(ctx context.Context, ev peerNamed) {
+	c.heardVersion(ev.conn, ev.entries.Config)
+	m := ev.entries
+	if m.Epoch <= c.newestClaim().Epoch || c.storeWorks() || c.plan != nil || !m.Planner.IsValid() || m.Planner == c.cfg.Inner {
+		return
+	}
+	c.Log.Info().Uint64("Epoch", uint64(m.Epoch)).Str("Planner", m.Planner.String()).Str("Entry", ev.conn.Peer().Name).Msg("another entry names a newer planner")
+	c.named = cfjob.Claim{Epoch: m.Epoch, Address: m.Planner}
+	c.watching()
+	c.startWatching(ctx, c.named)
+}
+
 // startWatching keeps a connection to the planner, until watching is called.
 func (c *control) startWatching(ctx context.Context, claim cfjob.Claim) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -56,14 +56,15 @@
 }
 
 // watch keeps a connection to the planner of a claim and tells whether it lives. A
-// planner whose port refuses connections, or that has started again, lives no more.
+// planner whose port refuses connections, or that has started again, lives no more. A
+// claim that another entry named has no instance.
 func (e *Entry) watch(ctx context.Context, claim cfjob.Claim) {
 	for ctx.Err() == nil {
 		conn, closeConn, err := cfwire.Dial(ctx, claim.Address, e.wireOptions(cfwire.RolePeer))
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			e.tell(ctx, peerGone{epoch: claim.Epoch})
-		case err == nil && string(conn.Peer().Instance) != claim.Instance:
+		case err == nil && claim.Instance != "" && string(conn.Peer().Instance) != claim.Instance:
 			e.tell(ctx, peerGone{epoch: claim.Epoch})
 			closeConn()
 		case err == nil:
@@ -86,6 +87,10 @@
 		switch {
 		case m.JobEntries != nil && m.JobEntries.Resigned:
 			e.tell(ctx, peerGone{epoch: epoch})
+		case m.JobEntries != nil:
+			e.relay.heardOf(m.JobEntries.Addresses)
+			e.tell(ctx, peerNamed{conn: conn, entries: m.JobEntries})
+			e.tell(ctx, peerHeard{epoch: epoch})
 		case m.JobPoll != nil:
 			e.tell(ctx, polled{conn: conn, poll: m.JobPoll})
 		case e.relayed(ctx, conn, m):
@@ -95,8 +100,8 @@
 	})
 }
 
-// relayed handles what another entry has to do with records, and reports whether the
-// message was about that.
+// relayed handles what another entry has to do with records and configurations, and
+// reports whether the message was about that.
 func (e *Entry) relayed(ctx context.Context, conn *cfwire.Conn, m *cfwire.Message) bool {
 	switch {
 	case m.JobRecords != nil:
@@ -105,6 +110,10 @@
 		e.relay.serve(ctx, conn, m.JobAppend)
 	case m.JobAppendAnswer != nil:
 		e.relay.answered(m.JobAppendAnswer)
+	case m.JobConfigAsk != nil:
+		e.sendConfig(conn, m.JobConfigAsk)
+	case m.JobConfig != nil:
+		e.takeConfig(ctx, conn, m.JobConfig)
 	default:
 		return false
 	}
--- a/internal/cfjobentry/polls.go
+++ b/internal/cfjobentry/polls.go
@@ -82,7 +82,7 @@
 	}
 	p.seq++
 	p.asked[p.seq], p.last = now, now
-	m := &cfwire.Message{JobPoll: &cfwire.JobPoll{Seq: p.seq, Epoch: c.plan.epoch}}
+	m := &cfwire.Message{JobPoll: &cfwire.JobPoll{Seq: p.seq, Epoch: c.plan.epoch, Config: c.configVersion()}}
 	for l := range c.links {
 		if l.conn.Peer().Role == cfwire.RolePeer {
 			c.send(l, m)
@@ -110,6 +110,7 @@
 // answerPoll answers the planner. Without the store this entry could not take over,
 // and it promises not to for a while, so that the planner can go on.
 func (c *control) answerPoll(ev polled) {
+	c.heardVersion(ev.conn, ev.poll.Config)
 	if ev.poll.Epoch < c.book.Planner.Epoch {
 		return
 	}
@@ -119,6 +120,7 @@
 	}
 	err := ev.conn.Send(&cfwire.Message{JobPollAnswer: &cfwire.JobPollAnswer{
 		Seq: ev.poll.Seq, Epoch: ev.poll.Epoch, StoreAge: c.boot() - c.confirmed, Promise: promise,
+		Config: c.configVersion(),
 	}})
 	if err != nil {
 		c.Log.Debug().Err(err).Msg("answer to the planner not sent")
--- a/internal/cfjobentry/relay.go
+++ b/internal/cfjobentry/relay.go
@@ -23,6 +23,9 @@
 	// relayKeep is how long a connection is kept that was opened for records; outages of
 	// the store last seconds.
 	relayKeep = 30 * time.Second
+	// relayPause is the pause after a connection that could not be opened. relayTimeout
+	// leaves time for several.
+	relayPause = 50 * time.Millisecond
 	// maxTold bounds the addresses that are kept of entries that have connected.
 	maxTold = 64
 	// relaySlots bounds the appends that an entry makes for others at the same time.
@@ -43,11 +46,13 @@
 	waiting map[uint64]chan cfcore.StoreKind
 	// slots holds a value for each append that is under way for another entry.
 	slots chan struct{}
-	// recorded are the addresses of the other entries on record, and told those that
-	// entries gave when they connected, by name. An entry that is cut from the store as
-	// it starts has read no records of others.
+	// recorded are the addresses of the other entries on record, told those that entries
+	// gave when they connected, by name, and named those that an entry knew when this one
+	// connected to it. An entry that is cut from the store as it starts has read no records
+	// of others.
 	recorded atomic.Pointer[[]netip.AddrPort]
 	told     map[string]netip.AddrPort
+	named    []netip.AddrPort
 	// wanted asks for a connection to an entry.
 	wanted chan struct{}
 }
@@ -93,6 +98,19 @@
 	return cferror.New("append through another entry", failure, "%d records", len(records))
 }
 
+// want asks for a connection to another entry, where there is none.
+func (r *relay) want() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.conns) > 0 {
+		return
+	}
+	select {
+	case r.wanted <- struct{}{}:
+	default:
+	}
+}
+
 // connected returns the connections to other entries. Where there is none, it waits
 // for one.
 func (r *relay) connected(ctx context.Context) []*cfwire.Conn {
@@ -103,10 +121,7 @@
 		if len(conns) > 0 {
 			return conns
 		}
-		select {
-		case r.wanted <- struct{}{}:
-		default:
-		}
+		r.want()
 		select {
 		case <-joined:
 		case <-ctx.Done():
@@ -124,14 +139,26 @@
 	}
 }
 
+// heardOf takes in where an entry says that all entries can be reached.
+func (r *relay) heardOf(addrs []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(addrs) > 0 {
+		r.named = addrs[:min(len(addrs), maxTold)]
+	}
+}
+
 // addresses returns where other entries may be reached.
 func (r *relay) addresses() []netip.AddrPort {
-	if addrs := r.recorded.Load(); addrs != nil && len(*addrs) > 0 {
-		return *addrs
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.SortedFunc(maps.Values(r.told), netip.AddrPort.Compare)
+	addrs := slices.AppendSeq(slices.Clone(r.named), maps.Values(r.told))
+	if recorded := r.recorded.Load(); recorded != nil {
+		addrs = append(addrs, *recorded...)
+	}
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	addrs = slices.Compact(addrs)
+	return slices.DeleteFunc(addrs, func(a netip.AddrPort) bool { return a == r.cfg.Inner })
 }
 
 // run opens a connection to another entry whenever one is wanted: an entry that was
@@ -153,6 +180,10 @@
 		conn, closeConn, err := cfwire.Dial(ctx, addr, r.wireOptions(cfwire.RolePeer))
 		if err != nil {
 			r.Log.Warn().Err(err).Str("Entry", addr.String()).Msg("no connection to another entry")
+			select {
+			case <-ctx.Done():
+			case <-r.Clock.After(relayPause):
+			}
 			continue
 		}
 		keep, cancel := context.WithTimeout(ctx, relayKeep)
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -80,6 +80,8 @@
 type JobPoll struct {
 	Seq   uint64
 	Epoch cfcore.Epoch
+	// Config is the version of the planner's configuration.
+	Config uint64
 }
 
 // JobPollAnswer is what another entry answers.
@@ -91,6 +93,8 @@
 	// Promise is set where the store does not answer the other entry. It then promises
 	// not to claim an epoch for the settings' Lease.Promise.
 	Promise bool
+	// Config is the version of the other entry's configuration.
+	Config uint64
 }
 
 // JobEntries tells an agent or a peer which entries there are.
@@ -99,6 +103,8 @@
 	// Epoch and Planner are the newest claim that the sender knows.
 	Epoch   cfcore.Epoch
 	Planner netip.AddrPort
+	// Config is the version of the sender's configuration.
+	Config uint64
 	// Resigned is set when the sender was the planner of Epoch and is no longer.
 	Resigned bool `cbor:",omitempty"`
 }
@@ -121,3 +127,14 @@
 	// Failure is empty where the records are in the store.
 	Failure cfcore.StoreKind `cbor:",omitempty"`
 }
+
+// JobConfigAsk asks another entry for its configuration, where that is newer than a
+// version.
+type JobConfigAsk struct {
+	Above uint64
+}
+
+// JobConfig is the sender's configuration, as operators have written it to the store.
+type JobConfig struct {
+	Value []byte
+}
--- a/pkg/cfwire/messages.go
+++ b/pkg/cfwire/messages.go
@@ -34,6 +34,8 @@
 	JobRecords      *JobRecords      `cbor:",omitempty"`
 	JobAppend       *JobAppend       `cbor:",omitempty"`
 	JobAppendAnswer *JobAppendAnswer `cbor:",omitempty"`
+	JobConfigAsk    *JobConfigAsk    `cbor:",omitempty"`
+	JobConfig       *JobConfig       `cbor:",omitempty"`
 }
 
 // Challenge is the first message of either end.
