--- a/integration/jobs/config_test.go
+++ b/integration/jobs/config_test.go
@@ -65,6 +65,17 @@
 	Entry("another entry, silence", false, standin.Silent),
 )
 
+var _ = It("gets a large configuration in parts without the store", func() {
+	f := newFleet(3, 1)
+	e := (f.planner() + 1) % len(f.entries)
+	f.turnAway(e, standin.Reset)
+	moved := strings.Replace(fmt.Sprintf(config, 2), queuePrefix, "/moved/", 1)
+	moved = strings.Replace(moved, "{", `{"Unknown":"`+strings.Repeat("x", 200<<10)+`",`, 1)
+	_, err := f.store.Append(context.Background(), operatorTopic, operatorRecord(moved), noOptions)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(f.knows(e), configTime, 20*time.Millisecond).Should(Equal(http.StatusNotFound))
+})
+
 var _ = It("gets a newer configuration without the store also after the planner that it knew was lost", func() {
 	f := newFleet(4, 1)
 	p := f.planner()
--- a/internal/cfjobentry/config.go
+++ b/internal/cfjobentry/config.go
@@ -18,9 +18,13 @@
 	// before it asks the entry that has it. A read takes 10 ms, and 250 ms while the store
 	// is slow; the platform allows 2 s and more until a configuration is in force.
 	configPatience = 500 * time.Millisecond
-	// configAskEvery is the time after which a configuration that has not come is asked for
-	// again. It may have up to 256 KB, and a link 10 Mbit/s.
+	// configAskEvery is the time after which a part that has not come is asked for again.
 	configAskEvery = time.Second
+	// configPartBytes bounds a part: it takes 66 ms over a link of 2 Mbit/s, so that the
+	// messages behind it are not taken for the silence of a lost connection.
+	configPartBytes = 16 << 10
+	// maxConfigBytes bounds a whole configuration; the platform allows 256 KB.
+	maxConfigBytes = 1 << 20
 )
 
 // configuration is the operators' configuration with the record that it came in.
@@ -38,16 +42,25 @@
 	since  time.Time
 	// asked is when another entry was last asked for its configuration.
 	asked time.Time
+	// value is what has come of the configuration version.
+	version uint64
+	value   []byte
 }
 
 // followConfig keeps the newest configuration that operators have written.
 func (e *Entry) followConfig(ctx context.Context) error {
 	topic := cfcore.Topic{Name: e.cfg.Operators}
+	failing := false
 	for ctx.Err() == nil {
 		next, err := e.readConfig(ctx, topic)
 		for err == nil && ctx.Err() == nil {
+			failing = false
 			next, err = e.awaitConfig(ctx, topic, next)
 		}
+		if !failing && ctx.Err() == nil {
+			failing = true
+			e.Log.Warn().Err(err).Uint64("Version", e.configVersion()).Msg("configuration not read; trying again")
+		}
 		select {
 		case <-ctx.Done():
 		case <-e.Clock.After(retryDelay):
@@ -134,24 +147,19 @@
 	return 0
 }
 
-// sendConfig answers another entry that asks for a newer configuration than it has.
+// sendConfig sends another entry the part of the configuration that it asks for.
 func (e *Entry) sendConfig(conn *cfwire.Conn, ask *cfwire.JobConfigAsk) {
 	cfg := e.config.Load()
-	if cfg == nil || cfg.Version <= ask.Above {
+	if cfg == nil || cfg.Version <= ask.Above || ask.From < 0 || ask.From > len(cfg.value) {
 		return
 	}
-	if err := conn.Send(&cfwire.Message{JobConfig: &cfwire.JobConfig{Value: cfg.value}}); err != nil {
+	part := cfg.value[ask.From:min(ask.From+configPartBytes, len(cfg.value))]
+	m := &cfwire.JobConfig{Version: cfg.Version, From: ask.From, Size: len(cfg.value), Part: part}
+	if err := conn.Send(&cfwire.Message{JobConfig: m}); err != nil {
 		e.Log.Warn().Err(err).Str("Entry", conn.Peer().Name).Uint64("Version", cfg.Version).Msg("configuration not sent to another entry")
 	}
 }
 
-// takeConfig takes in the configuration of another entry.
-func (e *Entry) takeConfig(ctx context.Context, conn *cfwire.Conn, m *cfwire.JobConfig) {
-	if err := e.configure(ctx, m.Value, conn.Peer().Name); err != nil {
-		e.Log.Error().Err(err).Str("Entry", conn.Peer().Name).Msg("configuration of another entry skipped: it cannot be decoded")
-	}
-}
-
 // heardVersion takes in which version of the configuration another entry has in force.
 // Only versions are told unasked, since a configuration may have 256 KB.
 func (c *control) heardVersion(conn *cfwire.Conn, version uint64) {
@@ -172,9 +180,43 @@
 	if w.newest <= have || now.Sub(w.since) < configPatience || now.Sub(w.asked) < configAskEvery {
 		return
 	}
-	w.asked = now
-	c.Log.Info().Str("Entry", w.holder.Peer().Name).Uint64("Have", have).Uint64("Version", w.newest).Msg("asking another entry for its newer configuration")
-	if err := w.holder.Send(&cfwire.Message{JobConfigAsk: &cfwire.JobConfigAsk{Above: have}}); err != nil {
-		c.Log.Debug().Err(err).Str("Entry", w.holder.Peer().Name).Msg("other entry not asked")
+	c.Log.Info().Str("Entry", w.holder.Peer().Name).Uint64("Have", have).Uint64("Version", w.newest).Int("Bytes", len(w.value)).Msg("asking another entry for its newer configuration")
+	c.askPart(w.holder, have)
+}
+
+func (c *control) askPart(conn *cfwire.Conn, have uint64) {
+	w := &c.configs
+	w.asked = c.Clock.Now()
+	if err := conn.Send(&cfwire.Message{JobConfigAsk: &cfwire.JobConfigAsk{Above: have, From: len(w.value)}}); err != nil {
+		c.Log.Debug().Err(err).Str("Entry", conn.Peer().Name).Msg("other entry not asked")
+	}
+}
+
+// takeConfig takes in a part of another entry's configuration, and asks for the next one.
+// A part that does not follow on what is there has come twice.
+func (c *control) takeConfig(ctx context.Context, ev configPart) {
+	have, m, w := c.configVersion(), ev.part, &c.configs
+	if m.Version <= have || m.Version < w.version || m.Size > maxConfigBytes {
+		return
+	}
+	if m.Version > w.version {
+		w.version, w.value = m.Version, nil
+		if m.From > 0 {
+			c.askPart(ev.conn, have)
+			return
+		}
+	}
+	if m.From != len(w.value) {
+		return
+	}
+	w.value = append(w.value, m.Part...)
+	if len(w.value) < m.Size {
+		c.askPart(ev.conn, have)
+		return
+	}
+	value := w.value
+	w.value = nil
+	if err := c.configure(ctx, value, ev.conn.Peer().Name); err != nil {
+		c.Log.Error().Err(err).Str("Entry", ev.conn.Peer().Name).Uint64("Version", m.Version).Msg("configuration of another entry skipped: it cannot be decoded")
 	}
 }
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -167,6 +167,8 @@
 		c.heardVersion(ev.link.conn, ev.answer.Config)
 	case peerGone:
 		c.goneEpoch = max(c.goneEpoch, ev.epoch)
+	case configPart:
+		c.takeConfig(ctx, ev)
 	case peerNamed:
 		c.plannerNamed(ctx, ev)
 	}
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -39,6 +39,11 @@
 	}
 	// configured is a newer configuration.
 	configured struct{ config *cfjob.Config }
+	// configPart is a part of another entry's configuration.
+	configPart struct {
+		conn *cfwire.Conn
+		part *cfwire.JobConfig
+	}
 	// linkUp and linkDown are the beginning and the end of an agent's connection.
 	linkUp   struct{ link *link }
 	linkDown struct{ link *link }
@@ -85,6 +90,7 @@
 func (accepted) isEvent()   {}
 func (lookup) isEvent()     {}
 func (count) isEvent()      {}
+func (configPart) isEvent() {}
 func (configured) isEvent() {}
 func (linkUp) isEvent()     {}
 func (linkDown) isEvent()   {}
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -113,7 +113,7 @@
 	case m.JobConfigAsk != nil:
 		e.sendConfig(conn, m.JobConfigAsk)
 	case m.JobConfig != nil:
-		e.takeConfig(ctx, conn, m.JobConfig)
+		e.tell(ctx, configPart{conn: conn, part: m.JobConfig})
 	default:
 		return false
 	}
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -128,13 +128,20 @@
 	Failure cfcore.StoreKind `cbor:",omitempty"`
 }
 
-// JobConfigAsk asks another entry for its configuration, where that is newer than a
-// version.
+// JobConfigAsk asks another entry for a part of its configuration, where that is newer
+// than a version.
 type JobConfigAsk struct {
 	Above uint64
+	// From is the number of bytes that the asker has of it.
+	From int
 }
 
-// JobConfig is the sender's configuration, as operators have written it to the store.
+// JobConfig is a part of the sender's configuration, as operators have written it to the
+// store.
 type JobConfig struct {
-	Value []byte
+	Version uint64
+	// From is where the part begins, and Size the length of the whole, in bytes.
+	From int
+	Size int
+	Part []byte
 }
