Queues with a policy service: tickets are asked for, ahead and in batches

Cause: PROTOCOL.md has queues whose policy service decides which workers may run a step.

Ruled out: asking for all workers at once (the service takes time for each one named, and answers one question after the other); asking only when a step could start (its first tasks would wait for it).

Change: `cfdispatch/advice.go` (pure) says which question is needed most: steps that could start first, then steps that wait for earlier ones; 30 workers a question, those with room first; a denied worker never again; tickets kept for their validity and the worker's life, asked for again after a refusal. `cfcore.Advisor` with its client in `platform/`; the entry has one question under way. The stand-in has a policy service (busy, slow, answers lost), its workers check tickets.

Before: `go test ./integration/jobs -ginkgo.focus "policy service"`: no job completes.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -63,6 +63,7 @@
 	dir     string
 	ports   int
 	store   *standin.Store
+	advisor *standin.Advisor
 	entries []*process
 	agents  []*process
 	workers []*standin.Worker
@@ -94,9 +95,11 @@
 
 // newFleet starts everything and waits until it serves.
 func newFleet(entries, agents int) *fleet {
-	f := &fleet{dir: GinkgoT().TempDir(), store: standin.NewStore()}
+	f := &fleet{dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{Decision: 20 * time.Millisecond}}
 	storeAddr := f.addr(250)
 	f.listen(storeAddr, f.store)
+	adviceAddr := f.addr(250)
+	f.listen(adviceAddr, f.advisor)
 	f.configure(1)
 	var inner []string
 	for i := range entries {
@@ -104,7 +107,7 @@
 		in := f.addr(i + 1)
 		inner = append(inner, fmt.Sprintf("%q", in))
 		f.launch(p, "job-entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf(
-			`"Callers": %q, "Readiness": %q, "Inner": %q, "Store": %q`, p.front, p.ready, in, storeAddr))
+			`"Callers": %q, "Readiness": %q, "Inner": %q, "Store": %q, "Advice": %q`, p.front, p.ready, in, storeAddr, adviceAddr))
 		f.entries = append(f.entries, p)
 	}
 	for i := range agents {
--- a/internal/cfapp/jobs.go
+++ b/internal/cfapp/jobs.go
@@ -6,6 +6,7 @@
 	"cranberryford/internal/cfjobagent"
 	"cranberryford/internal/cfjobentry"
 	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfnet"
 	"cranberryford/platform"
@@ -19,16 +20,26 @@
 		return nil, err
 	}
 	store, closeStore := platform.NewStore(cfg.Store, cfnet.Transport(cfg.Inner.Addr()), cfg.StoreTimeout.Call)
+	advisor, closeAdvisor := newAdvisor(cfg)
 	e, closeEntry, err := cfjobentry.New(ctx, common, cfg, cfjobentry.Deps{
-		Store: store, DecodeConfig: platform.DecodeConfig, ConfigKey: platform.ConfigKey,
+		Store: store, Advisor: advisor, DecodeConfig: platform.DecodeConfig, ConfigKey: platform.ConfigKey,
 		Front: platform.JobsHandler, Readiness: platform.ReadinessHandler, Metrics: metrics,
 	})
 	if err != nil {
+		closeAdvisor()
 		closeStore()
 		stop()
 		return nil, cferror.Wrap("new job entry", KindStart, err)
 	}
-	return &Role{run: e.Run, leave: e.Leave, log: common.Log, cleanup: func() { closeEntry(); closeStore(); stop() }}, nil
+	return &Role{run: e.Run, leave: e.Leave, log: common.Log, cleanup: func() { closeEntry(); closeAdvisor(); closeStore(); stop() }}, nil
+}
+
+// newAdvisor returns the policy service, or nil where the settings name none.
+func newAdvisor(cfg cfconfig.JobEntry) (cfcore.Advisor, func()) {
+	if !cfg.Advice.IsValid() {
+		return nil, func() {}
+	}
+	return platform.NewAdvisor(cfg.Advice, cfnet.Transport(cfg.Inner.Addr()), cfg.StoreTimeout.Call)
 }
 
 // NewJobAgent makes an agent that runs the tasks of jobs on the users' platform. It
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -126,6 +126,8 @@
 		ev.reply <- c.book.Waiting(ev.queue)
 	case configured:
 		c.configured(ev.config)
+	case advised:
+		c.advised(ev)
 	case kept:
 		c.kept(ctx, ev)
 	case claimed:
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -33,6 +33,8 @@
 // Deps are what the caller of this package decides.
 type Deps struct {
 	Store cfcore.Store
+	// Advisor is the policy service; nil where there is none.
+	Advisor cfcore.Advisor
 	// DecodeConfig decodes the operators' configuration, whose key is ConfigKey.
 	DecodeConfig func(data []byte) (*cfjob.Config, error)
 	ConfigKey    string
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfwire"
 )
@@ -81,6 +82,13 @@
 		at  int64
 		err error
 	}
+	// advised is an answer of the policy service.
+	advised struct {
+		epoch   cfcore.Epoch
+		ask     *cfdispatch.AdviceAsk
+		tickets map[string]string
+		err     error
+	}
 	// left begins a graceful shutdown.
 	left struct{}
 )
@@ -102,6 +110,7 @@
 func (answered) isEvent()   {}
 func (kept) isEvent()       {}
 func (claimed) isEvent()    {}
+func (advised) isEvent()    {}
 func (left) isEvent()       {}
 
 // found is what is known of a job.
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -28,6 +28,10 @@
 	// batchAt is when facts were last gathered.
 	batchAt  time.Time
 	upkeepAt time.Time
+	// advising is set while a question to the policy service is under way; the next one is
+	// due at adviseAt.
+	advising bool
+	adviseAt time.Time
 	// extra are the records that go with the next facts.
 	extra []cfcore.KeyedRecord
 }
@@ -87,6 +91,7 @@
 	c.recordWorkers(now)
 	c.upkeep(now)
 	c.plan.Plan(now)
+	c.advise(ctx)
 	orders := c.plan.Take(now)
 	for l := range c.links {
 		if o := orders[l.name]; o != nil {
--- a/pkg/cfconfig/jobs.go
+++ b/pkg/cfconfig/jobs.go
@@ -15,6 +15,7 @@
 	Inner     netip.AddrPort `validate:"addr" doc:"where other entries and agents connect"`
 	Metrics   netip.AddrPort `doc:"where counters are served; empty: nowhere"`
 	Store     netip.AddrPort `validate:"addr" doc:"the platform's store"`
+	Advice    netip.AddrPort `doc:"the policy service that decides which workers may run a step; empty: none"`
 	Topic     string         `doc:"topic of the store that keeps the jobs"`
 	Operators string         `doc:"topic of the store that operators write"`
 
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -35,6 +35,7 @@
 // place makes a run of a task on a worker, which takes its room there.
 func (t *task) place(now time.Time, w *worker, id uint64) *run {
 	r := &run{task: t, id: id, w: w, phase: starting, begun: now, checkpoint: t.checkpoint, pace: fullPace, paceSent: now}
+	r.ticket, _ = t.ticketOn(now, w)
 	t.runs = append(t.runs, r)
 	t.j.live++
 	w.add(r)
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -192,6 +192,13 @@
 
 // suitable reports whether a worker may run a task once it has room for it.
 func (p *Planner) suitable(now time.Time, t *task, w *worker) bool {
+	_, ok := t.ticketOn(now, w)
+	return ok && p.fitting(now, t, w)
+}
+
+// fitting reports whether a worker may run a task once it has room for it, and a ticket
+// where the queue asks for one.
+func (p *Planner) fitting(now time.Time, t *task, w *worker) bool {
 	if !w.usable(now, p.cfg.Suspect) || w.state.Service != t.j.queue.Service {
 		return false
 	}
@@ -207,7 +214,7 @@
 // peers returns how many tasks of a task's step and occurrence may run on a worker.
 func (p *Planner) peers(t *task, w *worker) int {
 	n := 0
-	for _, o := range t.j.steps[t.name.Occurrence][t.name.Step].tasks {
+	for _, o := range t.state().tasks {
 		for _, r := range o.runs {
 			if r.w == w {
 				n++
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -99,6 +99,7 @@
 type stepState struct {
 	tasks     []*task
 	remaining int
+	advice    advice
 }
 
 // job is a job that has not ended, or has runs that have not.
@@ -206,6 +207,9 @@
 	}
 }
 
+// state returns the step of the task's occurrence.
+func (t *task) state() *stepState { return &t.j.steps[t.name.Occurrence][t.name.Step] }
+
 func (t *task) restore(pr *cfjob.Progress) {
 	if pr == nil {
 		return
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -61,10 +61,14 @@
 	case r.phase != running:
 		p.note(Event{Kind: EventDropped, Agent: w.agent, Task: res.Task, Run: res.Run, Refusal: res.Refusal})
 		p.drop(r)
-		w.refusedAt = now
-		if res.Refusal == cfcore.ExecutorUnhealthy {
+		switch res.Refusal {
+		case cfcore.ExecutorTicket:
+			r.task.ticketRefused(w)
+			return
+		case cfcore.ExecutorUnhealthy:
 			w.failures.fail(now, res.Task.Job)
 		}
+		w.refusedAt = now
 	}
 }
 
@@ -200,7 +204,7 @@
 
 // finish notes that a task is done; the end of one member counts for its gang.
 func (p *Planner) finish(now time.Time, t *task) {
-	st := &t.j.steps[t.name.Occurrence][t.name.Step]
+	st := t.state()
 	members := []*task{t}
 	if t.step.Gang {
 		members = st.tasks
