What was learnt of fillers and durations outlives the planner; harm over a takeover ends in time

Ruled out: agents that keep the effects (one worker has seen few pairs); telling peers with each poll (more bytes than a record each 2 s, and gone when all processes are killed).

Change: record `learnt`, written by the planner each 2 s where it has changed, with its other facts: effects by pair in thousandths, durations by queue. A tail that is over its target at a planner's first look counts as over for 1.2 s already.

--- a/internal/cfjobentry/leading.go
+++ b/internal/cfjobentry/leading.go
@@ -141,6 +141,7 @@
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recorded: recorded, entrySeen: map[string]time.Time{},
 	}
+	c.restoreLearnt()
 	for _, e := range c.book.Jobs {
 		c.addInherited(e)
 	}
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -28,6 +28,9 @@
 	// batchAt is when facts were last gathered.
 	batchAt  time.Time
 	upkeepAt time.Time
+	// learntAt is when what was learnt was last looked at, and learnt what was kept then.
+	learntAt time.Time
+	learnt   []byte
 	// advising is set while a question to the policy service is under way; the next one is
 	// due at adviseAt.
 	advising bool
@@ -36,6 +39,19 @@
 	extra []cfcore.KeyedRecord
 }
 
+// restoreLearnt gives a new planner what the one before it had learnt.
+func (c *control) restoreLearnt() {
+	if len(c.book.Learnt) == 0 {
+		return
+	}
+	l := &cfdispatch.Learnt{}
+	if err := c.codec.Unmarshal(c.book.Learnt, l); err != nil {
+		c.Log.Warn().Err(err).Msg("what the planner before had learnt cannot be decoded; learning anew")
+		return
+	}
+	c.plan.Restore(l)
+}
+
 func (c *control) addInherited(e *cfjob.Entry) {
 	if e.Job != nil {
 		c.plan.AddJob(c.Clock.Now(), e, c.terms(e.Job), true)
--- a/internal/cfjobentry/upkeep.go
+++ b/internal/cfjobentry/upkeep.go
@@ -1,6 +1,7 @@
 package cfjobentry
 
 import (
+	"bytes"
 	"time"
 
 	"cranberryford/pkg/cfjob"
@@ -9,6 +10,9 @@
 const (
 	// upkeepEvery is how often the planner looks for records that are needed no more.
 	upkeepEvery = time.Second
+	// learntEvery is how often what was learnt is kept. A pair of images is learnt from the
+	// reports of some seconds.
+	learntEvery = 2 * time.Second
 	// entryGone is how long an entry may be without a connection to the planner before
 	// its record is dropped. Entries connect within a second.
 	entryGone = 5 * time.Second
@@ -24,6 +28,25 @@
 	c.plan.upkeepAt = now
 	c.dropEntries(now)
 	c.dropJobs(now)
+	c.keepLearnt(now)
+}
+
+// keepLearnt puts on record what the planner has learnt, where that has changed.
+func (c *control) keepLearnt(now time.Time) {
+	if now.Sub(c.plan.learntAt) < learntEvery {
+		return
+	}
+	c.plan.learntAt = now
+	r, err := c.codec.Learnt(c.plan.Learnt())
+	if err != nil {
+		c.Log.Error().Err(err).Msg("what was learnt cannot be encoded")
+		return
+	}
+	if bytes.Equal(r.Value, c.plan.learnt) {
+		return
+	}
+	c.plan.learnt = r.Value
+	c.plan.extra = append(c.plan.extra, r)
 }
 
 func (c *control) dropEntries(now time.Time) {
--- a/pkg/cfdispatch/harm_test.go
+++ b/pkg/cfdispatch/harm_test.go
@@ -50,6 +50,7 @@
 	over, looks int
 	longest     time.Duration
 	completed   map[string]time.Duration
+	progress    map[string]*cfjob.Progress
 }
 
 func newHarmPlay(t *testing.T, workers int, heavy ...string) *harmPlay {
@@ -60,6 +61,7 @@
 	h := &harmPlay{
 		fleet: newFleet(t, newPlanner(), names...), steps: map[string][]cfjob.Step{},
 		runs: map[string]map[string]*played{}, heavy: map[string]bool{}, completed: map[string]time.Duration{},
+		progress: map[string]*cfjob.Progress{},
 	}
 	for _, a := range names {
 		h.workers[a].state.Capacity = cfcore.Resources{MilliCores: 16000, MemoryMB: 64000}
@@ -172,6 +174,7 @@
 	facts, seen := h.Facts(h.now, true)
 	h.Noted(seen)
 	for _, f := range facts {
+		h.progress[f.ID] = f.Progress
 		if f.Progress.Outcome == cfjob.OutcomeCompleted {
 			h.completed[f.ID] = h.now.Sub(epochStart)
 		}
--- a/pkg/cfdispatch/pace.go
+++ b/pkg/cfdispatch/pace.go
@@ -19,6 +19,10 @@
 	// halted. The platform allows harm for 4 s; a tail is a figure for the last half
 	// second, and is up to 0.4 s old when it gets here.
 	haltAfter = 2200 * time.Millisecond
+	// takeoverTime is how long a tail that is over its target at a planner's first look may
+	// have been so: a planner is silent for 1 s before the next one claims, and that needs
+	// the reports of its agents.
+	takeoverTime = 1200 * time.Millisecond
 	// leastHalt is the time that a halted filler needs to be seen in the tails: half a
 	// second of their window, and the way of the order and of the next report.
 	leastHalt = 1100 * time.Millisecond
@@ -64,7 +68,11 @@
 		w.overSince = time.Time{}
 	case w.overSince.IsZero():
 		w.overSince = now
+		if w.unwatched {
+			w.overSince = now.Add(-takeoverTime)
+		}
 	}
+	w.unwatched = false
 	halt := now.Sub(w.haltedAt)
 	switch {
 	case w.haltedAt.IsZero():
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -99,6 +99,9 @@
 	if l.Born.Before(w.state.Born) {
 		return
 	}
+	if !w.known {
+		w.unwatched = true
+	}
 	w.known, w.unreached = true, false
 	delete(p.expected, w.agent)
 	for _, row := range l.Running {
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -33,6 +33,8 @@
 	// were halted; zero where they are not.
 	overSince time.Time
 	haltedAt  time.Time
+	// unwatched is set until this planner first looks at the tails.
+	unwatched bool
 	// seen is the number of the last end that was taken in, and noted that of the
 	// last one on record.
 	seen  uint64
--- a/pkg/cfharm/pressure.go
+++ b/pkg/cfharm/pressure.go
@@ -1,5 +1,11 @@
 package cfharm
 
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
 // Pressure learns how much processor time that fillers use takes from the tasks
 // which serve beside them, by pair of images.
 //
@@ -85,3 +91,60 @@
 
 // ForgetJob drops what was learnt of a job that has ended.
 func (p *Pressure) ForgetJob(job string) { delete(p.alone, job) }
+
+// Learnt is what a Pressure has learnt of pairs of images, in a form that can be kept.
+type Learnt struct {
+	Images []string
+	Pairs  []LearntPair
+}
+
+// LearntPair is the effect of one pair. The images are places in Learnt.Images.
+type LearntPair struct {
+	_       struct{} `cbor:",toarray"`
+	Service int
+	Filler  int
+	// Effect is in thousandths.
+	Effect int
+}
+
+// effectUnit is the part of an effect that is kept.
+const effectUnit = 1000
+
+// Learnt returns what was learnt so far, in the order of the images' names.
+func (p *Pressure) Learnt() *Learnt {
+	out := &Learnt{}
+	places := map[string]int{}
+	place := func(image string) int {
+		i, ok := places[image]
+		if !ok {
+			i = len(out.Images)
+			places[image] = i
+			out.Images = append(out.Images, image)
+		}
+		return i
+	}
+	keys := make([]Pair, 0, len(p.pairs))
+	for k := range p.pairs {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Pair) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Batch, b.Batch))
+	})
+	for _, k := range keys {
+		out.Pairs = append(out.Pairs, LearntPair{
+			Service: place(k.Service), Filler: place(k.Batch), Effect: int(math.Round(p.pairs[k] * effectUnit)),
+		})
+	}
+	return out
+}
+
+// Restore takes in what an earlier Pressure had learnt. Pairs that make no sense are left
+// out.
+func (p *Pressure) Restore(l *Learnt) {
+	for _, k := range l.Pairs {
+		if k.Service < 0 || k.Service >= len(l.Images) || k.Filler < 0 || k.Filler >= len(l.Images) || len(p.pairs) >= maxPairs {
+			continue
+		}
+		p.pairs[Pair{l.Images[k.Service], l.Images[k.Filler]}] = min(max(0, float64(k.Effect)/effectUnit), maxPressure)
+	}
+}
--- a/pkg/cfharm/pressure_test.go
+++ b/pkg/cfharm/pressure_test.go
@@ -50,3 +50,30 @@
 	p.Observe("job", "watch", 0.5, nil)
 	g.Expect(p.Effect("watch", "heavy")).To(BeNumerically(">", 0), "pairs outlive a job")
 }
+
+func TestLearntPressureIsRestored(t *testing.T) {
+	g := NewWithT(t)
+	p := cfharm.NewPressure()
+	for range 100 {
+		p.Observe("job", "watch", 4, nil)
+		p.Observe("job", "watch", 1, []cfharm.Share{{Image: "heavy", Part: 0.2}})
+		p.Observe("job", "watch", 3.9, []cfharm.Share{{Image: "light", Part: 0.2}})
+	}
+	q := cfharm.NewPressure()
+	q.Restore(p.Learnt())
+	for _, filler := range []string{"heavy", "light", "unknown"} {
+		g.Expect(q.Effect("watch", filler)).To(BeNumerically("~", p.Effect("watch", filler), 0.001), filler)
+	}
+	g.Expect(q.Learnt()).To(Equal(p.Learnt()))
+}
+
+func TestLearntPressureThatMakesNoSenseIsLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	p := cfharm.NewPressure()
+	p.Restore(&cfharm.Learnt{Images: []string{"a", "b"}, Pairs: []cfharm.LearntPair{
+		{Service: 0, Filler: 7, Effect: 1000}, {Service: -1, Filler: 1, Effect: 1000}, {Service: 0, Filler: 1, Effect: -5000}, {Service: 1, Filler: 0, Effect: 1 << 40},
+	}})
+	g.Expect(p.Effect("a", "b")).To(BeZero())
+	g.Expect(p.Effect("b", "a")).To(BeNumerically("<=", 20))
+	g.Expect(p.Learnt().Pairs).To(HaveLen(2))
+}
--- a/pkg/cfjob/book.go
+++ b/pkg/cfjob/book.go
@@ -28,6 +28,8 @@
 	Workers map[string]time.Time
 	// Planner is the newest claim.
 	Planner Claim
+	// Learnt is what planners have learnt of tasks, as they encoded it.
+	Learnt []byte
 	// Next is the offset up to which records have been applied.
 	Next int64
 }
@@ -60,6 +62,9 @@
 		return Change{}, b.applyWorker(name, r.Value)
 	case keyPlanner:
 		return b.applyClaim(r.Value)
+	case keyLearnt:
+		b.Learnt = r.Value
+		return Change{}, nil
 	}
 	return Change{}, cferror.New("apply record", KindRecord, "unknown key %q", r.Key)
 }
--- a/pkg/cfjob/job_test.go
+++ b/pkg/cfjob/job_test.go
@@ -156,3 +156,21 @@
 	g.Expect(p.IsDone(90)).To(BeFalse())
 	g.Expect(p.Tasks).To(BeEmpty())
 }
+
+func TestNewestLearntIsKept(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := cfrecord.NewCodec()
+	g.Expect(err).NotTo(HaveOccurred())
+	codec := cfjob.Codec{Codec: inner}
+	b := cfjob.NewBook(codec)
+	for _, v := range []string{"older", "newer"} {
+		r, err := codec.Learnt(v)
+		g.Expect(err).NotTo(HaveOccurred())
+		change, err := b.Apply(r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(change).To(BeZero())
+	}
+	var v string
+	g.Expect(codec.Unmarshal(b.Learnt, &v)).To(Succeed())
+	g.Expect(v).To(Equal("newer"))
+}
--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -19,6 +19,7 @@
 	prefixEntry    = "entry/"
 	prefixWorker   = "worker/"
 	keyPlanner     = "planner"
+	keyLearnt      = "learnt"
 )
 
 // Outcome is how a job ended.
@@ -113,6 +114,9 @@
 // Claim returns the record of a planner.
 func (c Codec) Claim(m *Claim) (cfcore.KeyedRecord, error) { return c.record(keyPlanner, m) }
 
+// Learnt returns the record of what the planner has learnt of tasks.
+func (c Codec) Learnt(v any) (cfcore.KeyedRecord, error) { return c.record(keyLearnt, v) }
+
 // Entry returns the record of an entry.
 func (c Codec) Entry(name string, e *EntryInfo) (cfcore.KeyedRecord, error) {
 	return c.record(prefixEntry+name, e)
