Agents of workers that have left are not waited for after a takeover

Cause: a new planner starts nothing of older jobs until every agent on record has reported, or 9.6 s have passed. Agents whose workers had left stayed on record for 7.6 s.

Change: the record of an agent is dropped when its worker says that it leaves. A record that is still on its way then counts no more (it could have let starts go to an agent off the record).

Conclusion: an agent that is lost together with the planner, without its worker having left, still holds all older jobs for 9.6 s.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"syscall"
@@ -367,3 +368,29 @@
 	Eventually(func() int { return len(f.workers[other].History()) }, 8*time.Second, 50*time.Millisecond).Should(Equal(6))
 	f.ranOnce()
 })
+
+var _ = It("goes on at once under another planner where a worker has left and its agent is gone", func() {
+	f := newFleet(3, 3)
+	Expect(f.submit(1, oneStep(6, lasts))).To(BeTrue())
+	Eventually(f.runs, 5*time.Second).Should(HaveLen(6))
+	Expect(f.workers[0].Leave(context.Background())).To(Succeed())
+	Eventually(func() int { return f.logged("worker has left: its record is dropped") }, 2*time.Second, 20*time.Millisecond).Should(Equal(1))
+	f.agents[0].kill()
+	two := `{"spec":"1500ms","steps":[{"count":2,"cpu":100,"mem_mb":10},{"count":2,"cpu":100,"mem_mb":10,"after":[0]}]}`
+	Expect(f.submit(2, two)).To(BeTrue())
+	time.Sleep(500 * time.Millisecond)
+	p := f.entries[f.planner()]
+	p.kill()
+	// Twice 1.5 s of work, and 2 s for another planner to take over.
+	Eventually(func() bool {
+		for e := range f.entries {
+			if f.entries[e] != p && f.state(e, 2) == "completed" {
+				return true
+			}
+		}
+		return false
+	}, 5*time.Second, 20*time.Millisecond).Should(BeTrue())
+	p.restart()
+	f.agents[0].restart()
+	f.ranOnce()
+})
--- a/internal/cfjobentry/facts.go
+++ b/internal/cfjobentry/facts.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// dropWorker drops the record of an agent on whose worker nothing can run. A record that
+// is on its way comes before the one that drops it, and counts no more.
+func (c *control) dropWorker(agent string) {
+	isAgent := func(a string) bool { return a == agent }
+	c.plan.extra = append(c.plan.extra, c.codec.DropWorker(agent))
+	c.plan.recording = slices.DeleteFunc(c.plan.recording, isAgent)
+	if b := c.plan.pending; b != nil {
+		b.agents = slices.DeleteFunc(b.agents, isAgent)
+	}
+	delete(c.plan.recorded, agent)
+}
+
 // keep appends what has to last. One append is under way at a time.
 func (c *control) keep(ctx context.Context, now time.Time) {
 	if c.plan.pending == nil {
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -99,10 +99,13 @@
 		return
 	}
 	now := c.Clock.Now()
-	for _, agent := range c.plan.Lapse(now) {
-		c.Log.Warn().Str("Agent", agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Msg("worker given up: every lease on it has ended")
-		c.plan.extra = append(c.plan.extra, c.codec.DropWorker(agent))
-		delete(c.plan.recorded, agent)
+	for _, g := range c.plan.Lapse(now) {
+		if g.Left {
+			c.Log.Info().Str("Agent", g.Agent).Msg("worker has left: its record is dropped")
+		} else {
+			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Msg("worker given up: every lease on it has ended")
+		}
+		c.dropWorker(g.Agent)
 	}
 	c.recordWorkers(now)
 	c.upkeep(now)
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -141,12 +141,14 @@
 	expected map[string]bool
 	// expectedUntil is when all that an older planner can have started has lapsed.
 	expectedUntil time.Time
-	dirty         map[string]*job
-	learnt        durations
-	pressure      *cfharm.Pressure
-	orders        map[string]*Orders
-	events        []Event
-	urgent        bool
+	// gone are agents whose workers have left since Lapse was called last.
+	gone     []Gone
+	dirty    map[string]*job
+	learnt   durations
+	pressure *cfharm.Pressure
+	orders   map[string]*Orders
+	events   []Event
+	urgent   bool
 }
 
 // New returns a planner of an epoch. agents are those that older planners may have
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -575,3 +575,19 @@
 	f.Expect(starts).To(BeNumerically("<=", 10), "in a second")
 	f.Expect(starts).To(BeNumerically(">", 1), "the worker is tried again")
 }
+
+func TestAgentsOfWorkersThatLeftAreNotOnRecord(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	left := &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreached{Left: true}}
+	f.Report(f.now, "a", left)
+	f.Report(f.now, "a", left)
+	f.Expect(f.Lapse(f.now)).To(Equal([]cfdispatch.Gone{{Agent: "a", Left: true}}), "said once")
+	f.Recorded("a")
+	f.Expect(f.Unrecorded()).To(BeEmpty())
+	f.add("j", step(2, 1000))
+	f.Expect(f.step()).To(ConsistOf("j.0@b", "j.0@b"))
+
+	f.workers["a"].state.Born = epochStart.Add(time.Second)
+	f.report("a")
+	f.Expect(f.Unrecorded()).To(ConsistOf("a"), "another life")
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -26,6 +26,9 @@
 		w.known = false
 		delete(p.expected, agent)
 	}
+	if m.Lost != nil && m.Lost.Left {
+		p.leave(w)
+	}
 	if m.Lists != nil {
 		p.lists(now, w, m.Lists)
 	}
@@ -35,6 +38,14 @@
 	}
 }
 
+// leave notes that a worker has left. Later planners need not wait for its agent.
+func (p *Planner) leave(w *worker) {
+	if !w.left {
+		p.gone = append(p.gone, Gone{Agent: w.agent, Left: true})
+	}
+	w.recorded, w.left = false, true
+}
+
 // describe takes in the state of a worker. Another life of it has lost all runs.
 func (p *Planner) describe(now time.Time, w *worker, s cfcore.WorkerState) {
 	if s.Born.Before(w.state.Born) {
@@ -44,6 +55,7 @@
 		p.lapse(now, w)
 		w.known, w.seen, w.noted, w.told = false, 0, 0, 0
 		w.failures = failureStreak{}
+		w.left = false
 	}
 	w.state = s
 	w.drainsUntil = now.Add(s.Remaining)
@@ -260,10 +272,19 @@
 	}
 }
 
+// Gone is an agent on whose worker nothing can run any more.
+type Gone struct {
+	Agent string
+	// Left is set where the worker said that it leaves; else every lease on it has ended.
+	Left bool
+}
+
 // Lapse ends the runs of all workers whose agents have been silent for so long that
-// no lease can be left, and returns the agents.
-func (p *Planner) Lapse(now time.Time) []string {
-	var gone []string
+// no lease can be left. It returns these agents, and those whose workers have left since
+// it was called last.
+func (p *Planner) Lapse(now time.Time) []Gone {
+	gone := p.gone
+	p.gone = nil
 	for agent, w := range p.workers {
 		last := w.answered
 		if w.heard.After(last) {
@@ -274,11 +295,11 @@
 		}
 		p.lapse(now, w)
 		delete(p.workers, agent)
-		gone = append(gone, agent)
+		gone = append(gone, Gone{Agent: agent})
 	}
 	if len(p.expected) > 0 && now.After(p.expectedUntil) {
 		for a := range p.expected {
-			gone = append(gone, a)
+			gone = append(gone, Gone{Agent: a})
 		}
 		clear(p.expected)
 	}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -17,6 +17,8 @@
 	unreached bool
 	// recorded is set once the store knows that tasks may be sent to the agent.
 	recorded bool
+	// left is set once the worker said that it leaves, until another life of it comes.
+	left bool
 	// heard is when the agent's last report came in, and answered when an answer was
 	// last sent that lets it extend leases.
 	heard    time.Time
@@ -117,7 +119,7 @@
 func (p *Planner) Unrecorded() []string {
 	var out []string
 	for agent, w := range p.workers {
-		if !w.recorded {
+		if !w.recorded && !w.left {
 			out = append(out, agent)
 		}
 	}
@@ -126,7 +128,7 @@
 
 // Recorded says that an agent is on record, and that later planners will ask it.
 func (p *Planner) Recorded(agent string) {
-	if w := p.workers[agent]; w != nil {
+	if w := p.workers[agent]; w != nil && !w.left {
 		w.recorded = true
 	}
 }
