Gangs go to one rack where one has room; urgent work takes no more of a service than may be missed

Ruled out: other places that stop tasks at work: draining workers and cancelled jobs are exempt, lasting tasks and gangs are never moved for standing still.

Before: TestUrgentTasksTakeNoMoreThanMayBeMissed (2 of 3 cases) and TestGangGoesToOneRack fail. After: all pass.

Conclusion: upkeep waves and moves are not built, so that nothing else takes tasks away.

--- /dev/null
+++ b/pkg/cfdispatch/gang.go
@@ -0,0 +1,71 @@
+package cfdispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// startGang starts all members of a gang with one number, or none. Members that are slower
+// on several racks go to one, where a rack has room for all of them.
+func (p *Planner) startGang(now time.Time, st *stepState) {
+	for _, t := range st.tasks {
+		if t.done || len(t.runs) > 0 {
+			return
+		}
+	}
+	id := p.newRun()
+	var placed []*run
+	if st.tasks[0].step.SameRack {
+		for _, rack := range p.racks() {
+			placed = p.placeGang(now, st, id, func(w *worker) bool { return w.state.Rack() == rack })
+			if placed != nil {
+				break
+			}
+		}
+	}
+	if placed == nil {
+		placed = p.placeGang(now, st, id, func(*worker) bool { return true })
+	}
+	for _, r := range placed {
+		p.order(now, r)
+	}
+}
+
+// placeGang places all members of a gang on workers that match, or none.
+func (p *Planner) placeGang(now time.Time, st *stepState, id uint64, match func(*worker) bool) []*run {
+	checkpoint := newestCheckpoint(st)
+	var placed []*run
+	for _, t := range st.tasks {
+		w := p.chooseAmong(now, t, match)
+		if w == nil {
+			for _, r := range placed {
+				p.drop(r)
+			}
+			return nil
+		}
+		t.checkpoint = checkpoint
+		placed = append(placed, t.place(now, w, id))
+	}
+	return placed
+}
+
+// racks returns the racks of all workers, in order.
+func (p *Planner) racks() []string {
+	racks := map[string]bool{}
+	for _, w := range p.workers {
+		racks[w.state.Rack()] = true
+	}
+	return slices.Sorted(maps.Keys(racks))
+}
+
+// newestCheckpoint returns the checkpoint of the member whose run was the last one.
+func newestCheckpoint(st *stepState) string {
+	best := st.tasks[0]
+	for _, t := range st.tasks {
+		if t.checkpoint != "" && (best.checkpoint == "" || t.lastRun > best.lastRun) {
+			best = t
+		}
+	}
+	return best.checkpoint
+}
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -127,49 +127,17 @@
 	return j.live == 0 && !j.starving.IsZero() && now.Sub(j.starving) >= starveAfter
 }
 
-// startGang starts all members of a gang with one number, or none.
-func (p *Planner) startGang(now time.Time, st *stepState) {
-	for _, t := range st.tasks {
-		if t.done || len(t.runs) > 0 {
-			return
-		}
-	}
-	id := p.newRun()
-	checkpoint := newestCheckpoint(st)
-	var placed []*run
-	for _, t := range st.tasks {
-		w := p.choose(now, t)
-		if w == nil {
-			for _, r := range placed {
-				p.drop(r)
-			}
-			return
-		}
-		t.checkpoint = checkpoint
-		placed = append(placed, t.place(now, w, id))
-	}
-	for _, r := range placed {
-		p.order(now, r)
-	}
-}
-
-// newestCheckpoint returns the checkpoint of the member whose run was the last one.
-func newestCheckpoint(st *stepState) string {
-	best := st.tasks[0]
-	for _, t := range st.tasks {
-		if t.checkpoint != "" && (best.checkpoint == "" || t.lastRun > best.lastRun) {
-			best = t
-		}
-	}
-	return best.checkpoint
-}
-
 // choose returns the worker that a task should run on, or nil.
 func (p *Planner) choose(now time.Time, t *task) *worker {
+	return p.chooseAmong(now, t, func(*worker) bool { return true })
+}
+
+// chooseAmong returns the worker that a task should run on of those that match, or nil.
+func (p *Planner) chooseAmong(now time.Time, t *task, match func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range p.workers {
-		if !p.allowed(now, t, w) {
+		if !match(w) || !p.allowed(now, t, w) {
 			continue
 		}
 		score := p.score(now, t, w)
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -29,6 +29,8 @@
 	*cfdispatch.Planner
 	now     time.Time
 	workers map[string]*fakeWorker
+	// stoppedTasks are the tasks that were told to stop.
+	stoppedTasks map[cfcore.TaskName]bool
 }
 
 type fakeWorker struct {
@@ -45,7 +47,7 @@
 }
 
 func newFleet(t *testing.T, p *cfdispatch.Planner, agents ...string) *fleet {
-	f := &fleet{WithT: NewWithT(t), Planner: p, now: epochStart, workers: map[string]*fakeWorker{}}
+	f := &fleet{WithT: NewWithT(t), Planner: p, now: epochStart, workers: map[string]*fakeWorker{}, stoppedTasks: map[cfcore.TaskName]bool{}}
 	for i, a := range agents {
 		f.workers[a] = &fakeWorker{
 			state: cfcore.WorkerState{
@@ -96,6 +98,7 @@
 		}
 		for _, s := range o.Stops {
 			w.stops = append(w.stops, s.Task.Job)
+			f.stoppedTasks[s.Task] = true
 		}
 		for _, s := range o.Paces {
 			w.paces[s.Task.Job] = s.Percent
--- a/pkg/cfdispatch/reserve.go
+++ b/pkg/cfdispatch/reserve.go
@@ -77,7 +77,7 @@
 		if left.Add(t.step.Room()).Fits(w.state.Capacity) {
 			return
 		}
-		if r.task.step.Room().IsZero() {
+		if r.task.step.Room().IsZero() || !r.mayTakeAway() {
 			continue
 		}
 		left = left.Sub(r.task.step.Room())
