The planner's work for an event no longer grows with fleet times queue

Cause: each report of a worker made the planner walk all workers and their runs four times, sort all jobs, and rate all workers for each task that waits.

Ruled out: batching alone (256 events share a decision already).

A benchmark at 13,000 workers takes minutes to set up and was left out.

--- a/pkg/cfdispatch/advice.go
+++ b/pkg/cfdispatch/advice.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	var unasked []*worker
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if _, ok := st.advice.valid(now, w); !ok && !st.advice.denied[w.state.ID] && p.fitting(now, t, w) {
 			unasked = append(unasked, w)
 		}
@@ -135,6 +135,7 @@
 	if t == nil || t.j.queue.Advice == nil {
 		return
 	}
+	p.changed = true
 	a := &t.state().advice
 	if a.tickets == nil {
 		a.tickets, a.denied = map[string]ticket{}, map[string]bool{}
--- /dev/null
+++ b/pkg/cfdispatch/bench_test.go
@@ -0,0 +1,98 @@
+package cfdispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// benchFleet is a fleet in which each worker runs services and fillers, and in which jobs
+// wait for room.
+type benchFleet struct {
+	*cfdispatch.Planner
+	now     time.Time
+	agents  []string
+	reports []*cfwire.JobReport
+}
+
+func newBenchFleet(workers int) *benchFleet {
+	b := &benchFleet{Planner: cfdispatch.New(settings, nil, epochStart), now: epochStart}
+	for i := range workers {
+		agent := fmt.Sprintf("w%05d", i)
+		state := cfcore.WorkerState{
+			ID: agent, Service: "dispatch", Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
+			Capacity: cfcore.Resources{MilliCores: 16000, MemoryMB: 64000}, Born: epochStart,
+		}
+		b.agents = append(b.agents, agent)
+		b.reports = append(b.reports, &cfwire.JobReport{Worker: &state, Lists: &cfcore.RunLists{Born: epochStart}})
+		b.Report(b.now, agent, b.reports[i])
+		b.Recorded(agent)
+	}
+	// Five tasks that serve on each worker, two fillers, and one short task; as much again
+	// of the short ones waits.
+	for i := range workers / 4 {
+		b.submit(fmt.Sprintf("s%d", i), service(fmt.Sprintf("i%d", i%16), 20))
+		b.submit(fmt.Sprintf("f%d", i), filler(fmt.Sprintf("b%d", i%30), 8))
+		b.submit(fmt.Sprintf("t%d", i), step(8, 900))
+	}
+	b.Plan(b.now)
+	b.carryOut()
+	return b
+}
+
+func (b *benchFleet) submit(id string, steps ...cfjob.Step) {
+	b.AddJob(b.now, &cfjob.Entry{Job: &cfjob.Job{ID: id, Queue: queue, Steps: steps, Accepted: b.now}}, queue, false)
+}
+
+// carryOut puts what was ordered into the workers' lists.
+func (b *benchFleet) carryOut() {
+	orders := b.Take(b.now)
+	for i, agent := range b.agents {
+		o := orders[agent]
+		if o == nil {
+			continue
+		}
+		for _, s := range o.Starts {
+			b.reports[i].Lists.Running = append(b.reports[i].Lists.Running, cfcore.RunningTask{Task: s.Task, Run: s.Run, Percent: 100, Gauge: 20})
+		}
+		b.Report(b.now, agent, b.reports[i])
+	}
+}
+
+// BenchmarkReport is what one report of a worker costs the planner, without and with the
+// end of a task, whose room another task then gets.
+func BenchmarkReport(b *testing.B) {
+	for _, workers := range []int{100, 300, 1300} {
+		f := newBenchFleet(workers)
+		b.Run(fmt.Sprintf("%d workers, nothing new", workers), func(b *testing.B) {
+			for n := range b.N {
+				i := n % workers
+				f.now = f.now.Add(time.Millisecond)
+				f.Report(f.now, f.agents[i], f.reports[i])
+				f.Plan(f.now)
+				f.Take(f.now)
+			}
+		})
+		b.Run(fmt.Sprintf("%d workers, a task ends", workers), func(b *testing.B) {
+			for n := range b.N {
+				i := n % workers
+				f.now = f.now.Add(time.Millisecond)
+				l := f.reports[i].Lists
+				last := l.Running[len(l.Running)-1]
+				l.Running = l.Running[:len(l.Running)-1]
+				l.Ended = []cfcore.EndedTask{{Number: uint64(n + 1), Task: last.Task, Run: last.Run, How: cfcore.EndDone}}
+				f.Report(f.now, f.agents[i], f.reports[i])
+				f.Plan(f.now)
+				f.carryOut()
+				if len(l.Running) == 0 {
+					b.Skip("nothing runs any more")
+				}
+			}
+		})
+	}
+}
--- a/pkg/cfdispatch/drain.go
+++ b/pkg/cfdispatch/drain.go
@@ -9,7 +9,7 @@
 // moveOff stops the runs on draining workers that will not be done in time and can go
 // on elsewhere: long-running ones, and those with a checkpoint.
 func (p *Planner) moveOff(now time.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if !w.state.Draining || !w.known {
 			continue
 		}
--- a/pkg/cfdispatch/gang.go
+++ b/pkg/cfdispatch/gang.go
@@ -53,7 +53,7 @@
 // racks returns the racks of all workers, in order.
 func (p *Planner) racks() []string {
 	racks := map[string]bool{}
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		racks[w.state.Rack()] = true
 	}
 	return slices.Sorted(maps.Keys(racks))
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -74,11 +74,32 @@
 	}
 	r.phase = stopping
 	r.sent = time.Time{}
+	p.halts = append(p.halts, r)
+}
+
+func (p *Planner) sendStop(now time.Time, r *run) {
+	r.sent = now
+	o := p.ordersFor(r.w)
+	o.Stops = append(o.Stops, cfwire.JobStop{Task: r.task.name, Run: r.id})
+}
+
+// sendHalts sends the stops that were decided since the last time.
+func (p *Planner) sendHalts(now time.Time) {
+	for _, r := range p.halts {
+		if r.w.known && !r.w.unreached && r.w.runs[r] && r.sent.IsZero() {
+			p.sendStop(now, r)
+		}
+	}
+	p.halts = p.halts[:0]
 }
 
 // resend sends orders again that have had no result for some time.
 func (p *Planner) resend(now time.Time) {
-	for _, w := range p.workers {
+	if now.Sub(p.resentAt) < lookEvery {
+		return
+	}
+	p.resentAt = now
+	for _, w := range p.fleet {
 		if !w.known || w.unreached {
 			continue
 		}
@@ -90,22 +111,22 @@
 				p.sendStart(now, r)
 				continue
 			}
-			r.sent = now
-			o := p.ordersFor(w)
-			o.Stops = append(o.Stops, cfwire.JobStop{Task: r.task.name, Run: r.id})
+			p.sendStop(now, r)
 		}
 	}
 }
 
 // Take returns the orders that are to be sent now, by agent.
 func (p *Planner) Take(now time.Time) map[string]*Orders {
+	p.sendHalts(now)
 	p.resend(now)
-	for _, w := range p.workers {
+	for w := range p.noted {
 		if w.noted > w.told {
 			o := p.ordersFor(w)
 			o.Noted, o.Born, w.told = w.noted, w.state.Born, w.noted
 		}
 	}
+	clear(p.noted)
 	out := p.orders
 	p.orders = map[string]*Orders{}
 	return out
@@ -155,6 +176,7 @@
 	for _, s := range seen {
 		if w := p.workers[s.Agent]; w != nil && w.state.Born.Equal(s.Born) {
 			w.noted = max(w.noted, s.Number)
+			p.noted[w] = true
 		}
 	}
 }
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -8,13 +8,26 @@
 	"cranberryford/pkg/cfcore"
 )
 
+// lookEvery is how often the planner looks for what only the time has changed. It is a small
+// part of the shortest time that such decisions wait for, 300 ms.
+const lookEvery = 50 * time.Millisecond
+
 // Plan starts what can be started now.
 func (p *Planner) Plan(now time.Time) {
-	for _, w := range p.workers {
+	look := now.Sub(p.lookedAt) >= lookEvery
+	if !look && !p.changed {
+		return
+	}
+	p.changed = false
+	for _, w := range p.fleet {
 		w.reserved = cfcore.Resources{}
 	}
-	p.moveOff(now)
-	p.moveStuck(now)
+	p.full = map[shape][]cfcore.Resources{}
+	if look {
+		p.lookedAt = now
+		p.moveOff(now)
+		p.moveStuck(now)
+	}
 	blocked := len(p.expected) > 0
 	for _, j := range p.queue(now) {
 		if blocked && j.inherited {
@@ -48,8 +61,8 @@
 // queue returns the jobs that have something to start, the most urgent first.
 func (p *Planner) queue(now time.Time) []*job {
 	var out []*job
-	for _, j := range p.jobs {
-		if !j.over() && (j.live < j.remaining || j.duplicable) {
+	for _, j := range p.open {
+		if j.live < j.remaining || j.duplicable {
 			out = append(out, j)
 		}
 	}
@@ -129,17 +142,40 @@
 
 // choose returns the worker that a task should run on, or nil.
 func (p *Planner) choose(now time.Time, t *task) *worker {
-	return p.chooseAmong(now, t, func(*worker) bool { return true })
+	k := t.shape(now)
+	if p.isFull(k, t) {
+		return nil
+	}
+	w := p.chooseAmong(now, t, func(*worker) bool { return true })
+	if w == nil {
+		p.noteFull(k, t)
+	}
+	return w
 }
 
-// chooseAmong returns the worker that a task should run on of those that match, or nil.
+// maxCandidates is the number of workers that have room for a task and are rated for it.
+const maxCandidates = 100
+
+// chooseAmong returns the worker that a task should run on of those that match, or nil. In
+// a large fleet the best of some is nearly as good as the best of all; tasks that serve stay
+// for long, and are placed by what is on all workers.
 func (p *Planner) chooseAmong(now time.Time, t *task, match func(*worker) bool) *worker {
+	most, first := maxCandidates, 0
+	if t.serves() {
+		most = len(p.fleet)
+	}
+	if len(p.fleet) > most {
+		p.next = (p.next + 1) % len(p.fleet)
+		first = p.next
+	}
 	var best *worker
 	var bestScore float64
-	for _, w := range p.workers {
+	for i, found := 0, 0; i < len(p.fleet) && found < most; i++ {
+		w := p.fleet[(first+i)%len(p.fleet)]
 		if !match(w) || !p.allowed(now, t, w) {
 			continue
 		}
+		found++
 		score := p.score(now, t, w)
 		if best == nil || score > bestScore || score == bestScore && w.agent < best.agent {
 			best, bestScore = w, score
@@ -152,10 +188,13 @@
 // which memory is no bound. Side by side all of them would be late; in turn those come
 // through that the fleet has time for.
 func (p *Planner) allowed(now time.Time, t *task, w *worker) bool {
+	if !w.used.Add(w.reserved).Add(t.step.Room()).Fits(w.state.Capacity) {
+		return false
+	}
 	if t.waitsInTurn() && w.crowd(t) > maxCrowd && !t.j.starved(now) {
 		return false
 	}
-	return p.suitable(now, t, w) && w.used.Add(w.reserved).Add(t.step.Room()).Fits(w.state.Capacity)
+	return p.suitable(now, t, w)
 }
 
 // suitable reports whether a worker may run a task once it has room for it.
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -133,6 +133,8 @@
 	cfg     Settings
 	jobs    map[string]*job
 	workers map[string]*worker
+	// fleet are the workers in the order of their agents' names.
+	fleet   []*worker
 	nextRun uint64
 	// copies is the number of second runs of tasks.
 	copies uint64
@@ -149,6 +151,26 @@
 	orders   map[string]*Orders
 	events   []Event
 	urgent   bool
+	// open are the jobs that have not ended.
+	open map[string]*job
+	// changed is set where something may start that could not before, and lookedAt when
+	// everything was last looked at.
+	changed  bool
+	lookedAt time.Time
+	// halts are runs that were told to stop, and whose orders are not sent yet. resentAt is
+	// when orders were last looked through for a repetition.
+	halts    []*run
+	resentAt time.Time
+	// lapsedAt is when workers were last looked through for leases that have ended.
+	lapsedAt time.Time
+	// full is what found no room in the present decision, and next is where the search for
+	// a worker begins in a large fleet.
+	full map[shape][]cfcore.Resources
+	next int
+	// noted are the workers whose agents are to be told that ends are on record, and
+	// unrecorded those that are not on record yet.
+	noted      map[*worker]bool
+	unrecorded map[string]bool
 }
 
 // New returns a planner of an epoch. agents are those that older planners may have
@@ -158,6 +180,7 @@
 	p := &Planner{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, expected: map[string]bool{},
 		expectedUntil: until, dirty: map[string]*job{}, learnt: durations{}, pressure: cfharm.NewPressure(), orders: map[string]*Orders{},
+		open: map[string]*job{}, noted: map[*worker]bool{}, unrecorded: map[string]bool{}, changed: true,
 	}
 	for _, a := range agents {
 		p.expected[a] = true
@@ -179,6 +202,7 @@
 	if j.over() {
 		return
 	}
+	p.open[j.ID], p.changed = j, true
 	j.build(e.Progress)
 	j.objective = now.Add(time.Duration(float64(p.chain(j))*max(q.Stretch, 1)) + q.Latency)
 	if j.Accepted.Before(now) && inherited {
@@ -229,6 +253,7 @@
 		return
 	}
 	j.cancelled = true
+	delete(p.open, id)
 	p.stopAll(j)
 }
 
@@ -267,6 +292,7 @@
 // SetQueues puts a newer configuration in force. A job whose queue it no longer has
 // keeps the terms that it had.
 func (p *Planner) SetQueues(cfg *cfjob.Config) {
+	p.changed = true
 	for _, j := range p.jobs {
 		if q, ok := cfg.Queue(j.Queue.Name); ok {
 			j.queue = *q
--- a/pkg/cfdispatch/pressure.go
+++ b/pkg/cfdispatch/pressure.go
@@ -55,25 +55,49 @@
 
 // harm is the number of tasks that a filler is expected to bring over their targets.
 func (p *Planner) harm(now time.Time, t *task, w *worker) float64 {
+	if w.serving == 0 {
+		return 0
+	}
+	var young []*run
+	for f := range w.runs {
+		if f.task.step.Filler && now.Sub(f.begun) < gaugeDelay {
+			young = append(young, f)
+		}
+	}
+	var costs []imageCost
 	sum := 0.0
 	for r := range w.runs {
 		if !r.task.serves() || r.gauge <= 0 {
 			continue
 		}
-		image := r.task.step.Image
-		h := r.headroom() - p.unseen(now, w, image)
-		sum += over(h-p.pressure.Effect(image, t.step.Image)*t.wish(w)) - over(h)
+		var c imageCost
+		costs, c = p.imageCost(costs, r.task.step.Image, t, w, young)
+		h := r.headroom() - c.unseen
+		sum += over(h-c.filler) - over(h)
 	}
 	return sum
 }
 
-// unseen is the headroom that fillers will take which are too young to be seen.
-func (p *Planner) unseen(now time.Time, w *worker, image string) float64 {
-	sum := 0.0
-	for f := range w.runs {
-		if f.task.step.Filler && now.Sub(f.begun) < gaugeDelay {
-			sum += p.pressure.Effect(image, f.task.step.Image) * f.task.wish(w)
+// imageCost is the headroom that tasks of an image lose.
+type imageCost struct {
+	image string
+	// unseen is what fillers will take which are too young to be seen, and filler what the
+	// one to be placed will take.
+	unseen float64
+	filler float64
+}
+
+// imageCost returns the cost for an image, and the costs with it. A worker has many tasks
+// of few images.
+func (p *Planner) imageCost(costs []imageCost, image string, t *task, w *worker, young []*run) ([]imageCost, imageCost) {
+	for _, c := range costs {
+		if c.image == image {
+			return costs, c
 		}
 	}
-	return sum
+	c := imageCost{image: image, filler: p.pressure.Effect(image, t.step.Image) * t.wish(w)}
+	for _, f := range young {
+		c.unseen += p.pressure.Effect(image, f.task.step.Image) * f.task.wish(w)
+	}
+	return append(costs, c), c
 }
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -14,7 +14,10 @@
 	w := p.workers[agent]
 	if w == nil {
 		w = &worker{agent: agent, runs: map[*run]bool{}}
-		p.workers[agent] = w
+		p.addWorker(w)
+	}
+	if !w.usable(now, p.cfg.Suspect) {
+		p.changed = true
 	}
 	w.heard = now
 	if m.Worker != nil {
@@ -44,6 +47,7 @@
 		p.gone = append(p.gone, Gone{Agent: w.agent, Left: true})
 	}
 	w.recorded, w.left = false, true
+	delete(p.unrecorded, w.agent)
 }
 
 // describe takes in the state of a worker. Another life of it has lost all runs.
@@ -55,9 +59,13 @@
 		p.lapse(now, w)
 		w.known, w.seen, w.noted, w.told = false, 0, 0, 0
 		w.failures = failureStreak{}
-		w.left = false
+		if w.left {
+			w.left = false
+			p.unrecorded[w.agent] = true
+		}
 	}
 	w.state = s
+	p.changed, p.lookedAt = true, time.Time{}
 	w.drainsUntil = now.Add(s.Remaining)
 }
 
@@ -99,6 +107,7 @@
 
 // drop forgets a run that is not there, and never will be.
 func (p *Planner) drop(r *run) {
+	p.changed = true
 	r.w.remove(r)
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
@@ -115,7 +124,10 @@
 		w.unwatched = true
 	}
 	w.known, w.unreached = true, false
-	delete(p.expected, w.agent)
+	if p.expected[w.agent] {
+		delete(p.expected, w.agent)
+		p.changed = true
+	}
 	for _, row := range l.Running {
 		p.runningRow(now, w, row)
 	}
@@ -238,6 +250,7 @@
 	p.keep(t.j)
 	if t.j.remaining == 0 && !t.j.over() {
 		t.j.outcome, t.j.ended = cfjob.OutcomeCompleted, now
+		delete(p.open, t.j.ID)
 		p.noteOutcome(now, t.j)
 	}
 }
@@ -255,6 +268,7 @@
 	p.keep(t.j)
 	if len(t.failed) >= t.j.queue.MaxAttempts && !t.j.over() {
 		t.j.outcome, t.j.ended = cfjob.OutcomeFailed, now
+		delete(p.open, t.j.ID)
 		p.noteOutcome(now, t.j)
 		p.stopAll(t.j)
 	}
@@ -285,7 +299,11 @@
 func (p *Planner) Lapse(now time.Time) []Gone {
 	gone := p.gone
 	p.gone = nil
-	for agent, w := range p.workers {
+	if now.Sub(p.lapsedAt) < lookEvery {
+		return gone
+	}
+	p.lapsedAt = now
+	for _, w := range slices.Clone(p.fleet) {
 		last := w.answered
 		if w.heard.After(last) {
 			last = w.heard
@@ -294,14 +312,15 @@
 			continue
 		}
 		p.lapse(now, w)
-		delete(p.workers, agent)
-		gone = append(gone, Gone{Agent: agent})
+		p.removeWorker(w)
+		gone = append(gone, Gone{Agent: w.agent})
 	}
 	if len(p.expected) > 0 && now.After(p.expectedUntil) {
 		for a := range p.expected {
 			gone = append(gone, Gone{Agent: a})
 		}
 		clear(p.expected)
+		p.changed = true
 	}
 	return gone
 }
--- a/pkg/cfdispatch/reserve.go
+++ b/pkg/cfdispatch/reserve.go
@@ -20,8 +20,14 @@
 	if t.waiting.IsZero() {
 		t.waiting = now
 	}
+	k := t.shape(now)
+	k.reserving = true
+	if p.isFull(k, t) {
+		return false
+	}
 	w := p.reservable(now, t)
 	if w == nil {
+		p.noteFull(k, t)
 		return false
 	}
 	w.reserved = w.reserved.Add(t.step.Room())
@@ -36,7 +42,7 @@
 func (p *Planner) reservable(now time.Time, t *task) *worker {
 	var best *worker
 	var bestFree int64
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if !p.suitable(now, t, w) || !w.reserved.IsZero() {
 			continue
 		}
@@ -50,7 +56,7 @@
 			continue
 		}
 		free := w.state.Capacity.MilliCores - w.used.MilliCores
-		if best == nil || free > bestFree || free == bestFree && w.agent < best.agent {
+		if best == nil || free > bestFree {
 			best, bestFree = w, free
 		}
 	}
--- a/pkg/cfdispatch/score.go
+++ b/pkg/cfdispatch/score.go
@@ -90,11 +90,6 @@
 // crowd is how much more processor time the fillers on a worker would wish for than
 // is left, with another one.
 func (w *worker) crowd(t *task) float64 {
-	busy := w.share(w.used.MilliCores)
-	for r := range w.runs {
-		if r.task.serves() {
-			busy -= (1 - busyShare) * w.share(r.task.step.Resources.MilliCores)
-		}
-	}
+	busy := w.share(w.used.MilliCores) - (1-busyShare)*w.share(w.serving)
 	return max(0, busy+w.share(w.filling)+t.wish(w)-1)
 }
--- a/pkg/cfdispatch/stragglers.go
+++ b/pkg/cfdispatch/stragglers.go
@@ -31,7 +31,7 @@
 // moveStuck stops runs that show no progress, where another worker can run their
 // tasks. A stop costs no attempt; fillers may rightly stand still.
 func (p *Planner) moveStuck(now time.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.fleet {
 		if !w.usable(now, p.cfg.Suspect) {
 			continue
 		}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -1,6 +1,9 @@
 package cfdispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -29,8 +32,10 @@
 	used        cfcore.Resources
 	// reserved is the room that waits for an urgent task, as of the last decision.
 	reserved cfcore.Resources
-	// filling is the processor time that filler tasks would like to have.
+	// filling is the processor time that filler tasks would like to have, and serving what
+	// is reserved for tasks that serve.
 	filling int64
+	serving int64
 	// overSince is since when a tail is over its target, and haltedAt when the fillers
 	// were halted; zero where they are not.
 	overSince time.Time
@@ -55,9 +60,7 @@
 func (w *worker) add(r *run) {
 	w.runs[r] = true
 	w.used = w.used.Add(r.task.step.Room())
-	if r.task.step.Filler {
-		w.filling += r.task.step.Resources.MilliCores
-	}
+	w.count(r.task, 1)
 }
 
 func (w *worker) remove(r *run) {
@@ -66,8 +69,16 @@
 	}
 	delete(w.runs, r)
 	w.used = w.used.Sub(r.task.step.Room())
-	if r.task.step.Filler {
-		w.filling -= r.task.step.Resources.MilliCores
+	w.count(r.task, -1)
+}
+
+// count adds a number of runs of a task to the sums that are kept of a worker's runs.
+func (w *worker) count(t *task, n int64) {
+	if t.step.Filler {
+		w.filling += n * t.step.Resources.MilliCores
+	}
+	if t.serves() {
+		w.serving += n * t.step.Resources.MilliCores
 	}
 }
 
@@ -115,20 +126,31 @@
 
 func (f *failureStreak) succeed() { *f = failureStreak{} }
 
-// Unrecorded returns the agents that get no starts before they are on record.
-func (p *Planner) Unrecorded() []string {
-	var out []string
-	for agent, w := range p.workers {
-		if !w.recorded && !w.left {
-			out = append(out, agent)
-		}
+// addWorker adds a worker that was not known.
+func (p *Planner) addWorker(w *worker) {
+	p.workers[w.agent] = w
+	i, _ := slices.BinarySearchFunc(p.fleet, w.agent, byAgent)
+	p.fleet = slices.Insert(p.fleet, i, w)
+	p.unrecorded[w.agent] = true
+}
+
+func (p *Planner) removeWorker(w *worker) {
+	delete(p.workers, w.agent)
+	delete(p.unrecorded, w.agent)
+	if i, ok := slices.BinarySearchFunc(p.fleet, w.agent, byAgent); ok {
+		p.fleet = slices.Delete(p.fleet, i, i+1)
 	}
-	return out
 }
 
+func byAgent(w *worker, agent string) int { return cmp.Compare(w.agent, agent) }
+
+// Unrecorded returns the agents that get no starts before they are on record.
+func (p *Planner) Unrecorded() []string { return slices.Sorted(maps.Keys(p.unrecorded)) }
+
 // Recorded says that an agent is on record, and that later planners will ask it.
 func (p *Planner) Recorded(agent string) {
 	if w := p.workers[agent]; w != nil && !w.left {
-		w.recorded = true
+		w.recorded, p.changed = true, true
+		delete(p.unrecorded, agent)
 	}
 }
