--- /dev/null
+++ b/pkg/cfdispatch/fuzz_test.go
@@ -0,0 +1,77 @@
+package cfdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfwire"
+)
+
+// FuzzReport gives a planner a report of an agent with any content. Whatever an agent says,
+// the planner goes on.
+func FuzzReport(f *testing.F) {
+	codec, err := cfrecord.NewCodec()
+	if err != nil {
+		f.Fatal(err)
+	}
+	task := cfcore.TaskName{Job: "j"}
+	for _, m := range []cfwire.JobReport{
+		{},
+		{Worker: &cfcore.WorkerState{ID: "w", Service: "dispatch", Born: epochStart}, Lists: &cfcore.RunLists{Born: epochStart}},
+		{Lists: &cfcore.RunLists{Running: []cfcore.RunningTask{{Task: task, Run: 1, Percent: 50, Gauge: 60}}}},
+		{Lists: &cfcore.RunLists{Ended: []cfcore.EndedTask{{Number: 1, Task: task, Run: 1, How: cfcore.EndFailed}}}},
+		{Results: []cfwire.JobOrderResult{{Task: task, Run: 1, Refusal: cfcore.ExecutorTicket}}},
+		{Lost: &cfwire.JobWorkerUnreached{For: time.Hour, Left: true}},
+	} {
+		data, err := codec.Marshal(&m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := &cfwire.JobReport{}
+		if codec.Unmarshal(data, m) != nil {
+			return
+		}
+		fl := newFleet(t, newPlanner(), "a", "b")
+		serving := service("s", 2)
+		fl.add("j", step(2, 500), serving, filler("f", 2))
+		fl.step()
+		for range 2 {
+			fl.Report(fl.now, "a", m)
+			fl.report("b")
+			fl.now = fl.now.Add(400 * time.Millisecond)
+			fl.Plan(fl.now)
+			fl.Take(fl.now)
+			_, seen := fl.Facts(fl.now, true)
+			fl.Noted(seen)
+		}
+		fl.Lapse(fl.now.Add(time.Minute))
+	})
+}
+
+// FuzzRestore gives a planner what another one had learnt, with any content.
+func FuzzRestore(f *testing.F) {
+	codec, err := cfrecord.NewCodec()
+	if err != nil {
+		f.Fatal(err)
+	}
+	data, err := codec.Marshal(newPlanner().Learnt())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := &cfdispatch.Learnt{}
+		if codec.Unmarshal(data, l) != nil {
+			return
+		}
+		p := newPlanner()
+		p.Restore(l)
+		p.Learnt()
+	})
+}
