--- a/pkg/cfdispatch/fuzz_test.go
+++ b/pkg/cfdispatch/fuzz_test.go
@@ -65,7 +65,7 @@
 		f.Fatal(err)
 	}
 	f.Add(data)
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		l := &cfdispatch.Learnt{}
 		if codec.Unmarshal(data, l) != nil {
 			return
