A stand-in VM that wakes up does not show a run whose lease has ended as running

The stand-in looked at leases on a timer of its own only, and answered the first question after the thaw from before it.

Ruled out: a fault of the product: no order reached the frozen VM, the other VM started after the lease had ended, and the history check of the same spec treats a frozen run as one that executes nothing.

Change: the stand-in looks at its leases before it reports, as it does before it renews.

Before: TestLeaseThatHasEndedIsNotReportedAsRunning fails. After: it passes. The check of the spec is as it was.

--- a/internal/cfstandin/vm.go
+++ b/internal/cfstandin/vm.go
@@ -144,6 +144,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.uptime()
+	v.lapse(now)
 	out := cfcore.VMReport{Instance: v.instance, Uptime: now, Capacity: v.settings.Capacity}
 	for a, r := range v.runs {
 		out.Runs = append(out.Runs, cfcore.Run{
--- /dev/null
+++ b/internal/cfstandin/vm_test.go
@@ -0,0 +1,24 @@
+package cfstandin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// A worker that was frozen past a lease and wakes up may be asked before it looks at its
+// leases again. What it ran has executed nothing since then.
+func TestLeaseThatHasEndedIsNotReportedAsRunning(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	v := NewVM(VMSettings{}, clock, RunHooks{})
+	g.Expect(v.start(cfcore.RunSpec{Assignment: 1, Until: time.Second})).To(Succeed())
+	clock.Advance(999 * time.Millisecond)
+	g.Expect(v.report().Runs[0].State).To(Equal(cfcore.RunRunning))
+	clock.Advance(time.Millisecond)
+	g.Expect(v.report().Runs[0].State).To(Equal(cfcore.RunLapsed))
+}
