--- a/integration/jobs/config_test.go
+++ b/integration/jobs/config_test.go
@@ -16,17 +16,6 @@
 // configTime is how long the platform allows until a configuration is in force.
 const configTime = 2 * time.Second
 
-// turnAway lets the store fail for one entry only.
-func (f *fleet) turnAway(entry int, fault standin.Fault) {
-	host := f.entries[entry].front.Addr().String()
-	f.store.SetFault(func(r *http.Request) standin.Fault {
-		if strings.HasPrefix(r.RemoteAddr, host+":") {
-			return fault
-		}
-		return standin.Healthy
-	})
-}
-
 // configureWithout writes a configuration whose queue has another prefix: requests for
 // the former one are then to be answered with 404.
 func (f *fleet) configureWithout(version int) {
--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -133,6 +133,17 @@
 // reads returns the number of reads of the store so far.
 func (f *fleet) reads() int { return f.store.Calls("/log-read") }
 
+// turnAway lets the store fail for one entry only.
+func (f *fleet) turnAway(entry int, fault standin.Fault) {
+	host := f.entries[entry].front.Addr().String()
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if strings.HasPrefix(r.RemoteAddr, host+":") {
+			return fault
+		}
+		return standin.Healthy
+	})
+}
+
 func (f *fleet) configure(version int) {
 	_, err := f.store.Append(context.Background(), operatorTopic, operatorRecord(fmt.Sprintf(config, version)), noOptions)
 	Expect(err).NotTo(HaveOccurred())
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -224,13 +224,7 @@
 		}
 	}),
 	Entry("the store turns the planner away", func(f *fleet) {
-		host := f.entries[f.planner()].front.Addr().String()
-		f.store.SetFault(func(r *http.Request) standin.Fault {
-			if strings.HasPrefix(r.RemoteAddr, host+":") {
-				return standin.Down
-			}
-			return standin.Healthy
-		})
+		f.turnAway(f.planner(), standin.Down)
 		time.Sleep(5 * time.Second)
 		f.store.SetFault(healthy)
 	}),
@@ -243,13 +237,7 @@
 		if !planner {
 			e = (e + 1) % len(f.entries)
 		}
-		host := f.entries[e].front.Addr().String()
-		f.store.SetFault(func(r *http.Request) standin.Fault {
-			if strings.HasPrefix(r.RemoteAddr, host+":") {
-				return fault
-			}
-			return standin.Healthy
-		})
+		f.turnAway(e, fault)
 		// Past the time in which the entry finds out, and the planner hands over.
 		for n := 1; n <= 12; n++ {
 			status, _ := f.call(e, http.MethodPost, queuePrefix+jobID(n), oneStep(2, "100ms"))
@@ -314,13 +302,7 @@
 	f.completes(100, 5*time.Second)
 	before := len(f.runs())
 	p := f.planner()
-	host := f.entries[p].front.Addr().String()
-	f.store.SetFault(func(r *http.Request) standin.Fault {
-		if strings.HasPrefix(r.RemoteAddr, host+":") {
-			return standin.Silent
-		}
-		return standin.Healthy
-	})
+	f.turnAway(p, standin.Silent)
 	// The planner has authority for 2 s after the store last answered it.
 	for n := 1; n <= 8; n++ {
 		Expect(f.submit(n*len(f.entries)+p+1, oneStep(1, "5s"))).To(BeTrue())
