Records on their way to another entry outlive a connection that ends

Change: relay.append goes on until its time is over, unless all that were asked rejected the records. TestRecordsGoOnWhereAConnectionEnds fails without it (go test ./internal/cfjobentry).

--- a/internal/cfjobentry/config.go
+++ b/internal/cfjobentry/config.go
@@ -9,11 +9,10 @@
 	"cranberryford/pkg/cfwire"
 )
 
-// configWait is how long a read waits for another configuration. It bounds the time that
-// a silent connection delays one; the platform allows 2 s and more for that.
-const configWait = time.Second
-
 const (
+	// configWait is how long a read waits for another configuration. It bounds the time that
+	// a silent connection delays one; the platform allows 2 s and more for that.
+	configWait = time.Second
 	// configPatience is how long this entry waits for a newer configuration from a store that
 	// answers it, before it asks the entry that has it. A read takes 10 ms, and 250 ms while the store
 	// is slow; the platform allows 2 s and more until a configuration is in force.
--- a/internal/cfjobentry/relay.go
+++ b/internal/cfjobentry/relay.go
@@ -23,8 +23,8 @@
 	// relayKeep is how long a connection is kept that was opened for records; outages of
 	// the store last seconds.
 	relayKeep = 30 * time.Second
-	// relayPause is the pause after a connection that could not be opened. relayTimeout
-	// leaves time for several.
+	// relayPause is the pause after a connection that could not be opened, or that ended
+	// while records were handed on. relayTimeout leaves time for several.
 	relayPause = 50 * time.Millisecond
 	// maxTold bounds the addresses that are kept of entries that have connected.
 	maxTold = 64
@@ -78,24 +78,47 @@
 	}
 }
 
-// append adds records through other entries, one after the other. A StoreRejected
-// error says that none of them did or ever will.
+// append adds records through other entries, one after the other. Where a connection ends
+// meanwhile, as all do when the planner changes, it goes on with those that come after. A
+// StoreRejected error says that none of the entries added them or ever will.
 func (r *relay) append(ctx context.Context, records []cfcore.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
+	failure := cfcore.StoreRejected
+	for {
+		f := r.appendOnce(ctx, records)
+		if f == "" {
+			return nil
+		}
+		if f != cfcore.StoreRejected {
+			failure = f
+		}
+		if failure == cfcore.StoreRejected || ctx.Err() != nil {
+			return cferror.New("append through another entry", failure, "%d records", len(records))
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.Clock.After(relayPause):
+		}
+	}
+}
+
+// appendOnce asks each entry that is connected, and returns why none added the records;
+// empty where one did.
+func (r *relay) appendOnce(ctx context.Context, records []cfcore.KeyedRecord) cfcore.StoreKind {
 	failure := cfcore.StoreRejected
 	for _, conn := range r.connected(ctx) {
 		f := r.ask(ctx, conn, records)
 		if f == "" {
 			r.Log.Info().Str("Entry", conn.Peer().Name).Int("Records", len(records)).Msg("records added through another entry")
 			r.Scope.Counter("records_relayed").Inc(int64(len(records)))
-			return nil
+			return ""
 		}
 		if f != cfcore.StoreRejected {
 			failure = f
 		}
 	}
-	return cferror.New("append through another entry", failure, "%d records", len(records))
+	return failure
 }
 
 // want asks for a connection to another entry, where there is none.
--- /dev/null
+++ b/internal/cfjobentry/relay_test.go
@@ -0,0 +1,96 @@
+package cfjobentry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"cranberryford/pkg/cfcommon"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfwire"
+)
+
+// otherEntry is an entry that is asked to add records.
+type otherEntry struct {
+	g    *WithT
+	opts cfwire.Options
+}
+
+// connect returns a connection to the other entry, which handles each request by answer, or
+// ends the connection where that is nil.
+func (o *otherEntry) connect(t *testing.T, answer func(*cfwire.JobAppend)) *cfwire.Conn {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, closeConn, err := cfwire.Accept(context.Background(), w, r, o.opts)
+		if err != nil {
+			return
+		}
+		defer closeConn()
+		for {
+			m, err := conn.Receive(context.Background())
+			if err != nil {
+				return
+			}
+			if m.JobAppend == nil {
+				continue
+			}
+			if answer == nil {
+				return
+			}
+			answer(m.JobAppend)
+		}
+	}))
+	t.Cleanup(s.Close)
+	conn, closeConn, err := cfwire.Dial(context.Background(), netip.MustParseAddrPort(s.Listener.Addr().String()), o.opts)
+	o.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(closeConn)
+	return conn
+}
+
+// All connections of an entry end when the planner changes. Records that are on their way
+// then go on over those that come after.
+func TestRecordsGoOnWhereAConnectionEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// failure is what the second entry answers; kind is the error of the whole.
+		failure cfcore.StoreKind
+		kind    cfcore.StoreKind
+	}{
+		{name: "the second one adds them"},
+		{name: "the second one adds none", failure: cfcore.StoreRejected, kind: cfcore.StoreUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			codec, err := cfrecord.NewCodec()
+			g.Expect(err).NotTo(HaveOccurred())
+			clock := clockwork.NewRealClock()
+			o := &otherEntry{g: g, opts: cfwire.Options{Codec: codec, Clock: clock, Self: cfwire.Peer{Role: cfwire.RolePeer, Name: "x"}}}
+			r := newRelay(&Entry{Common: &cfcommon.Common{Log: zerolog.Nop(), Clock: clock, Scope: tally.NoopScope, Codec: codec}})
+
+			first := o.connect(t, nil)
+			leave := r.join(first)
+			second := o.connect(t, func(m *cfwire.JobAppend) {
+				r.answered(&cfwire.JobAppendAnswer{Seq: m.Seq, Failure: c.failure})
+			})
+			go func() {
+				_, _ = first.Receive(context.Background())
+				leave()
+				r.join(second)
+			}()
+			err = r.append(context.Background(), []cfcore.KeyedRecord{{Key: "k", Value: []byte("v")}})
+			if c.kind == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(cferror.Is(err, c.kind)).To(BeTrue(), "%v", err)
+		})
+	}
+}
