The queue is sorted for a policy service only where a queue has one

Cause: NextAdvice sorted all open jobs after each event, also on deployments without such a queue. Change: the queue takes a condition; BenchmarkReport asks for advice as an entry does.

--- a/pkg/cfdispatch/advice.go
+++ b/pkg/cfdispatch/advice.go
@@ -66,10 +66,7 @@
 // come before those that wait for earlier steps, whose answers are then there in time.
 func (p *Planner) NextAdvice(now time.Time) *AdviceAsk {
 	var ahead *AdviceAsk
-	for _, j := range p.queue(now) {
-		if j.queue.Advice == nil {
-			continue
-		}
+	for _, j := range p.queue(now, func(j *job) bool { return j.queue.Advice != nil }) {
 		for k := range j.steps {
 			if now.Before(j.Due(k)) {
 				continue
--- a/pkg/cfdispatch/bench_test.go
+++ b/pkg/cfdispatch/bench_test.go
@@ -75,6 +75,7 @@
 				f.now = f.now.Add(time.Millisecond)
 				f.Report(f.now, f.agents[i], f.reports[i])
 				f.Plan(f.now)
+				f.NextAdvice(f.now)
 				f.Take(f.now)
 			}
 		})
@@ -88,6 +89,7 @@
 				l.Ended = []cfcore.EndedTask{{Number: uint64(n + 1), Task: last.Task, Run: last.Run, How: cfcore.EndDone}}
 				f.Report(f.now, f.agents[i], f.reports[i])
 				f.Plan(f.now)
+				f.NextAdvice(f.now)
 				f.carryOut()
 				if len(l.Running) == 0 {
 					b.Skip("nothing runs any more")
--- a/pkg/cfdispatch/full.go
+++ b/pkg/cfdispatch/full.go
@@ -36,7 +36,7 @@
 // noteFull notes that a task found no room. A task that is kept off some workers for a
 // reason of its own says nothing of others.
 func (p *Planner) noteFull(k shape, t *task) {
-	if t.step.MaxPerWorker == 0 && t.j.queue.Advice == nil && p.full != nil {
+	if t.step.MaxPerWorker == 0 && t.j.queue.Advice == nil {
 		p.full[k] = append(p.full[k], t.needs())
 	}
 }
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -29,10 +29,7 @@
 		p.moveStuck(now)
 	}
 	blocked := len(p.expected) > 0
-	for _, j := range p.queue(now) {
-		if blocked && j.inherited {
-			continue
-		}
+	for _, j := range p.queue(now, func(j *job) bool { return !blocked || !j.inherited }) {
 		for k := range j.steps {
 			if now.Before(j.Due(k)) {
 				continue
@@ -58,11 +55,11 @@
 	return true
 }
 
-// queue returns the jobs that have something to start, the most urgent first.
-func (p *Planner) queue(now time.Time) []*job {
+// queue returns the jobs that match and have something to start, the most urgent first.
+func (p *Planner) queue(now time.Time, match func(*job) bool) []*job {
 	var out []*job
 	for _, j := range p.open {
-		if j.live < j.remaining || j.duplicable {
+		if match(j) && (j.live < j.remaining || j.duplicable) {
 			out = append(out, j)
 		}
 	}
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -180,7 +180,7 @@
 	p := &Planner{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, expected: map[string]bool{},
 		expectedUntil: until, dirty: map[string]*job{}, learnt: durations{}, pressure: cfharm.NewPressure(), orders: map[string]*Orders{},
-		open: map[string]*job{}, noted: map[*worker]bool{}, unrecorded: map[string]bool{}, changed: true,
+		open: map[string]*job{}, noted: map[*worker]bool{}, unrecorded: map[string]bool{}, full: map[shape][]cfcore.Resources{}, changed: true,
 	}
 	for _, a := range agents {
 		p.expected[a] = true
