The load of a service is told apart from its fillers; the next high of a load is foreseen

And fillers were placed by the load of the moment, which swings while they run. Change: pressed tasks teach the load a tenth of what they did; the planner expects a task's headroom to go half the way to its lowest of late.

--- a/pkg/cfdispatch/pressure.go
+++ b/pkg/cfdispatch/pressure.go
@@ -27,6 +27,11 @@
 // part is the share of the worker's processor time that a filler uses.
 func (r *run) part() float64 { return r.w.share(int64(max(r.gauge, 0))) }
 
+// cost is the headroom that a filler takes from a task that serves beside it.
+func (p *Planner) cost(r, f *run) float64 {
+	return p.pressure.Effect(r.task.step.Image, f.task.step.Image) * f.part()
+}
+
 // learnPressure learns from a worker's lists what its fillers do to its tails.
 func (p *Planner) learnPressure(now time.Time, w *worker) {
 	serving, fillers := w.sides()
@@ -41,7 +46,7 @@
 	slices.SortFunc(shares, func(a, b cfharm.Share) int { return cmp.Compare(a.Image, b.Image) })
 	for _, r := range serving {
 		if h := r.headroom(); h > 0 && now.Sub(r.begun) >= gaugeDelay {
-			p.pressure.Observe(r.task.j.ID, r.task.step.Image, h, shares)
+			p.pressure.Observe(now, r.task.j.ID, r.task.step.Image, h, shares)
 		}
 	}
 }
@@ -50,6 +55,10 @@
 // loads swing while a filler runs.
 const safeHeadroom = 1.6
 
+// swingShare is the part of the way down to its lowest headroom of late that a task which
+// serves is taken to go while a filler runs beside it.
+const swingShare = 0.5
+
 // over is how far a task with a headroom counts as over its target, from 0 to 1.
 func over(headroom float64) float64 { return min(max(0, safeHeadroom-headroom), 1) }
 
@@ -72,7 +81,7 @@
 		}
 		var c imageCost
 		costs, c = p.imageCost(costs, r.task.step.Image, t, w, young)
-		h := r.headroom() - c.unseen
+		h := r.headroom() - c.unseen - swingShare*p.pressure.Swing(r.task.j.ID)
 		sum += over(h-c.filler) - over(h)
 	}
 	return sum
--- a/pkg/cfharm/pressure.go
+++ b/pkg/cfharm/pressure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 // Pressure learns how much processor time that fillers use takes from the tasks
@@ -17,8 +18,16 @@
 // share of the time (a normalized least mean squares filter).
 type Pressure struct {
 	pairs map[Pair]float64
-	// alone is the headroom of each job's tasks without neighbours.
-	alone map[string]float64
+	loads map[string]load
+}
+
+// load is what a job's users leave of its tasks' headroom.
+type load struct {
+	// alone is the headroom of the job's tasks without neighbours, as of at.
+	alone float64
+	at    time.Time
+	// low is the lowest headroom without neighbours, forgotten within lowMemory.
+	low float64
 }
 
 // Constants of the filter. They were tried on 40 s of a fleet's reports: the
@@ -30,8 +39,13 @@
 	// aloneGain is the share by which one report of a task without neighbours moves
 	// the headroom of its job.
 	aloneGain = 0.3
-	// pressedTrust lowers aloneGain for tasks under pressure.
-	pressedTrust = 4.0
+	// pressedTrust lowers aloneGain for tasks under pressure: a job has a few tasks that
+	// are not, and these tell its load. Where all are pressed by pairs that are not known
+	// yet, the pairs have to explain it.
+	pressedTrust = 40.0
+	// lowMemory is the time constant with which a low of a load is forgotten: several times
+	// as long as a filler runs, so that the next low of a load that swings is foreseen.
+	lowMemory = 15 * time.Second
 	// leastShares keeps small shares of processor time from teaching much.
 	leastShares = 0.02
 	// priorPressure is assumed of a pair that was not seen yet, and maxPressure bounds
@@ -48,7 +62,7 @@
 
 // NewPressure returns a model that has learnt nothing.
 func NewPressure() *Pressure {
-	return &Pressure{pairs: map[Pair]float64{}, alone: map[string]float64{}}
+	return &Pressure{pairs: map[Pair]float64{}, loads: map[string]load{}}
 }
 
 // Effect returns the headroom that a task which serves loses for each worker's
@@ -60,22 +74,32 @@
 	return priorPressure
 }
 
-// Observe takes a report: the headroom of a task of a job beside fillers.
-func (p *Pressure) Observe(job, service string, headroom float64, shares []Share) {
+// Observe takes a report of a time: the headroom of a task of a job beside fillers.
+func (p *Pressure) Observe(now time.Time, job, service string, headroom float64, shares []Share) {
 	lost, norm := 0.0, leastShares
 	for _, s := range shares {
 		lost += p.Effect(service, s.Image) * s.Part
 		norm += s.Part * s.Part
 	}
-	alone, ok := p.alone[job]
+	l, ok := p.loads[job]
 	if !ok {
-		alone = headroom + lost
+		l = load{alone: headroom + lost, low: headroom + lost, at: now}
 	}
-	err := alone - lost - headroom
+	err := l.alone - lost - headroom
 	for _, s := range shares {
 		p.learn(Pair{service, s.Image}, pressureGain*err*s.Part/norm)
 	}
-	p.alone[job] = alone - err*aloneGain/(1+pressedTrust*lost)
+	l.alone -= err * aloneGain / (1 + pressedTrust*lost)
+	l.low += (l.alone - l.low) * min(1, float64(now.Sub(l.at))/float64(lowMemory))
+	l.low, l.at = min(l.low, l.alone), now
+	p.loads[job] = l
+}
+
+// Swing returns how far the headroom of a job's tasks without neighbours is above its
+// lowest of late.
+func (p *Pressure) Swing(job string) float64 {
+	l := p.loads[job]
+	return l.alone - l.low
 }
 
 func (p *Pressure) learn(k Pair, by float64) {
@@ -90,7 +114,7 @@
 }
 
 // ForgetJob drops what was learnt of a job that has ended.
-func (p *Pressure) ForgetJob(job string) { delete(p.alone, job) }
+func (p *Pressure) ForgetJob(job string) { delete(p.loads, job) }
 
 // Learnt is what a Pressure has learnt of pairs of images, in a form that can be kept.
 type Learnt struct {
