--- a/pkg/cfdispatch/harm_test.go
+++ b/pkg/cfdispatch/harm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -45,6 +46,8 @@
 	runs  map[string]map[string]*played
 	// heavy are the pairs of images, "service/filler", that disturb much.
 	heavy map[string]bool
+	// extra is a load of all services beside their own.
+	extra float64
 	// over and looks count what the services' users saw; longest is the longest time on
 	// end over the target.
 	over, looks int
@@ -87,7 +90,7 @@
 
 // tail returns a service's tail beside what runs on its worker.
 func (h *harmPlay) tail(agent string, r *played) time.Duration {
-	u := h.load(r.start.Task.Job)
+	u := h.load(r.start.Task.Job) + h.extra
 	for _, f := range h.runs[agent] {
 		if !f.step.Filler {
 			continue
@@ -314,3 +317,60 @@
 	h.play()
 	h.Expect(h.runs["w0"]).To(HaveLen(20))
 }
+
+// haltedImages plays some time, and returns the images of fillers that were halted in it.
+func (h *harmPlay) haltedImages(d time.Duration) map[string]bool {
+	halted := map[string]bool{}
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.play()
+		for _, runs := range h.runs {
+			for _, r := range runs {
+				if r.step.Filler && r.pace == 0 {
+					halted[r.step.Image] = true
+				}
+			}
+		}
+	}
+	return halted
+}
+
+// longFiller is a filler that goes on for longer than a play.
+func longFiller(image string, count int) cfjob.Step {
+	s := filler(image, count)
+	s.Estimate = 10 * time.Minute
+	return s
+}
+
+// The load: one worker with a service and fillers of two images, of which one disturbs the
+// service. Those of the other image need not stop for it.
+func TestOnlyFillersToBlameAreHalted(t *testing.T) {
+	h := newHarmPlay(t, 1, "a/x")
+	h.submit("service", service("a", 3))
+	h.submit("light", longFiller("y", 2))
+	h.play()
+	h.Expect(h.haltedImages(5 * time.Second)).To(BeEmpty())
+	h.submit("heavy", longFiller("x", 2))
+	h.haltedImages(20 * time.Second)
+	h.Expect(h.haltedImages(20 * time.Second)).To(Equal(map[string]bool{"x": true}))
+	h.Expect(h.longest).To(BeNumerically("<", harmBound))
+}
+
+// Where something else keeps the tail over its target, all fillers beside it stand still in
+// time: the platform asks that none works on then.
+func TestAllFillersAreHaltedWhereBlameDoesNotHelp(t *testing.T) {
+	h := newHarmPlay(t, 1)
+	h.submit("service", service("a", 3))
+	h.submit("x", longFiller("x", 2))
+	h.submit("y", longFiller("y", 2))
+	h.play()
+	h.haltedImages(3 * time.Second)
+	h.extra = 0.9
+	var halted time.Duration
+	for begin := h.now; halted == 0 && h.now.Sub(begin) < harmBound; {
+		h.play()
+		if !slices.ContainsFunc(slices.Collect(maps.Values(h.runs["w0"])), func(r *played) bool { return r.step.Filler && r.pace > 0 }) {
+			halted = h.now.Sub(begin)
+		}
+	}
+	h.Expect(halted).To(And(BeNumerically(">", 0), BeNumerically("<", harmBound-500*time.Millisecond)))
+}
