A graceful shutdown answers requests on connections that it has just taken

Cause: http.Server.Shutdown closes a connection whose request it has read once the shutdown has begun (net/http server.go, after readRequest). Callers that are told to turn away open a connection for each request, so that one of them now and then got EOF for a request that the entry had read whole. Both kinds of entries end their servers so. Ruled out: idle connections (in the pause before, each answer closes its connection); the proxy (callers connect directly); the end of the pause (the log has no cut-off line). Change: cfnet.Drainer closes the listener, answers what comes in on the connections there are, tells each caller to turn away, and waits for no connection longer than 0.5 s for a first request. Shutdown waited 5 s for those. Left: a connection that the kernel has accepted and the process has not, when the listener closes, is reset; its request was not read.

--- a/internal/cfentry/entry.go
+++ b/internal/cfentry/entry.go
@@ -11,7 +11,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"cranberryford/pkg/cfcommon"
@@ -19,6 +18,7 @@
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfcore/cfpick"
 	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfnet"
 	"cranberryford/pkg/cfroute"
 	"cranberryford/pkg/cfwire"
 )
@@ -161,6 +161,7 @@
 	servers := []*http.Server{
 		e.server(e.callersHandler()), e.server(operators), e.server(e.innerHandler(ctx)),
 	}
+	callers := cfnet.NewDrainer(servers[0], e.callers, e.Clock)
 	served := make(chan error, len(servers))
 	for i, l := range []net.Listener{e.callers, e.operators, e.inner} {
 		go func() { served <- servers[i].Serve(l) }()
@@ -172,7 +173,7 @@
 		go func() { ended <- loop(ctx) }()
 	}
 	e.Log.Info().Str("Entry", string(e.id)).Stringer("Callers", e.Callers()).Msg("entry started")
-	e.wait(ctx, servers[0])
+	e.wait(ctx, callers)
 	cancel()
 	for _, s := range servers {
 		_ = s.Close()
@@ -190,7 +191,7 @@
 
 // report logs the end of a part of the process that ended unasked.
 func (e *Entry) report(err error) {
-	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, http.ErrServerClosed) {
+	if !cfcommon.EndedAsTold(err) {
 		e.Log.Error().Err(err).Msg("part of the entry failed")
 	}
 }
@@ -205,7 +206,7 @@
 
 // wait returns when the entry may end. In a graceful shutdown callers are told
 // first to turn away, and calls in flight are waited for.
-func (e *Entry) wait(ctx context.Context, callers *http.Server) {
+func (e *Entry) wait(ctx context.Context, callers *cfnet.Drainer) {
 	select {
 	case <-ctx.Done():
 		return
@@ -219,7 +220,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, e.cfg.Limits.ShutdownTimeout)
 	defer cancel()
-	if err := callers.Shutdown(waitCtx); err != nil {
+	if err := callers.Drain(waitCtx); err != nil {
 		e.Log.Warn().Err(err).Msg("calls were still in flight at the end of the shutdown")
 	}
 }
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -112,9 +112,11 @@
 		done = append(done, c)
 	}
 	var servers []*http.Server
+	var drainers []*cfnet.Drainer
 	for _, s := range e.servers {
 		srv := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
 		servers = append(servers, srv)
+		drainers = append(drainers, cfnet.NewDrainer(srv, s.Listener, e.Clock))
 		spawn(func(context.Context) error { return srv.Serve(s.Listener) })
 	}
 	spawn(newControl(e).run)
@@ -122,7 +124,10 @@
 	spawn(e.submits.run)
 	spawn(e.relay.run)
 	e.wait(ctx)
-	e.shutdown(ctx, servers)
+	e.shutdown(ctx, drainers)
+	for _, s := range servers {
+		_ = s.Close()
+	}
 	cancel()
 	e.relay.wait()
 	for _, c := range done {
@@ -154,11 +159,8 @@
 
 // shutdown lets requests in flight end. Callers' idle connections are closed only
 // after the balancer had time to turn away.
-func (e *Entry) shutdown(ctx context.Context, servers []*http.Server) {
+func (e *Entry) shutdown(ctx context.Context, drainers []*cfnet.Drainer) {
 	if !e.leaving.Load() {
-		for _, s := range servers {
-			_ = s.Close()
-		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.Drain)
@@ -167,12 +169,11 @@
 	case <-ctx.Done():
 	case <-e.Clock.After(e.cfg.Drain / 2):
 	}
-	for i, s := range servers {
+	for i, d := range drainers {
 		if e.servers[i].Name == innerServer {
-			_ = s.Close()
 			continue
 		}
-		if err := s.Shutdown(ctx); err != nil {
+		if err := d.Drain(ctx); err != nil {
 			e.Log.Warn().Err(err).Str("Server", e.servers[i].Name).Msg("requests were cut off by the shutdown")
 		}
 	}
