A call waits for an agent that connects again

Cause: an entry takes a connection for silent after 750 ms, its agent after 800 ms. Where all connections of an entry go silent, calls that come in between were answered NotRun at once ('no target can take the call'), though the targets work and are reachable a moment later. Change: while an agent was heard of within Stale (2 s), its process is not known to have ended, and it only lacks a connection, a call that was sent nowhere yet waits for one, as long as its caller does. Where nothing can come back it is refused at once, as before. Tests: TestCallWaitsForAnAgentThatConnectsAgain fails before.

--- a/pkg/cfroute/link.go
+++ b/pkg/cfroute/link.go
@@ -70,6 +70,13 @@
 // Gone is closed when this run of the agent is over.
 func (l *Link) Gone() <-chan struct{} { return l.gone }
 
+// Ended reports whether this run of the agent is over.
+func (l *Link) Ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isGone
+}
+
 // Up reports whether the link has a connection that is heard of.
 func (l *Link) Up() bool { return l.best(nil) != nil }
 
--- a/pkg/cfroute/router.go
+++ b/pkg/cfroute/router.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,9 @@
 			return res
 		}
 		b := r.pick(svc, tried)
+		if b == nil && res.Attempts == 0 {
+			b = r.awaitTarget(ctx, svc)
+		}
 		if b == nil {
 			return res
 		}
@@ -157,16 +161,43 @@
 	return b
 }
 
-func (r *Router) usable(b *Backend) bool {
+func (r *Router) usable(b *Backend) bool { return r.serving(b) && b.Link.Up() }
+
+// serving reports whether a target can take calls as far as its agent has said of late.
+func (r *Router) serving(b *Backend) bool {
 	now := r.now()
 	if now-time.Duration(b.heardAt.Load()) > r.settings.Stale {
 		return false
 	}
 	at := time.Duration(b.ejectedAt.Load())
-	if at != 0 && now-at < r.settings.EjectFor {
-		return false
+	return at == 0 || now-at >= r.settings.EjectFor
+}
+
+// reconnectCheck is how often a call that waits for a connection looks for one.
+const reconnectCheck = 10 * time.Millisecond
+
+// awaitTarget waits for a target whose agent was heard of lately, and whose connections
+// have all ended or gone silent: the agent notices that too, and connects again. It returns
+// nil where there is none any more. Load: all connections of an entry go silent at once.
+func (r *Router) awaitTarget(ctx context.Context, svc *Service) *Backend {
+	check := r.clock.NewTicker(reconnectCheck)
+	defer check.Stop()
+	for slices.ContainsFunc(svc.Backends, r.reconnecting) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-check.Chan():
+		}
+		if b := r.pick(svc, nil); b != nil {
+			return b
+		}
 	}
-	return b.Link.Up()
+	return nil
+}
+
+// reconnecting reports whether a target lacks only a connection to its agent.
+func (r *Router) reconnecting(b *Backend) bool {
+	return r.serving(b) && !b.Link.Ended() && !b.Link.Up()
 }
 
 // attempt sends a call to one target and waits for what becomes of it.
--- a/pkg/cfroute/router_test.go
+++ b/pkg/cfroute/router_test.go
@@ -170,6 +170,39 @@
 	g.Expect(second.sent[0].ID).To(Equal(first.sent[0].ID), "the agent can tell that it is the same call")
 }
 
+// All connections of an entry have gone silent; the agents connect again a moment later.
+func TestCallWaitsForAnAgentThatConnectsAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		reconnects, ended bool
+		want              cfwire.Verdict
+	}{
+		"it connects again":           {reconnects: true, want: cfwire.VerdictAnswered},
+		"it does not connect again":   {want: cfwire.VerdictNotRun},
+		"its process is known to end": {ended: true, want: cfwire.VerdictNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRig(verdict(cfwire.VerdictAnswered, false))
+			old := r.conns[0]
+			old.silence = time.Second
+			if c.ended {
+				old.link.End()
+			}
+			if c.reconnects {
+				time.AfterFunc(50*time.Millisecond, func() {
+					old.link.Add(&fakeConn{link: old.link, script: verdict(cfwire.VerdictAnswered, false), done: make(chan struct{})})
+				})
+			}
+			begun := time.Now()
+			g.Expect(r.do("POST").Answer.Verdict).To(Equal(c.want))
+			g.Expect(old.calls()).To(BeZero())
+			if c.ended {
+				g.Expect(time.Since(begun)).To(BeNumerically("<", 50*time.Millisecond), "nothing is left to wait for")
+			}
+		})
+	}
+}
+
 func TestLateAndDoubledAnswersAreDropped(t *testing.T) {
 	g := NewWithT(t)
 	l := cfroute.NewLink("w", "i", time.Second)
