A start without an answer is ruled out in a worker's next life before its task starts again

Cause: an order that gets no answer can be carried out up to 12 s later. Where the worker starts again under its ID meanwhile, the header that names a life does not keep the order from the new one, whose clock and highest fencing token begin anew. The planner took all runs of the former life for lost and started the tasks elsewhere; the late order then ran them once more. Ruled out: longer leases or waits (the new life would take the order all the same); the agent's own record of attempts, which ends with the agent. Change: runs of the former life whose start was sent in the last 15 s count as running until the new life has answered a stop, which makes them impossible there; with another ID they are lost as before. The agent no longer says of a start for an earlier life that it was not carried out: it does not know. The soak plays both faults from now on. Left: the agent silent for 7.6 s meanwhile, and a planner that changes between the order and the new life's first hold: not played.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -199,6 +199,15 @@
 		time.Sleep(2 * time.Second)
 		f.workers[0].SetDeaf(false)
 	}),
+	Entry("a worker carries orders out late, and starts again under its name meanwhile", func(f *fleet) {
+		for range 3 {
+			f.workers[0].SetLate(1500 * time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+			f.workers[0].SetLate(0)
+			f.workers[0].Restart()
+			time.Sleep(2 * time.Second)
+		}
+	}),
 	Entry("the store loses answers", func(f *fleet) {
 		n := 0
 		f.store.SetFault(func(r *http.Request) standin.Fault {
--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -159,6 +159,18 @@
 		s.workers[i].SetDeaf(true)
 		return func() { s.workers[i].SetDeaf(false); release() }
 	}, 2 * time.Second},
+	{"a worker carries orders out late, without an answer", func(s *soak) func() {
+		i, release, ok := s.hold("worker", len(s.workers))
+		if !ok {
+			return nil
+		}
+		s.workers[i].SetLate(time.Duration(1+s.rng.IntN(5)) * time.Second)
+		return func() { s.workers[i].SetLate(0); release() }
+	}, 2 * time.Second},
+	{"a worker starts again under its name", func(s *soak) func() {
+		s.workers[s.rng.IntN(len(s.workers))].Restart()
+		return func() {}
+	}, time.Millisecond},
 	{"a worker leaves for good", func(s *soak) func() {
 		if s.left+2 >= len(s.workers) {
 			return nil
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -86,15 +86,11 @@
 	if c.inFlight[key] {
 		return
 	}
-	if c.hasWorker && s.Born.Before(c.worker.Born) {
-		// The life that the run was for has ended, and the run with it.
-		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorOther})
-		return
-	}
 	until := c.leaseUntil()
 	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.left || until == 0 || c.worker.Draining {
 		// Whether an earlier attempt, maybe of an earlier run of this agent, has started the
-		// run is not known here; the planner asks again, or stops the run.
+		// run or will start it in another life of the worker is not known here; the planner asks
+		// again, or stops the run.
 		return
 	}
 	c.inFlight[key] = true
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -59,7 +59,7 @@
 }
 
 func (p *Planner) sendStart(now time.Time, r *run) {
-	r.sent = now
+	r.sent, r.ordered = now, now
 	o := p.ordersFor(r.w)
 	o.Starts = append(o.Starts, cfwire.JobStart{
 		Worker: r.w.state.ID, Born: r.w.state.Born, Task: r.task.name, Run: r.id,
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -58,12 +58,14 @@
 
 // run is one run of a task that may exist on a worker.
 type run struct {
-	task       *task
-	id         uint64
-	w          *worker
-	phase      phase
-	begun      time.Time
-	sent       time.Time
+	task  *task
+	id    uint64
+	w     *worker
+	phase phase
+	begun time.Time
+	sent  time.Time
+	// ordered is when the start was last sent.
+	ordered    time.Time
 	checkpoint string
 	ticket     string
 	percent    int
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if s.Born.After(w.state.Born) {
-		p.lapse(now, w)
+		p.reborn(now, w, s.ID)
 		w.known, w.seen, w.noted, w.told = false, 0, 0, 0
 		w.failures = failureStreak{}
 		if w.left {
@@ -274,15 +274,42 @@
 	}
 }
 
+// lateOrders is how long after it was sent an order without an answer may still be carried
+// out: 12 s by the platform's word, and the time until the answer was missed.
+const lateOrders = 15 * time.Second
+
+// reborn ends the runs of a worker's former life. Where the new life has the same ID, an
+// attempt to start a run that got no answer may still begin it there: such runs count as
+// running until the new life has answered a stop.
+func (p *Planner) reborn(now time.Time, w *worker, id string) {
+	for r := range w.runs {
+		if id == w.state.ID && now.Sub(r.ordered) < lateOrders {
+			r.keepCheckpoint()
+			r.phase, r.sent = stopping, time.Time{}
+			continue
+		}
+		p.lapseRun(now, r)
+	}
+}
+
 // lapse ends all runs of a worker whose leases have ended, or that is gone.
 func (p *Planner) lapse(now time.Time, w *worker) {
 	for r := range w.runs {
-		p.noteRun(EventLapsed, r, now)
-		t := r.task
-		p.drop(r)
-		if t.step.Checkpointing && r.checkpoint != "" && r.checkpoint != t.checkpoint {
-			t.checkpoint = r.checkpoint
-		}
+		p.lapseRun(now, r)
+	}
+}
+
+func (p *Planner) lapseRun(now time.Time, r *run) {
+	p.noteRun(EventLapsed, r, now)
+	p.drop(r)
+	r.keepCheckpoint()
+}
+
+// keepCheckpoint lets the task resume from the last checkpoint of a run that is lost.
+func (r *run) keepCheckpoint() {
+	t := r.task
+	if t.step.Checkpointing && r.checkpoint != "" {
+		t.checkpoint = r.checkpoint
 	}
 }
 
