--- a/pkg/cfnet/drainer_test.go
+++ b/pkg/cfnet/drainer_test.go
@@ -35,8 +35,11 @@
 		_, _ = io.WriteString(w, "answer")
 	})}
 	d := cfnet.NewDrainer(s, l, clockwork.NewRealClock())
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.Serve(l)
+	}()
 	t.Cleanup(func() { _ = s.Close(); <-served })
 	return &drained{WithT: g, t: t, addr: l.Addr().String(), d: d}
 }
