The test driver makes a plan again that another change has overtaken

Its message has the cause: the plan rested on offset 7 through entry-1, and the acceptance of the first intent through entry-0 is the record at offset 8, which entry-1 had not read yet. That refusal is what docs/OPERATIONS.md promises operators, with the remedy: make the plan again. Ruled out: a lost or doubled change (the refusal names the record that came between).

--- a/internal/cfdriver/cluster.go
+++ b/internal/cfdriver/cluster.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -318,15 +319,40 @@
 	return c.Entries[entry].API.GetStatus(ctx)
 }
 
-// Accept makes the plan for an intent through an entry and confirms it.
+// planTries bounds the plans that an operator makes for an intent while others overtake them.
+const planTries = 5
+
+// Accept makes the plan for an intent through an entry and confirms it. As an operator
+// would, it makes the plan again where another change has overtaken it: an entry may not
+// have read yet what another one has accepted.
 func (c *Cluster) Accept(entry int, in *cfapi.Intent) {
 	GinkgoHelper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
+	for range planTries - 1 {
+		err := c.accept(ctx, entry, in)
+		if !overtaken(err) {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		AddReportEntry("plan made again: " + err.Error())
+	}
+	Expect(c.accept(ctx, entry, in)).To(Succeed())
+}
+
+func (c *Cluster) accept(ctx context.Context, entry int, in *cfapi.Intent) error {
 	p, err := c.Entries[entry].API.MakePlan(ctx, in)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return err
+	}
 	_, err = c.Entries[entry].API.ConfirmPlan(ctx, cfapi.ConfirmPlanParams{Plan: p.ID})
-	Expect(err).NotTo(HaveOccurred())
+	return err
+}
+
+// overtaken reports whether a plan was refused because another change came before it.
+func overtaken(err error) bool {
+	var problem *cfapi.ProblemStatusCode
+	return errors.As(err, &problem) && problem.StatusCode == http.StatusConflict
 }
 
 // Eventually waits until a condition holds.
