All fillers beside a harmed task are halted at once again

Halting the fillers to blame first, and all of them 0.7 s later, let fillers work on for up to 3.3 s of a tail's reports; the reports are up to 0.9 s behind the tail, and the order takes 0.1 s more, with the processor time of planner and agent on top. The bound is 4 s. Test: TestAllFillersStandStillInTime asks for 1.2 s of reserve, and fails on the parent.

--- a/pkg/cfdispatch/harm_test.go
+++ b/pkg/cfdispatch/harm_test.go
@@ -318,22 +318,6 @@
 	h.Expect(h.runs["w0"]).To(HaveLen(20))
 }
 
-// haltedImages plays some time, and returns the images of fillers that were halted in it.
-func (h *harmPlay) haltedImages(d time.Duration) map[string]bool {
-	halted := map[string]bool{}
-	for end := h.now.Add(d); h.now.Before(end); {
-		h.play()
-		for _, runs := range h.runs {
-			for _, r := range runs {
-				if r.step.Filler && r.pace == 0 {
-					halted[r.step.Image] = true
-				}
-			}
-		}
-	}
-	return halted
-}
-
 // longFiller is a filler that goes on for longer than a play.
 func longFiller(image string, count int) cfjob.Step {
 	s := filler(image, count)
@@ -341,36 +325,25 @@
 	return s
 }
 
-// The load: one worker with a service and fillers of two images, of which one disturbs the
-// service. Those of the other image need not stop for it.
-func TestOnlyFillersToBlameAreHalted(t *testing.T) {
-	h := newHarmPlay(t, 1, "a/x")
-	h.submit("service", service("a", 3))
-	h.submit("light", longFiller("y", 2))
-	h.play()
-	h.Expect(h.haltedImages(5 * time.Second)).To(BeEmpty())
-	h.submit("heavy", longFiller("x", 2))
-	h.haltedImages(20 * time.Second)
-	h.Expect(h.haltedImages(20 * time.Second)).To(Equal(map[string]bool{"x": true}))
-	h.Expect(h.longest).To(BeNumerically("<", harmBound))
-}
-
-// Where something else keeps the tail over its target, all fillers beside it stand still in
-// time: the platform asks that none works on then.
-func TestAllFillersAreHaltedWhereBlameDoesNotHelp(t *testing.T) {
+// A tail is a figure for the last half second, and a report of it is up to 0.4 s old; the
+// platform asks that no filler works on beside a tail that has been over its target for
+// 4 s. All of them have to stand still 1.2 s before that, as the reports have it.
+func TestAllFillersStandStillInTime(t *testing.T) {
 	h := newHarmPlay(t, 1)
 	h.submit("service", service("a", 3))
 	h.submit("x", longFiller("x", 2))
 	h.submit("y", longFiller("y", 2))
-	h.play()
-	h.haltedImages(3 * time.Second)
+	for range 10 {
+		h.play()
+	}
 	h.extra = 0.9
 	var halted time.Duration
 	for begin := h.now; halted == 0 && h.now.Sub(begin) < harmBound; {
 		h.play()
-		if !slices.ContainsFunc(slices.Collect(maps.Values(h.runs["w0"])), func(r *played) bool { return r.step.Filler && r.pace > 0 }) {
+		works := func(r *played) bool { return r.step.Filler && r.pace > 0 }
+		if !slices.ContainsFunc(slices.Collect(maps.Values(h.runs["w0"])), works) {
 			halted = h.now.Sub(begin)
 		}
 	}
-	h.Expect(halted).To(And(BeNumerically(">", 0), BeNumerically("<", harmBound-500*time.Millisecond)))
+	h.Expect(halted).To(And(BeNumerically(">", 0), BeNumerically("<=", harmBound-1200*time.Millisecond)))
 }
--- a/pkg/cfdispatch/pace.go
+++ b/pkg/cfdispatch/pace.go
@@ -18,7 +18,7 @@
 	// haltAfter is how long a tail may be over its target before the fillers beside it are
 	// halted. The platform allows harm for 4 s; a tail is a figure for the last half
 	// second, and is up to 0.4 s old when it gets here.
-	haltAfter = 2 * time.Second
+	haltAfter = 2200 * time.Millisecond
 	// takeoverTime is how long a tail that is over its target at a planner's first look may
 	// have been so: a planner is silent for 1 s before the next one claims, and that needs
 	// the reports of its agents.
@@ -26,12 +26,6 @@
 	// leastHalt is the time that a halted filler needs to be seen in the tails: half a
 	// second of their window, and the way of the order and of the next report.
 	leastHalt = 1100 * time.Millisecond
-	// sureHeadroom is the headroom that halting the fillers to blame has to leave a task:
-	// what is learnt of pairs is not exact.
-	sureHeadroom = 1.2
-	// blameTime is how long the halt of the fillers to blame may take to show before all are
-	// halted: what is left of the platform's 4 s after haltAfter and the age of a tail.
-	blameTime = 700 * time.Millisecond
 	// longestHalt is how long fillers are halted where the tail stays over its target
 	// without them.
 	longestHalt = 2 * time.Second
@@ -62,35 +56,13 @@
 	return serving, fillers
 }
 
-// watchTails halts the fillers to blame on a worker where a tail has been over its target
-// for some time, and all of them where that does not help; it lets them go on soon after.
-// Holding them at a lower pace all the time was measured to delay most of their jobs past
-// their objectives, since a job waits for its slowest task; short halts end the harm at
-// less cost.
+// watchTails halts the fillers on a worker where a tail has been over its target for
+// some time, and lets them go on soon after. Holding them at a lower pace all the
+// time was measured to delay most of their jobs past their objectives, since a job
+// waits for its slowest task; short halts end the harm at less cost.
 func (p *Planner) watchTails(now time.Time, w *worker) {
 	serving, fillers := w.sides()
 	over := slices.ContainsFunc(serving, func(r *run) bool { return r.tail() > r.task.step.TailTarget })
-	w.noteOver(now, over)
-	halt := now.Sub(w.haltedAt)
-	switch {
-	case w.haltedAt.IsZero():
-		if over && now.Sub(w.overSince) >= haltAfter && len(fillers) > 0 {
-			w.haltedAt = now
-			p.blame(serving, fillers)
-		}
-	case halt >= leastHalt && (!over || halt > longestHalt):
-		w.haltedAt, w.overSince = time.Time{}, time.Time{}
-	case halt >= blameTime && over:
-		setBlamed(fillers, true)
-	}
-	if w.haltedAt.IsZero() {
-		setBlamed(fillers, false)
-	}
-	p.setPaces(now, w, fillers)
-}
-
-// noteOver notes whether a tail on the worker is over its target.
-func (w *worker) noteOver(now time.Time, over bool) {
 	switch {
 	case !over:
 		w.overSince = time.Time{}
@@ -101,43 +73,25 @@
 		}
 	}
 	w.unwatched = false
-}
-
-// blame marks the fillers without which no tail would be over its target, those that cost
-// a task the most first.
-func (p *Planner) blame(serving, fillers []*run) {
-	for _, r := range serving {
-		h := r.headroom()
-		if h <= 0 || h >= 1 {
-			continue
-		}
-		byCost := slices.Clone(fillers)
-		slices.SortFunc(byCost, func(a, b *run) int {
-			return cmp.Or(cmp.Compare(p.cost(r, b), p.cost(r, a)), cmp.Compare(a.id, b.id))
-		})
-		for _, f := range byCost {
-			if h >= sureHeadroom {
-				break
-			}
-			f.blamed = true
-			h += p.cost(r, f)
+	halt := now.Sub(w.haltedAt)
+	switch {
+	case w.haltedAt.IsZero():
+		if over && now.Sub(w.overSince) >= haltAfter && len(fillers) > 0 {
+			w.haltedAt = now
 		}
+	case halt >= leastHalt && (!over || halt > longestHalt):
+		w.haltedAt, w.overSince = time.Time{}, time.Time{}
 	}
-}
-
-func setBlamed(fillers []*run, blamed bool) {
-	for _, f := range fillers {
-		f.blamed = blamed
+	pace := fullPace
+	if !w.haltedAt.IsZero() {
+		pace = 0
 	}
+	p.setPaces(now, w, fillers, pace)
 }
 
-// setPaces halts the fillers to blame, and lets the others work at full speed.
-func (p *Planner) setPaces(now time.Time, w *worker, fillers []*run) {
+// setPaces lets fillers work at a pace.
+func (p *Planner) setPaces(now time.Time, w *worker, fillers []*run, pace int) {
 	for _, f := range fillers {
-		pace := fullPace
-		if f.blamed {
-			pace = 0
-		}
 		// An order can be lost, or carried out after a newer one.
 		asOrdered := pace == fullPace && f.gauge > 0
 		if f.pace == pace && (asOrdered || now.Sub(f.paceSent) < paceRepeat) {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -72,8 +72,6 @@
 	// progressed is when the percentage last rose.
 	progressed time.Time
 	gauge      int
-	// blamed is set while the run is halted for what it does to tasks that serve.
-	blamed bool
 	// pace is the share of its speed at which the run was told to work, in percent.
 	pace int
 	// paceSent is when the pace was last sent.
--- a/pkg/cfdispatch/pressure.go
+++ b/pkg/cfdispatch/pressure.go
@@ -27,11 +27,6 @@
 // part is the share of the worker's processor time that a filler uses.
 func (r *run) part() float64 { return r.w.share(int64(max(r.gauge, 0))) }
 
-// cost is the headroom that a filler takes from a task that serves beside it.
-func (p *Planner) cost(r, f *run) float64 {
-	return p.pressure.Effect(r.task.step.Image, f.task.step.Image) * f.part()
-}
-
 // learnPressure learns from a worker's lists what its fillers do to its tails.
 func (p *Planner) learnPressure(now time.Time, w *worker) {
 	serving, fillers := w.sides()
