Log which planner orders what, unexpected runs and second runs of done tasks

Could not be told apart before: a start by a superseded planner (start ordered had no Epoch), an order of a worker's former incarnation (no Born at the order and its call, and a listed run that the planner did not adopt was stopped without a line), and a task that is done twice (no line when an end as done finds another run of the task). Counters runs_unexpected and tasks_done_with_other_runs. The age of the leadership's confirmation is in the line of an expired worker.

--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -210,7 +210,7 @@
 	if ev.err != nil {
 		l = c.Log.Warn().Err(ev.err)
 	}
-	cfcommon.WithRun(l, ev.key.task, ev.key.run).Bool("Stop", ev.key.stop).Uint64("Epoch", uint64(ev.token)).Msg("call to the worker for an order returned")
+	cfcommon.WithRun(l, ev.key.task, ev.key.run).Bool("Stop", ev.key.stop).Time("Born", ev.key.born).Uint64("Epoch", uint64(ev.token)).Msg("call to the worker for an order returned")
 }
 
 // refusalOf returns the kind of a worker's refusal, or ExecutorRefused for other errors.
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -112,7 +112,7 @@
 		if g.HasLeft {
 			c.Log.Info().Str("Agent", g.Agent).Msg("worker has left: its record is dropped")
 		} else {
-			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Msg("worker unreachable and all its leases expired; dropping its record")
+			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Uint64("Epoch", uint64(c.plan.epoch)).Dur("ConfirmedAge", c.bootTime()-c.confirmedAt).Msg("worker unreachable and all its leases expired; dropping its record")
 		}
 		c.dropAgent(g.Agent)
 	}
@@ -144,6 +144,12 @@
 			l.Str("Outcome", string(e.Outcome)).Dur("AfterObjective", e.AfterObjective)
 			c.Scope.Timer("job_time").Record(e.Took)
 			c.unseenSince[e.Task.Job] = c.Clock.Now()
+		case cfdispatch.EventUnexpected:
+			l.Str("Reason", e.Reason).Time("Born", e.Born)
+			c.Scope.Counter("runs_unexpected").Inc(1)
+		case cfdispatch.EventOtherRun:
+			l.Time("Born", e.Born)
+			c.Scope.Counter("tasks_done_with_other_runs").Inc(1)
 		case cfdispatch.EventLost, cfdispatch.EventStalled, cfdispatch.EventAdopted, cfdispatch.EventQuarantined:
 		}
 		l.Uint64("Epoch", uint64(c.plan.epoch)).Msg(string(e.Kind))
@@ -163,10 +169,10 @@
 // sendOrders logs the planner's orders and sends them to an agent.
 func (c *control) sendOrders(l *link, o *cfdispatch.Orders) {
 	for _, s := range o.Starts {
-		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Str("Checkpoint", s.Checkpoint).Msg("start ordered")
+		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Time("Born", s.Born).Uint64("Epoch", uint64(c.plan.epoch)).Str("Checkpoint", s.Checkpoint).Msg("start ordered")
 	}
 	for _, s := range o.Stops {
-		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Msg("stop ordered")
+		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Uint64("Epoch", uint64(c.plan.epoch)).Msg("stop ordered")
 	}
 	c.Scope.Counter("starts_ordered").Inc(int64(len(o.Starts)))
 	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{
--- a/pkg/cfdispatch/events.go
+++ b/pkg/cfdispatch/events.go
@@ -19,6 +19,12 @@
 	// EventLost is a run that can no longer exist: all leases on its worker have expired,
 	// the worker has left, or the run belonged to an earlier incarnation of the worker.
 	EventLost EventKind = "run lost: worker's leases expired, or worker left or restarted"
+	// EventUnexpected is a listed run that the planner does not adopt and therefore stops, see
+	// Event.Reason.
+	EventUnexpected EventKind = "worker lists an unexpected run; stopping it"
+	// EventOtherRun is the successful end of a run whose task has another run. The planner
+	// stops the other run, to which the event's agent, run and incarnation belong.
+	EventOtherRun EventKind = "task is done and has another run; stopping that run"
 	// EventStalled is a run that makes no progress and that the planner therefore stops.
 	EventStalled EventKind = "run stalled; stopping it"
 	// EventAdopted is a run that an earlier planner started and that this planner adopts.
@@ -40,6 +46,10 @@
 	Run   uint64
 	// How is how the run ended.
 	How cfcore.RunEnd
+	// Reason is why a run is unexpected. Born is when the incarnation of the worker started
+	// that lists it.
+	Reason string
+	Born   time.Time
 	// Refusal is why a start was refused. It is cfcore.ExecutorStale for a stop of a run
 	// that the worker does not have.
 	Refusal cfcore.ExecutorKind
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -157,12 +157,12 @@
 func (p *Planner) applyRunning(now time.Time, w *worker, row cfcore.RunningTask) {
 	t := p.lookupTask(row.Task)
 	if t == nil {
-		p.stopUnknownRun(w, row)
+		p.stopUnexpectedRun(w, row, "job unknown or over")
 		return
 	}
 	r := p.findRun(w, row.Task, row.Run)
 	if r == nil && len(t.runs) > 0 && !t.step.Duplicable {
-		p.stopUnknownRun(w, row)
+		p.stopUnexpectedRun(w, row, "task has another run")
 		return
 	}
 	if r == nil {
@@ -186,12 +186,13 @@
 	}
 }
 
-// stopUnknownRun orders the stop of a listed run that this planner does not adopt: its job
-// is unknown or had ended when it was added, or its task already has another run and must
-// not have two.
-func (p *Planner) stopUnknownRun(w *worker, row cfcore.RunningTask) {
+// stopUnexpectedRun orders the stop of a listed run that this planner does not adopt: its
+// job is unknown or had ended when it was added, or its task already has another run and
+// must not have two.
+func (p *Planner) stopUnexpectedRun(w *worker, row cfcore.RunningTask, reason string) {
 	o := p.ordersFor(w)
 	o.Stops = append(o.Stops, cfwire.JobStop{Task: row.Task, Run: row.Run})
+	p.addEvent(Event{Kind: EventUnexpected, Agent: w.agent, Task: row.Task, Run: row.Run, Reason: reason, Born: w.state.Born})
 }
 
 // applyEnded applies the end of a run.
@@ -257,6 +258,9 @@
 		st.remaining--
 		t.j.remaining--
 		for _, r := range m.runs {
+			if r.phase != stopping && !m.step.Duplicable && !m.step.Gang {
+				p.addEvent(Event{Kind: EventOtherRun, Agent: r.w.agent, Task: m.name, Run: r.id, Born: r.w.state.Born})
+			}
 			p.stopRun(r)
 		}
 	}
