Move work of a silent agent only if no newer planner could have reached it

Cause: a superseded planner keeps its authority for up to 2 s, counted from its last read of the store that found no newer epoch. Meanwhile it counted the leases on a worker as expired 7.6 s after its own last contact with the worker's agent, measured at the present. The newer planner can reach that agent within these 2 s, before the leases run out: it extends them, or records the end of a run, while the older planner starts the task elsewhere. The wait of a new planner for agents that have not reported (9.6 s) had the same flaw.

Ruled out in the trace: the fence (the other worker had not heard of the newer epoch), the wait of the newer planner (it started nothing), lost progress.

Change: ExpireLeases gets the newest time for which it is certain that no newer planner was in force (the last confirmed read, or the oldest of the other entries' newest promises), and counts leases as expired only if they had expired by then. A newer planner then finds no lease to extend.

TestSupersededPlannerDoesNotMove- WorkOfANewerOne and the added step of TestNewPlannerWaitsForAgentsThatHaveNot- Reported failed with the former comparison. The model now says when its superseded planner last read the store: when the newer one was elected.

Cost: work of a silent agent moves up to 0.6 s later, the age of a confirmed read.

--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -108,11 +108,12 @@
 		return
 	}
 	now := c.Clock.Now()
-	for _, g := range c.plan.ExpireLeases(now) {
+	confirmedAge := c.bootTime() - c.leadershipConfirmedAt()
+	for _, g := range c.plan.ExpireLeases(now, now.Add(-confirmedAge)) {
 		if g.HasLeft {
 			c.Log.Info().Str("Agent", g.Agent).Msg("worker has left: its record is dropped")
 		} else {
-			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Uint64("Epoch", uint64(c.plan.epoch)).Dur("ConfirmedAge", c.bootTime()-c.confirmedAt).Msg("worker unreachable and all its leases expired; dropping its record")
+			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Uint64("Epoch", uint64(c.plan.epoch)).Dur("ConfirmedAge", confirmedAge).Msg("worker unreachable and all its leases expired; dropping its record")
 		}
 		c.dropAgent(g.Agent)
 	}
--- a/internal/cfjobentry/polls.go
+++ b/internal/cfjobentry/polls.go
@@ -67,15 +67,35 @@
 		return false
 	}
 	promiseValidity := time.Duration(float64(c.cfg.Lease.Promise) * (1 - clockSlack))
+	at, ok := c.promisedByAllAt()
+	return ok && now-at < promiseValidity
+}
+
+// promisedByAllAt returns the oldest of the other entries' newest promises. It reports false
+// if an entry has given none.
+func (c *control) promisedByAllAt() (time.Duration, bool) {
+	oldest := c.bootTime()
 	for name := range c.stored.Entries {
 		if name == c.cfg.Name {
 			continue
 		}
-		if at, ok := c.polls.promisedAt[name]; !ok || now-at >= promiseValidity {
-			return false
+		at, ok := c.polls.promisedAt[name]
+		if !ok {
+			return 0, false
 		}
+		oldest = min(oldest, at)
+	}
+	return oldest, true
+}
+
+// leadershipConfirmedAt returns the newest time, on the boot clock, for which the planner
+// knows that no newer planner was in force. An entry that gives a promise is no newer
+// planner at that time.
+func (c *control) leadershipConfirmedAt() time.Duration {
+	if at, ok := c.promisedByAllAt(); ok && len(c.stored.Entries) > 1 {
+		return max(c.confirmedAt, at)
 	}
-	return true
+	return c.confirmedAt
 }
 
 // pollPeers polls the other entries if this entry is the planner, at most once in
--- a/pkg/cfdispatch/fuzz_test.go
+++ b/pkg/cfdispatch/fuzz_test.go
@@ -49,7 +49,7 @@
 			_, ends := fl.TakeUnrecordedProgress(fl.now, true)
 			fl.MarkEndsRecorded(ends)
 		}
-		fl.ExpireLeases(fl.now.Add(time.Minute))
+		fl.ExpireLeases(fl.now.Add(time.Minute), fl.now.Add(time.Minute))
 	})
 }
 
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -198,7 +198,7 @@
 		a.requestedAt = m.now
 		m.extendLease(a)
 	}
-	p.ExpireLeases(m.now)
+	p.ExpireLeases(m.now, m.confirmedAt(p))
 	p.Plan(m.now)
 	if isNewest {
 		m.recordProgress(p)
@@ -212,6 +212,15 @@
 	}
 }
 
+// confirmedAt returns the newest time for which a planner knows that no newer planner was in
+// force. A superseded planner read the store for the last time when the newer one was elected.
+func (m *model) confirmedAt(p *modelPlanner) time.Time {
+	if p.leadsUntil.IsZero() {
+		return m.now
+	}
+	return p.leadsUntil.Add(-leadershipTime)
+}
+
 // extendLease extends the leases on an agent's worker, whose clock is slow.
 func (m *model) extendLease(a *modelAgent) {
 	if m.now.Sub(a.requestedAt) <= settings.GrantTime {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -189,8 +189,9 @@
 	// expectedAgents are the agents whose first run lists the planner waits for. An earlier
 	// planner may have sent them starts.
 	expectedAgents map[string]bool
-	// expectedUntil is when the planner stops waiting for expectedAgents. By then, the
-	// leases of all runs that earlier planners started have expired.
+	// The planner waits for expectedAgents until it is confirmed to be in force after
+	// expectedUntil, see ExpireLeases. By then, the leases of all runs that earlier planners
+	// started have expired.
 	expectedUntil time.Time
 	// gone are the agents whose workers have left since the last call of ExpireLeases.
 	gone []GoneAgent
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -265,18 +265,37 @@
 	for f.now.Sub(lastReport) < settings.LeaseExpiryTime() {
 		f.now = f.now.Add(200 * time.Millisecond)
 		f.report(other)
-		f.ExpireLeases(f.now)
+		f.ExpireLeases(f.now, f.now)
 		if f.now.Sub(lastReport) <= settings.LeaseExpiryTime() {
 			f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", f.now.Sub(lastReport))
 		}
 	}
-	f.ExpireLeases(f.now)
+	f.ExpireLeases(f.now, f.now)
 	f.Expect(f.runPlanner()).To(ConsistOf("j.0@" + other))
 	for _, s := range f.workers[other].runs {
 		f.Expect(s.Checkpoint).To(Equal("cp-j"))
 	}
 }
 
+// A newer planner can extend the leases on a worker that the superseded planner cannot reach.
+func TestSupersededPlannerDoesNotMoveWorkOfANewerOne(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", newStep(1, 100))
+	agent := strings.TrimPrefix(f.runPlanner()[0], "j.0@")
+	f.report()
+	other := map[string]string{"a": "b", "b": "a"}[agent]
+	expiry := f.now.Add(settings.LeaseExpiryTime())
+	supersededAt := expiry.Add(-time.Millisecond)
+	f.now = expiry.Add(time.Second)
+	f.report(other)
+	f.ExpireLeases(f.now, supersededAt)
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.now = f.now.Add(time.Second)
+	f.report(other)
+	f.ExpireLeases(f.now, expiry.Add(time.Millisecond))
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@" + other))
+}
+
 // An earlier planner may have started a task through an agent that has not reported yet. A
 // new planner must not start the task again before the agent's report or the end of the
 // wait for it.
@@ -289,7 +308,11 @@
 	f.Expect(f.runPlanner()).To(ConsistOf("new.0@a"), "the earlier planner cannot have started a job that was accepted later")
 	f.now = f.now.Add(time.Minute + time.Second)
 	f.report()
-	f.ExpireLeases(f.now)
+	f.ExpireLeases(f.now, epochStart.Add(time.Minute))
+	f.Expect(f.runPlanner()).To(BeEmpty(), "a still newer planner could have reached the other agent")
+	f.now = f.now.Add(time.Second)
+	f.report()
+	f.ExpireLeases(f.now, f.now)
 	f.Expect(f.runPlanner()).To(ConsistOf("old.0@a"))
 }
 
@@ -595,7 +618,7 @@
 	left := &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreachable{Left: true}}
 	f.ApplyReport(f.now, "a", left)
 	f.ApplyReport(f.now, "a", left)
-	f.Expect(f.ExpireLeases(f.now)).To(Equal([]cfdispatch.GoneAgent{{Agent: "a", HasLeft: true}}), "reported once")
+	f.Expect(f.ExpireLeases(f.now, f.now)).To(Equal([]cfdispatch.GoneAgent{{Agent: "a", HasLeft: true}}), "reported once")
 	f.MarkAgentRecorded("a")
 	f.Expect(f.UnrecordedAgents()).To(BeEmpty())
 	f.add("j", newStep(2, 1000))
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -344,13 +344,16 @@
 	HasLeft bool
 }
 
-// ExpireLeases removes the workers whose agents have had no contact with the planner for
-// LeaseExpiryTime. No lease on these workers is valid any more, so their runs are dropped.
-// ExpireLeases returns the agents of these workers, and the agents whose workers have left
-// since the previous call. The planner waits until expectedUntil for the run lists of the
-// agents that were passed to New. After that, ExpireLeases also returns, once, those agents
-// whose lists are still missing.
-func (p *Planner) ExpireLeases(now time.Time) []GoneAgent {
+// ExpireLeases removes the workers whose leases have all expired, and drops their runs.
+// confirmed is the newest time for which it is certain that no newer planner was in force.
+// The leases on a worker have expired if the agent's last contact with the planner was more
+// than LeaseExpiryTime before confirmed: a newer planner that reached the agent after
+// confirmed found no valid lease to extend. ExpireLeases returns the agents of these
+// workers, and the agents whose workers have left since the previous call. The planner waits
+// until confirmed is after expectedUntil for the run lists of the agents that were passed to
+// New. After that, ExpireLeases also returns, once, those agents whose lists are still
+// missing.
+func (p *Planner) ExpireLeases(now, confirmed time.Time) []GoneAgent {
 	gone := p.gone
 	p.gone = nil
 	if now.Sub(p.lastExpiryScan) < scanInterval {
@@ -362,14 +365,14 @@
 		if w.reportedAt.After(lastContact) {
 			lastContact = w.reportedAt
 		}
-		if now.Sub(lastContact) <= p.cfg.LeaseExpiryTime() {
+		if confirmed.Sub(lastContact) <= p.cfg.LeaseExpiryTime() {
 			continue
 		}
 		p.expireRuns(now, w)
 		p.removeWorker(w)
 		gone = append(gone, GoneAgent{Agent: w.agent})
 	}
-	if len(p.expectedAgents) > 0 && now.After(p.expectedUntil) {
+	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
 			gone = append(gone, GoneAgent{Agent: a})
 		}
