--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -180,8 +180,8 @@
 	p.restart()
 }
 
-// close stops all processes and stand-ins. If the spec has failed, it first adds the logs to
-// the report.
+// close stops all processes and stand-ins. If the spec has failed, it first adds the logs and
+// the conflicts between runs to the report.
 func (f *fleet) close() {
 	if CurrentSpecReport().Failed() {
 		files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
@@ -189,6 +189,8 @@
 			data, _ := os.ReadFile(name)
 			AddReportEntry(filepath.Base(name), string(data))
 		}
+		// A spec can fail before it has checked for conflicts.
+		AddReportEntry("conflicts", strings.Join(standin.RunConflicts(f.runs()), "\n"))
 	}
 	for _, p := range append(f.entries, f.agents...) {
 		p.signal(syscall.SIGCONT)
--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -201,15 +201,20 @@
 		f.agents[0].signal(syscall.SIGCONT)
 	}),
 	Entry("a worker executes orders without answering them", func(f *fleet) {
-		f.workers[0].SetDropAnswers(true)
+		f.workers[0].SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Lost} })
 		time.Sleep(2 * time.Second)
-		f.workers[0].SetDropAnswers(false)
+		f.workers[0].SetFault(nil)
 	}),
 	Entry("a worker executes orders late, and restarts with the same ID meanwhile", func(f *fleet) {
 		for range 3 {
-			f.workers[0].SetDelay(1500 * time.Millisecond)
+			f.workers[0].SetFault(func(path string) standin.OrderFault {
+				if path == "/hold" {
+					return standin.OrderFault{Fault: standin.Lost}
+				}
+				return standin.OrderFault{Fault: standin.Late, Delay: 1500 * time.Millisecond}
+			})
 			time.Sleep(700 * time.Millisecond)
-			f.workers[0].SetDelay(0)
+			f.workers[0].SetFault(nil)
 			f.workers[0].Restart()
 			time.Sleep(2 * time.Second)
 		}
--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -27,12 +27,16 @@
 	soakRunsVar = "CRANBERRYFORD_SOAK_RUNS"
 	// settleBound is how long the check of an accepted job waits. It waits until the job has
 	// completed. If the job runs until it is cancelled, the check waits until all its tasks run.
-	// The checks begin at least 1 s after the last fault has ended. From then on, a job needs up
-	// to 11.6 s: up to 9.6 s until leases have expired, and 2 s for the work itself.
+	// The checks begin at least 1 s after the last fault has ended, and late orders are executed
+	// until up to 11 s later. From then on, a job needs up to 11.6 s: up to 9.6 s until leases
+	// have expired, and 2 s for the work itself.
 	settleBound = 25 * time.Second
 	// stateAgeBound is the platform's limit for outdated job states: a state that an entry
 	// reports may be at most this old.
 	stateAgeBound = 3 * time.Second
+	// The delay of an order that a worker executes late is from minOrderDelay to maxOrderDelay.
+	minOrderDelay = time.Second
+	maxOrderDelay = 12 * time.Second
 	// cancelBound is the longest time, without faults, from the cancellation of a job until
 	// its tasks have ended.
 	cancelBound = 3 * time.Second
@@ -60,6 +64,8 @@
 	// empty key, the fault hits all requests.
 	storeFaults     map[string]standin.Fault
 	departedWorkers int
+	// ordersUntil is when the last late order is executed; mu guards it.
+	ordersUntil time.Time
 }
 
 // soakFault is a kind of fault. begin injects the fault and returns the function that ends the
@@ -160,6 +166,29 @@
 	return standin.Healthy
 }
 
+// lateOrders returns a function for the field begin of a soakFault with which a worker executes
+// a share of its orders late. Each of them has its own delay.
+func lateOrders(share float64) func(*soak) func() {
+	return func(s *soak) func() {
+		i, release, ok := s.reserve("worker", len(s.workers))
+		if !ok {
+			return nil
+		}
+		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 0))
+		s.workers[i].SetFault(func(string) standin.OrderFault {
+			if rng.Float64() >= share {
+				return standin.OrderFault{}
+			}
+			fault := lateOrder(rng, minOrderDelay, maxOrderDelay)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.ordersUntil = time.Now().Add(max(fault.Delay, time.Until(s.ordersUntil)))
+			return fault
+		})
+		return func() { s.workers[i].SetFault(nil); release() }
+	}
+}
+
 var soakFaults = []soakFault{
 	{"an entry is killed", processFault("entry", entriesOf, kill, restart), 2 * time.Second},
 	{"an entry gets SIGTERM", processFault("entry", entriesOf, terminate, restart), time.Second},
@@ -180,21 +209,20 @@
 		if !ok {
 			return nil
 		}
-		s.workers[i].SetDropAnswers(true)
-		return func() { s.workers[i].SetDropAnswers(false); release() }
-	}, 2 * time.Second},
-	{"a worker executes orders late, without answering them", func(s *soak) func() {
-		i, release, ok := s.reserve("worker", len(s.workers))
-		if !ok {
-			return nil
-		}
-		s.workers[i].SetDelay(time.Duration(1+s.rng.IntN(5)) * time.Second)
-		return func() { s.workers[i].SetDelay(0); release() }
+		s.workers[i].SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Lost} })
+		return func() { s.workers[i].SetFault(nil); release() }
 	}, 2 * time.Second},
+	{"a worker executes all orders late, without answering them", lateOrders(1), 2 * time.Second},
+	{"a worker executes some orders late, without answering them", lateOrders(0.3), 5 * time.Second},
 	{"a worker restarts with the same ID", func(s *soak) func() {
 		s.workers[s.rng.IntN(len(s.workers))].Restart()
 		return func() {}
 	}, time.Millisecond},
+	{"a worker restarts twice with the same ID", func(s *soak) func() {
+		w := s.workers[s.rng.IntN(len(s.workers))]
+		w.Restart()
+		return w.Restart
+	}, 6 * time.Second},
 	{"a worker leaves for good", func(s *soak) func() {
 		if s.departedWorkers+2 >= len(s.workers) {
 			return nil
@@ -298,6 +326,10 @@
 			s.expectCompleted(n, settleBound)
 		}
 	}
+	s.mu.Lock()
+	lastOrder := time.Until(s.ordersUntil)
+	s.mu.Unlock()
+	time.Sleep(lastOrder + 100*time.Millisecond)
 	s.expectNoOverlap()
 }
 
