Fence the orders of an agent's earlier sessions, across restarts of the worker

Cause: a worker can execute an order that got no answer up to 12 s later, also after a restart under the same ID. The restart resets its fencing token, the numbers of its ends, its clock and its memory of runs, and the token said only which planner gave the order. So the next incarnation executed - a start whose stop only the incarnation before had heard, or that had been answered at its second attempt and had run, ended and been recorded; - a call that extends leases, by the clock of the earlier incarnation: up to 10 s, where planner and agent count 7.6 s and 5.4 s; - a call that acknowledges ends by the numbers of the earlier incarnation: ends that no planner had read were forgotten, and their tasks started again.

Ruled out: the wait for starts of the last 15 s and the stop of such runs in the next incarnation, as a remedy: the stop is forgotten with the next restart, and runs that have ended are not stopped at all.

Change: the fencing token holds the epoch and the agent's session. A session ends with each order that gets no answer and with each new incarnation; once the worker has answered one order of the new session, it refuses all earlier ones. A refusal by a newer session is repeated at once. The first run lists of an incarnation must come from the current session; they decide which runs of the earlier incarnation exist, so the stops in the next incarnation go. A call after a failed one acknowledges nothing. Leases on a worker that has just started count as expired 10.7 s after it was first reported, at the earliest, since the agent extends by the old clock until it learns of the restart. A call that was answered for another worker no longer marks the new one as gone.

TestPendingStartsOfAnOldIncarnationAreStopped demanded the stop in the next incarnation; it is replaced by TestTaskOfARestartedWorkerWaitsForItsFirstRun- Lists, which demands that the task starts nowhere before these lists, nowhere while they name the run, and elsewhere after them.

Remains: until the agent has reached the new incarnation, that one executes late starts. Nothing prevents that while the agent is frozen or down.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -25,9 +25,12 @@
 	// reports the worker as unreachable to the planner.
 	unreachableAfter = 900 * time.Millisecond
 	// holdRetryDelay is the delay between two calls for the worker's run lists
-	// (Executor.Hold) if the first call failed, or if it listed ended runs that the
-	// planner has not recorded in the store yet.
+	// (Executor.Hold) if the first call listed ended runs that the planner has not recorded
+	// in the store yet.
 	holdRetryDelay = 100 * time.Millisecond
+	// failedHoldRetryDelay is the delay after a failed call. Until the first call, a worker
+	// that has restarted executes late orders of its previous incarnation.
+	failedHoldRetryDelay = 20 * time.Millisecond
 	// maxPendingGrants bounds the number of grant requests that wait for answers. If there
 	// are more, the agent discards all of them and ignores their answers.
 	maxPendingGrants = 64
@@ -52,6 +55,7 @@
 	// epoch, or nil if there is none.
 	epoch   cfcore.Epoch
 	planner *link
+	fence   *fence
 	// A grant request asks the planner for permission to extend leases. grantSeq is the
 	// number of the last grant request. pendingGrants holds the send time of each
 	// unanswered one, by its number.
@@ -83,6 +87,8 @@
 	// call is due at nextHoldAt.
 	holdInFlight bool
 	nextHoldAt   time.Duration
+	// holdFailed is set if the last regular call for the run lists has failed.
+	holdFailed bool
 	// answeredAt is when the worker last returned its run lists. It is reset to the current
 	// time when the agent starts and when a new incarnation of the worker appears.
 	answeredAt time.Duration
@@ -107,7 +113,7 @@
 func newControl(a *Agent) *control {
 	c := &control{
 		Agent: a, bootClock: cfclock.System{}, dialCancels: map[netip.AddrPort]context.CancelFunc{},
-		seeds: a.cfg.Entries, dialDone: make(chan struct{}), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
+		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
 	}
 	// An earlier incarnation of this agent possibly extended leases just before this one
 	// started. The time until leases have expired is therefore counted from now.
@@ -196,8 +202,11 @@
 	}
 }
 
-// resetWorker clears the state of the previous incarnation of the worker.
+// resetWorker clears the state of the previous incarnation of the worker. The session in
+// which the agent learns of the new incarnation ends: until then, the agent possibly sent
+// the new incarnation orders for the previous one.
 func (c *control) resetWorker() {
+	c.fence.endSession(c.fence.token(c.epoch))
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain = map[orderKey]bool{}, map[orderKey]bool{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
@@ -264,7 +273,7 @@
 // current epoch. l is the connection to the planner, or nil if there is none yet. With a
 // newer epoch, the agent discards its run lists: a start that was ordered in the older
 // epoch can still be in flight, and the run is then missing from the lists. After a call
-// with the new epoch as its fencing token, the worker refuses such starts. The run lists
+// with a fencing token of the new epoch, the worker refuses such starts. The run lists
 // that this call returns are therefore complete.
 func (c *control) followPlanner(l *link, epoch cfcore.Epoch) {
 	if epoch > c.epoch {
--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -26,6 +26,8 @@
 	cfcore.Executor
 	started chan cfcore.RunStart
 	stopped chan uint64
+	// holds receives the options of each call for the run lists, unless it is nil.
+	holds chan cfcore.HoldOptions
 	// refusal is the kind of error that starts return; if empty, starts succeed.
 	refusal cfcore.ExecutorKind
 }
@@ -43,7 +45,10 @@
 	return nil
 }
 
-func (w *worker) Hold(context.Context, cfcore.Order, cfcore.HoldOptions) (cfcore.RunLists, error) {
+func (w *worker) Hold(_ context.Context, _ cfcore.Order, h cfcore.HoldOptions) (cfcore.RunLists, error) {
+	if w.holds != nil {
+		w.holds <- h
+	}
 	return cfcore.RunLists{Born: born, Clock: time.Hour}, nil
 }
 
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -37,13 +37,14 @@
 	holdReturned struct {
 		lists cfcore.RunLists
 		err   error
-		// token is the fencing token of the call, which is the planner's epoch.
-		token cfcore.Epoch
+		// worker is the ID of the worker that the call was for.
+		worker string
+		token  cfcore.FencingToken
 	}
 	// orderReturned is the outcome of an order to start or stop a run.
 	orderReturned struct {
 		key   orderKey
-		token cfcore.Epoch
+		token cfcore.FencingToken
 		err   error
 		// lists are the run lists after the order. They are valid if hasLists is set.
 		// They are requested only if they are needed to determine the state of the run.
--- /dev/null
+++ b/internal/cfjobagent/fence.go
@@ -0,0 +1,121 @@
+package cfjobagent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+)
+
+const (
+	// sessionInterval is the time that one session number stands for. An agent starts with the
+	// number of the present time, which is normally higher than those of its earlier
+	// incarnations.
+	sessionInterval = 256 * time.Millisecond
+	// maxSessionLead bounds how far session numbers are ahead of the present time.
+	maxSessionLead = 1 << 20
+	// orderAttempts bounds the number of attempts of one order.
+	orderAttempts = 2
+)
+
+// fence issues the fencing tokens of orders. A worker can execute an unanswered order much
+// later, even after a restart with the same ID, which resets the worker's token. A new
+// session therefore begins after each unanswered order. Once the worker has answered an
+// order of the new session, it refuses the orders of all earlier ones.
+type fence struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	// session is the number of the current session. raise is the last step by which
+	// raiseSession increased it; 0 if the worker has not refused the session's orders.
+	session uint64
+	raise   uint64
+}
+
+func newFence(clock clockwork.Clock) *fence {
+	return &fence{clock: clock, session: sessionAt(clock.Now())}
+}
+
+func sessionAt(t time.Time) uint64 { return uint64(t.UnixMilli() / sessionInterval.Milliseconds()) }
+
+// token returns the token for an order in an epoch.
+func (f *fence) token(epoch cfcore.Epoch) cfcore.FencingToken {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cfcore.NewFencingToken(epoch, f.session)
+}
+
+// endSession begins a new session unless the session of t has already ended.
+func (f *fence) endSession(t cfcore.FencingToken) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.Session() == f.session {
+		f.session = max(f.session+1, sessionAt(f.clock.Now()))
+	}
+}
+
+// isCurrent reports whether t belongs to the current session.
+func (f *fence) isCurrent(t cfcore.FencingToken) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.Session() == f.session
+}
+
+// handleRefusal handles that the worker has refused t as too low. If t belongs to the current
+// session, an earlier incarnation of this agent used a higher session number, for example
+// because the time of day was set back. The steps by which the number rises double, up to
+// maxSessionLead ahead of the present time. They never reach a newer epoch.
+func (f *fence) handleRefusal(t cfcore.FencingToken) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.Session() != f.session {
+		return
+	}
+	f.raise = max(1, 2*f.raise)
+	f.session = max(f.session, min(f.session+f.raise, sessionAt(f.clock.Now())+maxSessionLead))
+}
+
+// handleAnswer handles that the worker has accepted t.
+func (f *fence) handleAnswer(t cfcore.FencingToken) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.Session() == f.session {
+		f.raise = 0
+	}
+}
+
+// send calls attempt with the fields of an order, up to orderAttempts times. It repeats an
+// order that the worker refused because a newer session has begun meanwhile. An order that
+// got no answer ends its session; send repeats it only if retryUnanswered is set. send returns
+// the token and the error of the last attempt, except that an unanswered attempt is not
+// followed by a refusal: the refusal does not prove that the attempt had no effect. After an
+// unanswered attempt, only a success or cfcore.ExecutorStale replaces its error.
+func (f *fence) send(worker string, epoch cfcore.Epoch, retryUnanswered bool, attempt func(cfcore.Order) error) (cfcore.FencingToken, error) {
+	var unanswered error
+	for n := 1; ; n++ {
+		o := cfcore.Order{Worker: worker, Token: f.token(epoch)}
+		err := attempt(o)
+		switch {
+		case err == nil, cferror.Is(err, cfcore.ExecutorStale):
+			f.handleAnswer(o.Token)
+			return o.Token, err
+		case cferror.Is(err, cfcore.ExecutorOutcomeUnknown):
+			f.endSession(o.Token)
+			unanswered = err
+			if retryUnanswered && n < orderAttempts {
+				continue
+			}
+		case cferror.Is(err, cfcore.ExecutorFenced):
+			f.handleRefusal(o.Token)
+			if n < orderAttempts {
+				continue
+			}
+		}
+		if unanswered != nil {
+			err = unanswered
+		}
+		return o.Token, err
+	}
+}
--- /dev/null
+++ b/internal/cfjobagent/fence_test.go
@@ -0,0 +1,170 @@
+package cfjobagent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+)
+
+// fencingWorker refuses orders as a worker does, and remembers the tokens of all orders.
+type fencingWorker struct {
+	newest cfcore.FencingToken
+	tokens []cfcore.FencingToken
+	// errs are the errors of the next orders.
+	errs []error
+}
+
+func (w *fencingWorker) execute(o cfcore.Order) error {
+	w.tokens = append(w.tokens, o.Token)
+	if len(w.errs) > 0 {
+		err := w.errs[0]
+		w.errs = w.errs[1:]
+		return err
+	}
+	if o.Token < w.newest {
+		return cferror.New("order", cfcore.ExecutorFenced, "refused")
+	}
+	w.newest = o.Token
+	return nil
+}
+
+var (
+	errUnanswered = cferror.New("order", cfcore.ExecutorOutcomeUnknown, "no answer")
+	errNoCapacity = cferror.New("order", cfcore.ExecutorNoCapacity, "no capacity")
+	errStale      = cferror.New("order", cfcore.ExecutorStale, "not newer")
+)
+
+func TestTokensOfANewerEpochAreHigher(t *testing.T) {
+	g := NewWithT(t)
+	last := cfcore.NewFencingToken(7, cfcore.MaxSession)
+	g.Expect(cfcore.NewFencingToken(8, 0)).To(BeNumerically(">", last))
+	g.Expect(cfcore.NewFencingToken(7, cfcore.MaxSession+1)).To(Equal(last))
+	g.Expect(last.Epoch()).To(BeEquivalentTo(7))
+	g.Expect(last.Session()).To(BeEquivalentTo(cfcore.MaxSession))
+}
+
+// A worker can execute an unanswered order late. It must refuse the order once it has
+// answered a later one.
+func TestOrderAfterAnUnansweredOneHasAHigherToken(t *testing.T) {
+	for name, c := range map[string]struct {
+		errs            []error
+		retryUnanswered bool
+		attempts        int
+		kind            cfcore.ExecutorKind
+	}{
+		"not repeated":                          {errs: []error{errUnanswered}, attempts: 1, kind: cfcore.ExecutorOutcomeUnknown},
+		"repeated with success":                 {errs: []error{errUnanswered}, retryUnanswered: true, attempts: 2},
+		"repeated, then refused":                {errs: []error{errUnanswered, errNoCapacity}, retryUnanswered: true, attempts: 2, kind: cfcore.ExecutorOutcomeUnknown},
+		"repeated, then refused as not newer":   {errs: []error{errUnanswered, errStale}, retryUnanswered: true, attempts: 2, kind: cfcore.ExecutorStale},
+		"repeated, then unanswered once more":   {errs: []error{errUnanswered, errUnanswered}, retryUnanswered: true, attempts: 2, kind: cfcore.ExecutorOutcomeUnknown},
+		"refused without an unanswered attempt": {errs: []error{errNoCapacity}, retryUnanswered: true, attempts: 1, kind: cfcore.ExecutorNoCapacity},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f, w := newFence(clockwork.NewFakeClock()), &fencingWorker{errs: c.errs}
+			_, err := f.send("w", 1, c.retryUnanswered, w.execute)
+			if c.kind == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(cferror.Is(err, c.kind)).To(BeTrue(), "%v", err)
+			}
+			g.Expect(w.tokens).To(HaveLen(c.attempts))
+			if c.errs[0] == errUnanswered {
+				late := w.tokens[0]
+				_, err = f.send("w", 1, false, w.execute)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(cferror.Is(w.execute(cfcore.Order{Token: late}), cfcore.ExecutorFenced)).To(BeTrue())
+			}
+		})
+	}
+}
+
+func TestOrderRefusedBecauseOfANewSessionIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	f, w := newFence(clockwork.NewFakeClock()), &fencingWorker{}
+	_, err := f.send("w", 1, true, func(o cfcore.Order) error {
+		if len(w.tokens) == 0 {
+			// Another order begins a new session while this one is in flight.
+			f.endSession(o.Token)
+			w.newest = f.token(1)
+		}
+		return w.execute(o)
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.tokens).To(HaveLen(2))
+}
+
+// An earlier incarnation of the agent used a higher session number, because the time of day
+// was set back since.
+func TestAgentCatchesUpWithSessionOfItsEarlierIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	f := newFence(clock)
+	w := &fencingWorker{newest: cfcore.NewFencingToken(1, sessionAt(clock.Now().Add(time.Hour)))}
+	g.Eventually(func() error { _, err := f.send("w", 1, false, w.execute); return err }).Should(Succeed())
+	g.Expect(len(w.tokens)).To(BeNumerically("<", 30))
+	newer := &fencingWorker{newest: cfcore.NewFencingToken(2, 0)}
+	for range 100 {
+		_, err := f.send("w", 1, false, newer.execute)
+		g.Expect(cferror.Is(err, cfcore.ExecutorFenced)).To(BeTrue(), "the worker follows a newer planner")
+	}
+	g.Expect(f.token(1).Session()).To(BeNumerically("<=", sessionAt(clock.Now())+maxSessionLead))
+}
+
+// After a failed call the worker has possibly restarted with the same ID. Its ends are then
+// numbered anew.
+func TestCallAfterAFailedOneAcknowledgesNoEnds(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	a.lastRecorded = 57
+	w.holds = make(chan cfcore.HoldOptions, 1)
+	a.handleHoldReturned(holdReturned{worker: "w", err: errUnanswered})
+	a.nextHoldAt = 0
+	a.requestRunLists(t.Context())
+	g.Expect((<-w.holds).LastSeen).To(BeZero())
+	a.handleEvent(t.Context(), <-a.events)
+	a.requestRunLists(t.Context())
+	g.Expect((<-w.holds).LastSeen).To(BeEquivalentTo(57))
+}
+
+// Until the worker has answered a call of the current session, it can execute late starts
+// that its run lists do not contain.
+func TestFirstRunListsComeFromTheCurrentSession(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	before := a.fence.token(a.epoch)
+	a.handleHeartbeat(workerState(born.Add(time.Minute)))
+	lists := cfcore.RunLists{Born: born.Add(time.Minute), Clock: time.Second}
+	a.applyLists(lists, before)
+	g.Expect(a.hasLists).To(BeFalse())
+	a.applyLists(lists, a.fence.token(a.epoch))
+	g.Expect(a.hasLists).To(BeTrue())
+}
+
+// The planner learns from the clock that the worker has just started.
+func TestRestartSeenInRunListsResetsTheReportedClock(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	a.applyLists(cfcore.RunLists{Born: born.Add(time.Minute), Clock: time.Second}, a.fence.token(a.epoch))
+	g.Expect(a.takeReport().Worker.Clock).To(Equal(time.Second))
+}
+
+// A call for a worker that has been replaced meanwhile says nothing about the new worker.
+func TestAnswerForAReplacedWorkerDoesNotEndTheNewOne(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	next := workerState(born.Add(time.Minute))
+	next.ID = "w2"
+	a.handleHeartbeat(next)
+	a.handleHoldReturned(holdReturned{worker: "w", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "refused")})
+	g.Expect(a.hasLeft).To(BeFalse())
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -9,41 +9,41 @@
 	"cranberryford/pkg/cfwire"
 )
 
-// startAttempts bounds the number of attempts of a start that gets no answer. They follow
-// each other without a delay. A repeated start of the same run has no further effect.
-const startAttempts = 2
-
 // requestRunLists keeps one call for the worker's run lists in flight. The call also
-// extends the leases if the planner permits it.
+// extends the leases if the planner permits it, and acknowledges recorded ends. It acknowledges
+// none after a failed call: if the worker has restarted with the same ID meanwhile, the
+// numbers of its ends have started anew.
 func (c *control) requestRunLists(ctx context.Context) {
 	now := c.bootClock.Now()
 	if c.holdInFlight || !c.hasWorker || c.hasLeft || now < c.nextHoldAt {
 		return
 	}
-	h := cfcore.HoldOptions{Until: c.leaseUntil(), LastSeen: c.lastRecorded}
-	if c.hasLists && c.lastListed <= c.lastRecorded {
-		h.Wait = c.cfg.HoldWait
+	h := cfcore.HoldOptions{Until: c.leaseUntil()}
+	if !c.holdFailed {
+		h.LastSeen = c.lastRecorded
+		if c.hasLists && c.lastListed <= c.lastRecorded {
+			h.Wait = c.cfg.HoldWait
+		}
 	}
 	c.holdInFlight = true
-	o := c.newOrder()
+	worker, epoch := c.worker.ID, c.epoch
 	go func() {
-		lists, err := c.Executor.Hold(ctx, o, h)
-		c.post(ctx, holdReturned{lists: lists, err: err, token: o.Token})
+		ev := holdReturned{worker: worker}
+		ev.token, ev.err = c.fence.send(worker, epoch, false, func(o cfcore.Order) (err error) {
+			ev.lists, err = c.Executor.Hold(ctx, o, h)
+			return err
+		})
+		c.post(ctx, ev)
 	}()
 }
 
-// newOrder returns the fields that all orders have, for the current worker and epoch.
-func (c *control) newOrder() cfcore.Order {
-	return cfcore.Order{Worker: c.worker.ID, Token: c.epoch}
-}
-
 // handleHoldReturned handles the outcome of a call for the worker's run lists.
 func (c *control) handleHoldReturned(ev holdReturned) {
-	c.holdInFlight, c.nextHoldAt = false, 0
+	c.holdInFlight, c.holdFailed, c.nextHoldAt = false, ev.err != nil, 0
 	if ev.err != nil {
-		c.nextHoldAt = c.bootClock.Now() + holdRetryDelay
+		c.nextHoldAt = c.bootClock.Now() + failedHoldRetryDelay
 		if cferror.Is(ev.err, cfcore.ExecutorOtherIncarnation) {
-			c.handleWorkerLeft(c.worker.ID)
+			c.handleWorkerLeft(ev.worker)
 		}
 		c.Log.Debug().Err(ev.err).Msg("call for the worker's run lists failed")
 		c.Scope.Counter("holds_failed").Inc(1)
@@ -56,18 +56,20 @@
 }
 
 // applyLists records run lists unless they are older than the current ones. Run lists of a
-// newer incarnation show that the worker has restarted.
-func (c *control) applyLists(l cfcore.RunLists, token cfcore.Epoch) {
+// newer incarnation show that the worker has restarted. The first run lists of an
+// incarnation or an epoch must come from a call of the current session, because only then
+// the worker refuses all orders that are missing in the lists.
+func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) {
 	if l.Born.Before(c.worker.Born) {
 		return
 	}
 	if l.Born.After(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
 		c.resetWorker()
-		c.worker.Born, c.worker.Sequence = l.Born, 0
+		c.worker.Born, c.worker.Clock, c.worker.Sequence = l.Born, l.Clock, 0
 	}
 	c.answeredAt = c.bootClock.Now()
-	if token < c.epoch || c.hasLists && l.Clock < c.lists.Clock {
+	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
 		return
 	}
 	c.recordClock(l.Clock)
@@ -93,32 +95,14 @@
 		return
 	}
 	c.inFlight[key] = true
-	o := c.newOrder()
+	worker, epoch := c.worker.ID, c.epoch
 	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until}
 	go func() {
-		err := c.tryStart(ctx, o, run)
-		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: o.Token, err: err}, o, cferror.Is(err, cfcore.ExecutorStale)))
+		token, err := c.fence.send(worker, epoch, true, func(o cfcore.Order) error { return c.Executor.Start(ctx, o, run) })
+		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, cferror.Is(err, cfcore.ExecutorStale)))
 	}()
 }
 
-// tryStart retries a start that gets no answer. It returns the result of a retry that
-// succeeds or is refused as ExecutorStale. Any other error of a retry does not prove that
-// the first attempt had no effect, so tryStart then returns the error of the first
-// attempt.
-func (c *control) tryStart(ctx context.Context, o cfcore.Order, run cfcore.RunStart) error {
-	err := c.Executor.Start(ctx, o, run)
-	for range startAttempts - 1 {
-		if !cferror.Is(err, cfcore.ExecutorOutcomeUnknown) {
-			return err
-		}
-		retryErr := c.Executor.Start(ctx, o, run)
-		if retryErr == nil || cferror.Is(retryErr, cfcore.ExecutorStale) {
-			return retryErr
-		}
-	}
-	return err
-}
-
 // stopRun sends the worker an order to stop a run. Once the worker has answered the order,
 // either the run is in the worker's run lists, or it does not exist and will never start.
 func (c *control) stopRun(ctx context.Context, s cfwire.JobStop) {
@@ -127,23 +111,26 @@
 		return
 	}
 	c.inFlight[key] = true
-	o := c.newOrder()
+	worker, epoch := c.worker.ID, c.epoch
 	go func() {
-		err := c.Executor.Stop(ctx, o, s.Task, s.Run)
-		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: o.Token, err: err}, o, err == nil))
+		token, err := c.fence.send(worker, epoch, false, func(o cfcore.Order) error { return c.Executor.Stop(ctx, o, s.Task, s.Run) })
+		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, err == nil))
 	}()
 }
 
 // withRunLists requests the worker's run lists if needed is set, and returns the outcome
 // of an order with these lists. needed means that the state of the run cannot be
 // determined without the lists. If the request fails, the outcome has no lists.
-func (c *control) withRunLists(ctx context.Context, ev orderReturned, o cfcore.Order, needed bool) orderReturned {
+func (c *control) withRunLists(ctx context.Context, ev orderReturned, worker string, needed bool) orderReturned {
 	if !needed {
 		return ev
 	}
-	lists, err := c.Executor.Hold(ctx, o, cfcore.HoldOptions{})
+	token, err := c.fence.send(worker, ev.token.Epoch(), false, func(o cfcore.Order) (err error) {
+		ev.lists, err = c.Executor.Hold(ctx, o, cfcore.HoldOptions{})
+		return err
+	})
 	if err == nil {
-		ev.lists, ev.hasLists = lists, true
+		ev.token, ev.hasLists = token, true
 	}
 	return ev
 }
@@ -151,9 +138,10 @@
 // throttleRun sends the worker an order to throttle a run to a percentage of its full
 // speed. It does not report the result to the planner.
 func (c *control) throttleRun(ctx context.Context, p cfwire.JobThrottle) {
-	o := c.newOrder()
+	worker, epoch := c.worker.ID, c.epoch
 	go func() {
-		if err := c.Executor.Throttle(ctx, o, p.Task, p.Run, p.Percent); err != nil {
+		_, err := c.fence.send(worker, epoch, false, func(o cfcore.Order) error { return c.Executor.Throttle(ctx, o, p.Task, p.Run, p.Percent) })
+		if err != nil {
 			c.Log.Debug().Err(err).Msg("call to throttle a run failed")
 			c.Scope.Counter("paces_failed").Inc(1)
 		}
@@ -210,7 +198,7 @@
 	if ev.err != nil {
 		l = c.Log.Warn().Err(ev.err)
 	}
-	cfcommon.WithRun(l, ev.key.task, ev.key.run).Bool("Stop", ev.key.stop).Time("Born", ev.key.born).Uint64("Epoch", uint64(ev.token)).Msg("call to the worker for an order returned")
+	cfcommon.WithRun(l, ev.key.task, ev.key.run).Bool("Stop", ev.key.stop).Time("Born", ev.key.born).Uint64("Epoch", uint64(ev.token.Epoch())).Uint64("Session", ev.token.Session()).Msg("call to the worker for an order returned")
 }
 
 // refusalOf returns the kind of a worker's refusal, or ExecutorRefused for other errors.
--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -136,15 +136,41 @@
 type Order struct {
 	// Worker is the ID of the worker that the order is for; empty for any worker.
 	Worker string
-	// Token is the fencing token, the epoch of the planner.
-	Token Epoch
+	// Token is the fencing token.
+	Token FencingToken
 }
 
+// FencingToken orders the orders to a worker. A worker refuses an order whose token is below
+// the newest one that it has received. A token consists of the planner's epoch and the
+// number of the agent's session, see cfjobagent. Tokens of a newer epoch are always higher.
+type FencingToken uint64
+
+const (
+	// sessionBits is the number of low bits of a FencingToken that hold the session.
+	sessionBits = 34
+	// MaxSession is the highest number of a session.
+	MaxSession = 1<<sessionBits - 1
+)
+
+// NewFencingToken returns the token of a session in an epoch.
+func NewFencingToken(epoch Epoch, session uint64) FencingToken {
+	return FencingToken(uint64(epoch)<<sessionBits | min(session, MaxSession))
+}
+
+// Epoch returns the epoch of the planner whose orders have the token.
+func (t FencingToken) Epoch() Epoch { return Epoch(t >> sessionBits) }
+
+// Session returns the session of the agent whose orders have the token.
+func (t FencingToken) Session() uint64 { return uint64(t) & MaxSession }
+
 // MaxOrderDelay is the maximum time from the sending of an order to its execution, if the
 // sender gets no response. It is the sum of 12 s, the maximum according to the platform, and
 // 3 s for the sender's timeout.
 const MaxOrderDelay = 15 * time.Second
 
+// MaxLease is the longest lease that a worker grants, counted from the order that extends it.
+const MaxLease = 10 * time.Second
+
 // Executor sends orders to the worker on an agent's VM. The worker runs the tasks of jobs. Each
 // method sends one kind of order.
 type Executor interface {
--- a/pkg/cfdispatch/incarnation_test.go
+++ b/pkg/cfdispatch/incarnation_test.go
@@ -10,44 +10,56 @@
 	"cranberryford/pkg/cfwire"
 )
 
-// A worker restarts after a start order was answered. The same order was possibly sent
-// before and got no response. That earlier transmission can be executed until
-// cfcore.MaxOrderDelay after it was sent. If the worker's ID has not changed, the new
-// incarnation can execute it.
-func TestPendingStartsOfAnOldIncarnationAreStopped(t *testing.T) {
+// startOnWorker starts the only task of job j on the worker of agent a, and returns the
+// fleet and the order.
+func startOnWorker(t *testing.T) (*fleet, *fakeWorker, cfwire.JobStart) {
+	f := newFleet(t, newPlanner(), "a")
+	f.add("j", newStep(1, 100))
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
+	a := f.workers["a"]
+	var run cfwire.JobStart
+	for _, run = range a.runs {
+		f.ApplyReport(f.now, "a", &cfwire.JobReport{Results: []cfwire.JobOrderResult{{Task: run.Task, Run: run.Run}}})
+	}
+	return f, a, run
+}
+
+// A restarted worker can execute a late start of its previous incarnation until it has
+// returned its first run lists.
+func TestTaskOfARestartedWorkerWaitsForItsFirstRunLists(t *testing.T) {
 	for name, c := range map[string]struct {
-		id    string
-		after time.Duration
-		// startsAtOnce is set if the planner need not wait for a stop before it starts the
-		// task again.
-		startsAtOnce bool
+		id string
+		// late is set if the new incarnation executes the start of the previous one.
+		late bool
+		// startsAtOnce and startsAfterLists are set if the task starts again before or after
+		// the first run lists.
+		startsAtOnce     bool
+		startsAfterLists bool
 	}{
-		"the same ID":                              {id: "w-a", after: time.Second},
-		"another ID than in the order":             {id: "w-a2", after: time.Second, startsAtOnce: true},
-		"the same ID, after the order has expired": {id: "w-a", after: 20 * time.Second, startsAtOnce: true},
+		"the same ID, the run is not listed": {id: "w-a", startsAfterLists: true},
+		"the same ID, the run is listed":     {id: "w-a", late: true},
+		"another ID than in the order":       {id: "w-a2", startsAtOnce: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, newPlanner(), "a")
-			f.add("j", newStep(1, 100))
-			f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
-			a := f.workers["a"]
-			var run cfwire.JobStart
-			for _, run = range a.runs {
-				f.ApplyReport(f.now, "a", &cfwire.JobReport{Results: []cfwire.JobOrderResult{{Task: run.Task, Run: run.Run}}})
+			f, a, run := startOnWorker(t)
+			f.now = f.now.Add(time.Second)
+			a.state.ID, a.state.Born, a.state.Clock = c.id, f.now, 0
+			f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &a.state})
+			if !c.late {
+				clear(a.runs)
 			}
-			f.now = f.now.Add(c.after)
-			clear(a.runs)
-			a.state.ID, a.state.Born = c.id, f.now
-			f.report()
 			if c.startsAtOnce {
+				f.report()
 				f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
 				return
 			}
 			f.Expect(f.runPlanner()).To(BeEmpty())
-			f.Expect(a.stops).To(ConsistOf("j"))
-			f.ApplyReport(f.now, "a", &cfwire.JobReport{Results: []cfwire.JobOrderResult{{Task: run.Task, Run: run.Run, Refusal: cfcore.ExecutorStale}}})
-			f.now = f.now.Add(time.Second)
 			f.report()
+			if !c.startsAfterLists {
+				f.Expect(f.runPlanner()).To(BeEmpty())
+				f.Expect(a.stops).To(BeEmpty(), "the late run continues")
+				return
+			}
 			f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
 			for _, next := range a.runs {
 				f.Expect(next.Run).To(BeNumerically(">", run.Run))
@@ -55,3 +67,42 @@
 		})
 	}
 }
+
+// Before the agent learns of a restart with the same ID, it extends leases by the clock of
+// the previous incarnation. The worker limits them to cfcore.MaxLease.
+func TestLeasesOfARestartedWorkerExpireLater(t *testing.T) {
+	for name, lost := range map[string]*cfwire.JobWorkerUnreachable{
+		"the agent is silent":                   nil,
+		"the agent reports that leases expired": {LeasesExpired: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "a", "b")
+			a := f.workers["a"]
+			f.now = f.now.Add(time.Second)
+			a.state.Born, a.state.Clock = f.now, 0
+			f.workers["b"].state.Draining = true
+			f.report()
+			f.add("j", newStep(1, 100))
+			f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
+			f.workers["b"].state.Draining = false
+			f.report()
+			restartedAt := f.now
+			for f.now.Sub(restartedAt) < cfcore.MaxLease {
+				f.now = f.now.Add(200 * time.Millisecond)
+				f.report("b")
+				if lost != nil {
+					f.ApplyReport(f.now, "a", &cfwire.JobReport{Lost: lost})
+				}
+				f.ExpireLeases(f.now, f.now)
+				f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", f.now.Sub(restartedAt))
+			}
+			f.now = f.now.Add(time.Second)
+			f.report("b")
+			if lost != nil {
+				f.ApplyReport(f.now, "a", &cfwire.JobReport{Lost: lost})
+			}
+			f.ExpireLeases(f.now, f.now)
+			f.Expect(f.runPlanner()).To(ConsistOf("j.0@b"))
+		})
+	}
+}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -305,7 +305,7 @@
 	for i := range 3 {
 		m.agents = append(m.agents, &modelAgent{
 			name: fmt.Sprintf("a%d", i), runs: map[cfcore.TaskName]*modelRun{}, highestRun: map[cfcore.TaskName]uint64{},
-			state: cfcore.WorkerState{ID: "w", Service: "dispatch", Born: epochStart, Capacity: cfcore.Resources{MilliCores: 4000, MemoryMB: 8000}},
+			state: cfcore.WorkerState{ID: "w", Service: "dispatch", Born: epochStart, Clock: time.Hour, Capacity: cfcore.Resources{MilliCores: 4000, MemoryMB: 8000}},
 		})
 	}
 	m.electPlanner()
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -38,7 +38,7 @@
 // place creates a run of a task on a worker and counts its resources as used there. id is
 // the run number.
 func (t *task) place(now time.Time, w *worker, id uint64) *run {
-	r := &run{task: t, id: id, w: w, phase: starting, startedAt: now, checkpoint: t.checkpoint, speedPercent: fullPercent, speedSentAt: now}
+	r := &run{task: t, id: id, w: w, phase: starting, born: w.state.Born, startedAt: now, checkpoint: t.checkpoint, speedPercent: fullPercent, speedSentAt: now}
 	r.ticket, _ = t.ticketOn(now, w)
 	t.runs = append(t.runs, r)
 	t.j.liveRuns++
@@ -64,7 +64,7 @@
 
 // sendStart adds the start order of a run to the agent's orders.
 func (p *Planner) sendStart(now time.Time, r *run) {
-	r.sentAt, r.startSentAt = now, now
+	r.sentAt = now
 	o := p.ordersFor(r.w)
 	o.Starts = append(o.Starts, cfwire.JobStart{
 		Worker: r.w.state.ID, Born: r.w.state.Born, Task: r.task.name, Run: r.id,
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -76,14 +76,15 @@
 	id    uint64
 	w     *worker
 	phase phase
+	// born is when the incarnation of the worker started that the run was started on, or that
+	// last listed the run.
+	born time.Time
 	// startedAt is when the planner placed or adopted the run. When the result of the
 	// start order confirms the run, startedAt becomes the time of this result.
 	startedAt time.Time
 	// sentAt is when the last start or stop order for the run was sent. It is zero while a
 	// stop has not been sent yet. It is also zero for an adopted run until the first stop.
 	sentAt time.Time
-	// startSentAt is when the start order was last sent; zero for an adopted run.
-	startSentAt time.Time
 	// checkpoint is the last reported checkpoint. Before the first one, it is the
 	// checkpoint that the run was started from. ticket is the ticket in the start order;
 	// empty if there is none.
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -57,7 +57,7 @@
 		f.workers[a] = &fakeWorker{
 			state: cfcore.WorkerState{
 				ID: "w-" + a, Service: "dispatch", Labels: []string{"a", fmt.Sprintf("rack-%d", i)},
-				Capacity: cfcore.Resources{MilliCores: 4000, MemoryMB: 8000}, Born: epochStart,
+				Capacity: cfcore.Resources{MilliCores: 4000, MemoryMB: 8000}, Born: epochStart, Clock: time.Hour,
 			},
 			runs: map[string]cfwire.JobStart{}, gauges: map[int]int{}, speeds: map[string]int{},
 		}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -24,7 +24,7 @@
 		p.updateWorker(now, w, *m.Worker)
 	}
 	w.isUnreachable = m.Lost != nil
-	if m.Lost != nil && (m.Lost.LeasesExpired || m.Lost.Left) {
+	if m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left) {
 		p.expireRuns(now, w)
 		w.hasListed = false
 		delete(p.expectedAgents, agent)
@@ -53,14 +53,19 @@
 	delete(p.unrecordedAgents, w.agent)
 }
 
-// updateWorker applies the state that a worker reported. A new incarnation has lost all
-// runs of the previous one. The state of an earlier incarnation is ignored.
+// updateWorker applies the state that a worker reported. The state of an earlier incarnation is
+// ignored.
 func (p *Planner) updateWorker(now time.Time, w *worker, s cfcore.WorkerState) {
 	if s.Born.Before(w.state.Born) {
 		return
 	}
 	if s.Born.After(w.state.Born) {
-		p.replaceIncarnation(now, w, s.ID)
+		if s.ID != w.state.ID {
+			p.expireRuns(now, w)
+		}
+		if s.Clock < cfcore.MaxLease {
+			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
+		}
 		w.hasListed, w.lastEnd, w.recordedEnd, w.ackedEnd = false, 0, 0, 0
 		w.failures = failureStreak{}
 		if w.hasLeft {
@@ -139,6 +144,7 @@
 	for _, row := range l.Running {
 		p.applyRunning(now, w, row)
 	}
+	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
 	p.enforceTailTargets(now, w)
 	for _, e := range l.Ended {
@@ -176,6 +182,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
+	r.born = w.state.Born
 	r.updateProgress(now, row.Percent)
 	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
@@ -292,21 +299,13 @@
 	}
 }
 
-// replaceIncarnation stops those runs of a worker's previous incarnation that the new
-// incarnation may still start, and drops all others. id is the worker ID of the new
-// incarnation. The new incarnation may still start a run under two conditions: it has the
-// same worker ID as the previous one, and the run's start order was last sent less than
-// cfcore.MaxOrderDelay ago. Even if the previous incarnation answered the start order, the
-// new one may execute it: the order may have been sent several times, and each transmission
-// without a response can be executed up to cfcore.MaxOrderDelay later. The planner keeps a
-// run that it stops until the worker reports that the run has ended or that the worker does
-// not have the run.
-func (p *Planner) replaceIncarnation(now time.Time, w *worker, id string) {
+// expireMissingRuns drops the runs that were started on an earlier incarnation of a worker and
+// are not in the run lists of the present one. A worker that restarts with the same ID can
+// execute a late start of its earlier incarnation until it has returned its first lists, see
+// cfjobagent. Until then, the runs count as existing.
+func (p *Planner) expireMissingRuns(now time.Time, w *worker, l *cfcore.RunLists) {
 	for r := range w.runs {
-		if id == w.state.ID && now.Sub(r.startSentAt) < cfcore.MaxOrderDelay {
-			r.keepCheckpoint()
-			p.stopRun(r)
-			r.sentAt = time.Time{}
+		if r.born.Equal(w.state.Born) || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
 			continue
 		}
 		p.expireRun(now, r)
@@ -365,7 +364,7 @@
 		if w.reportedAt.After(lastContact) {
 			lastContact = w.reportedAt
 		}
-		if confirmed.Sub(lastContact) <= p.cfg.LeaseExpiryTime() {
+		if confirmed.Sub(lastContact) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
 			continue
 		}
 		p.expireRuns(now, w)
