Confirm leadership only by reads that reach the end of the records

A page of the store has at most 1 MiB. A planner that is further behind got a page without the newer planner's claim behind it, and took the sending of that read as the time at which no newer epoch existed: it kept its authority for another 2 s. Now the read counts only if all records up to the end offset in its answer have been applied.

Also: a comparison in fence_test.go that the linter rejects.

--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -74,7 +74,7 @@
 				g.Expect(cferror.Is(err, c.kind)).To(BeTrue(), "%v", err)
 			}
 			g.Expect(w.tokens).To(HaveLen(c.attempts))
-			if c.errs[0] == errUnanswered {
+			if cferror.Is(c.errs[0], cfcore.ExecutorOutcomeUnknown) {
 				late := w.tokens[0]
 				_, err = f.send("w", 1, false, w.execute)
 				g.Expect(err).NotTo(HaveOccurred())
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -30,7 +30,7 @@
 	// plan is the planner's state, or nil while this entry is not the planner.
 	plan *planning
 	// confirmedAt is when this entry sent the newest read that the store has answered, on
-	// the boot clock.
+	// the boot clock. All records that were stored before have been applied.
 	confirmedAt time.Duration
 	// plannerSeenAt is when a message of the current planner last arrived, or when this
 	// entry began to wait for one.
@@ -239,7 +239,7 @@
 	if ev.page.Skipped > 0 {
 		c.Scope.Counter("records_skipped").Inc(int64(ev.page.Skipped))
 	}
-	if ev.sentAt > c.confirmedAt {
+	if c.stored.Next >= ev.page.End && ev.sentAt > c.confirmedAt {
 		c.confirmedAt = ev.sentAt
 	}
 }
