Treat jobs that a superseded planner may have started as inherited

At 14.945 the agent followed planner 6 and listed the run; planner 6 did not know the job and ordered a stop. At 14.952 planner 6 read the job and started the task on another worker, 0.2 s before the first run was stopped. A run that had ended by then would have been lost: its end belonged to no known job, was skipped and acknowledged, and the task then started from the beginning.

Cause: the new planner assumed that an earlier one cannot have started a job that was accepted after the takeover. Entries send accepted jobs to the planner that they know, before any read of the store.

Ruled out: the fence (the first start came before the agent knew the newer epoch), expired leases, late orders.

Change: until a read that was sent after the earlier planner's authority ended has been applied, new jobs count as inherited: they wait for the run lists of the expected agents. Runs of unknown jobs are stopped, and their ends skipped and acknowledged, only once a read has been applied that was sent after they were listed; if the job turns up first, they are adopted and applied. Stops of unexpected runs are repeated after Planning.Resend, not with every report (one run got more than 60 stop orders in 0.15 s).

Cost: in the first 2 s after a takeover, new jobs wait until the agents on record have reported, 9.6 s if one is lost together with the planner.

--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -156,7 +156,8 @@
 	}
 	until := c.Clock.Now().Add(c.cfg.Lease.Authority + s.LeaseExpiryTime())
 	c.plan = &planning{
-		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents, entrySeenAt: map[string]time.Time{},
+		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
+		othersUntil: c.bootTime() + c.cfg.Lease.Authority, entrySeenAt: map[string]time.Time{},
 	}
 	c.restoreLearned()
 	for _, e := range c.stored.Jobs {
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -24,6 +24,9 @@
 	// whose records go into the next batch.
 	recordedAgents  map[string]bool
 	recordingAgents []string
+	// othersUntil is the time on the boot clock until which an earlier planner possibly gives
+	// orders.
+	othersUntil time.Duration
 	// entrySeenAt holds, by name, when each entry was last connected, or when the planner
 	// first saw the entry's record.
 	entrySeenAt map[string]time.Time
@@ -63,7 +66,9 @@
 }
 
 // addJob passes an accepted job or its cancellation to the planner. It does nothing if
-// this entry is not the planner.
+// this entry is not the planner. An earlier planner possibly received the job from another
+// entry and started it, unless the job was stored after the earlier planner's authority
+// ended. This is certain once a read that was sent after that time has been applied.
 func (c *control) addJob(e *cfjob.StoredJob) {
 	if c.plan == nil || e.Job == nil {
 		return
@@ -72,7 +77,8 @@
 		c.plan.Cancel(e.Job.ID)
 		return
 	}
-	c.plan.AddJob(c.Clock.Now(), e, c.currentQueue(e.Job), false)
+	inherited := c.confirmedAt <= c.plan.othersUntil
+	c.plan.AddJob(c.Clock.Now(), e, c.currentQueue(e.Job), inherited)
 }
 
 // currentQueue returns the current configuration of a job's queue. If the queue no longer
@@ -108,6 +114,7 @@
 		return
 	}
 	now := c.Clock.Now()
+	c.plan.MarkStoreRead(now.Add(c.confirmedAt - c.bootTime()))
 	confirmedAge := c.bootTime() - c.leadershipConfirmedAt()
 	for _, g := range c.plan.ExpireLeases(now, now.Add(-confirmedAge)) {
 		if g.HasLeft {
--- a/internal/cfjobentry/planning_test.go
+++ b/internal/cfjobentry/planning_test.go
@@ -14,6 +14,7 @@
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfwire"
 )
 
 // fakeBootClock is a boot clock that tests set.
@@ -37,6 +38,39 @@
 	return c, &clock
 }
 
+// A planner that was superseded keeps its authority for a while, and other entries may send
+// it new jobs.
+func TestNewJobsWaitForAgentsWhileAnEarlierPlannerIsInForce(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmed time.Duration
+		starts    int
+	}{
+		"the last read was sent before the earlier planner's authority ended": {confirmed: 2 * time.Second},
+		"the last read was sent later":                                        {confirmed: 2*time.Second + time.Millisecond, starts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ctl, clock := newTestControl(t)
+			ctl.stored.Agents = map[string]time.Time{"a": {}, "b": {}}
+			ctl.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
+			*clock += fakeBootClock(c.confirmed)
+			ctl.confirmedAt = ctl.bootTime()
+			now := ctl.Clock.Now()
+			w := cfcore.WorkerState{ID: "w", Service: "s", Born: now, Clock: time.Hour, Capacity: cfcore.Resources{MilliCores: 1000, MemoryMB: 1000}}
+			ctl.plan.ApplyReport(now, "a", &cfwire.JobReport{Worker: &w, Lists: &cfcore.RunLists{Born: now}})
+			ctl.plan.MarkAgentRecorded("a")
+			j := &cfjob.Job{ID: "j", Queue: cfjob.Queue{Service: "s"}, Steps: []cfjob.Step{{Count: 1}}, Accepted: now}
+			ctl.addJob(&cfjob.StoredJob{Job: j})
+			ctl.plan.Plan(now)
+			var starts int
+			for _, o := range ctl.plan.TakeOrders(now) {
+				starts += len(o.Starts)
+			}
+			g.Expect(starts).To(Equal(c.starts))
+		})
+	}
+}
+
 // A page that does not reach the end of the records can precede the claim of a newer planner.
 func TestLeadershipIsConfirmedOnlyByReadsThatReachTheEnd(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -194,6 +194,8 @@
 	// expectedUntil, see ExpireLeases. By then, the leases of all runs that earlier planners
 	// started have expired.
 	expectedUntil time.Time
+	// storeReadAt is a time: the planner has all jobs that were stored before it.
+	storeReadAt time.Time
 	// gone are the agents whose workers have left since the last call of ExpireLeases.
 	gone []GoneAgent
 	// unrecordedJobs holds the jobs whose progress must be recorded, by ID.
@@ -270,6 +272,7 @@
 	if j.Accepted.Before(now) && inherited {
 		j.objective = j.objective.Add(j.Accepted.Sub(now))
 	}
+	p.applyUnknownRuns(now, j.ID)
 }
 
 // buildTasks creates the tasks of a job and restores their recorded progress.
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -13,7 +13,7 @@
 func (p *Planner) ApplyReport(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}}
+		w = &worker{agent: agent, runs: map[*run]bool{}, unknown: newUnknownRuns(), unexpectedStops: map[runKey]time.Time{}}
 		p.addWorker(w)
 	}
 	if !w.isUsable(now, p.cfg.SuspectAfter) {
@@ -66,6 +66,7 @@
 		if s.Clock < cfcore.MaxLease {
 			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
 		}
+		w.unknown, w.unexpectedStops = newUnknownRuns(), map[runKey]time.Time{}
 		w.hasListed, w.lastEnd, w.recordedEnd, w.ackedEnd = false, 0, 0, 0
 		w.failures = failureStreak{}
 		if w.hasLeft {
@@ -141,34 +142,30 @@
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
 	}
+	unknown := w.unknown.running
+	w.unknown.running = map[runKey]unknownRun{}
 	for _, row := range l.Running {
+		if p.lookupTask(row.Task) == nil {
+			p.applyUnknownRunning(now, w, row, unknown)
+			continue
+		}
 		p.applyRunning(now, w, row)
 	}
 	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
 	p.enforceTailTargets(now, w)
-	for _, e := range l.Ended {
-		if e.Number <= w.lastEnd {
-			continue
-		}
-		p.applyEnded(now, w, e)
-		w.lastEnd = e.Number
-	}
+	p.applyEnds(now, w, l.Ended)
 }
 
-// applyRunning applies a row of a worker's list of running runs. If the run is unknown to
-// this planner, an earlier planner started it. The run is then adopted, unless its job is
-// unknown, or its task already has another run and must not have two. applyRunning stops a
-// run that is not adopted, and a run whose task is done or whose job has ended.
+// applyRunning applies a row of a worker's list of running runs, whose job must be known and
+// open. If the run is unknown to this planner, an earlier planner started it. The run is then
+// adopted, unless its task already has another run and must not have two. applyRunning stops
+// a run that is not adopted, and a run whose task is done or whose job has ended.
 func (p *Planner) applyRunning(now time.Time, w *worker, row cfcore.RunningTask) {
 	t := p.lookupTask(row.Task)
-	if t == nil {
-		p.stopUnexpectedRun(w, row, "job unknown or over")
-		return
-	}
 	r := p.findRun(w, row.Task, row.Run)
 	if r == nil && len(t.runs) > 0 && !t.step.Duplicable {
-		p.stopUnexpectedRun(w, row, "task has another run")
+		p.stopUnexpectedRun(now, w, row, "task has another run")
 		return
 	}
 	if r == nil {
@@ -193,15 +190,6 @@
 	}
 }
 
-// stopUnexpectedRun orders the stop of a listed run that this planner does not adopt: its
-// job is unknown or had ended when it was added, or its task already has another run and
-// must not have two.
-func (p *Planner) stopUnexpectedRun(w *worker, row cfcore.RunningTask, reason string) {
-	o := p.ordersFor(w)
-	o.Stops = append(o.Stops, cfwire.JobStop{Task: row.Task, Run: row.Run})
-	p.addEvent(Event{Kind: EventUnexpected, Agent: w.agent, Task: row.Task, Run: row.Run, Reason: reason, Born: w.state.Born})
-}
-
 // applyEnded applies the end of a run.
 func (p *Planner) applyEnded(now time.Time, w *worker, e cfcore.EndedTask) {
 	t := p.lookupTask(e.Task)
