Reject jobs whose number of tasks or due times overflow

What callers could see: a submission with steps of 16 tasks and repeat_count 2^60 was accepted. The planner keeps each task in memory, so its process ended for lack of memory; the job is in the store, so each entry that took over ended as well, and none served jobs any more.

Cause: Check multiplied tasks and occurrences, and the product wrapped to 0. The end of a schedule (count times period) could overflow too, which made later occurrences due early, and a first run after the year 9999 was answered 503 with Retry-After, since its record cannot be encoded.

Ruled out: the sum over the steps (at most 1,000 times 100,000) cannot overflow.

--- a/pkg/cfjob/job_test.go
+++ b/pkg/cfjob/job_test.go
@@ -1,6 +1,8 @@
 package cfjob_test
 
 import (
+	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -46,6 +48,30 @@
 	}
 }
 
+// The number of tasks of a job must not overflow, since the planner keeps each task in
+// memory.
+func TestCheckBoundsOccurrences(t *testing.T) {
+	for name, c := range map[string]struct {
+		s  cfjob.Schedule
+		ok bool
+	}{
+		"largest":               {cfjob.Schedule{Count: cfjob.MaxTasks / 5, FirstRun: time.UnixMilli(1767225600123), Period: time.Hour}, true},
+		"too many":              {cfjob.Schedule{Count: cfjob.MaxTasks/5 + 1}, false},
+		"product overflows":     {cfjob.Schedule{Count: math.MaxInt/5 + 1}, false},
+		"product wraps":         {cfjob.Schedule{Count: -3689348814741910323 & math.MaxInt}, false},
+		"largest int":           {cfjob.Schedule{Count: math.MaxInt}, false},
+		"first run too late":    {cfjob.Schedule{Count: 1, FirstRun: time.Date(10000, 1, 1, 0, 0, 0, 0, time.UTC)}, false},
+		"first run before 1970": {cfjob.Schedule{Count: 1, FirstRun: time.Unix(-1, 0)}, false},
+		"last run overflows":    {cfjob.Schedule{Count: 1000, FirstRun: time.UnixMilli(1767225600123), Period: math.MaxInt64 / 2}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := validJob()
+			j.Schedule = &c.s
+			NewWithT(t).Expect(j.Check() == nil).To(Equal(c.ok), "Check returned %v", j.Check())
+		})
+	}
+}
+
 func TestPosition(t *testing.T) {
 	g := NewWithT(t)
 	j := validJob()
@@ -133,8 +159,9 @@
 
 func TestOlderClaimIsIgnored(t *testing.T) {
 	f := newStateFixture(t)
-	f.Expect(f.apply(f.codec.Claim(&cfjob.Claim{Epoch: 2, Instance: "a"})).Planner).To(BeTrue())
-	f.Expect(f.apply(f.codec.Claim(&cfjob.Claim{Epoch: 1, Instance: "b"})).Planner).To(BeFalse())
+	addr := netip.MustParseAddrPort("10.0.0.1:80")
+	f.Expect(f.apply(f.codec.Claim(&cfjob.Claim{Epoch: 2, Instance: "a", Address: addr})).Planner).To(BeTrue())
+	f.Expect(f.apply(f.codec.Claim(&cfjob.Claim{Epoch: 1, Instance: "b", Address: addr})).Planner).To(BeFalse())
 	f.Expect(f.stored.Planner.Instance).To(Equal("a"))
 }
 
