Skip malformed records of the jobs' topic

What callers could see: one record by another writer in keyed.jobs ended or stalled all entries. A job whose step waits for step 7 of 1 ended the planner with "index out of range [7] with length 1", again after each takeover. A claim with epoch 2^64-1 left no epoch to claim (the next one is 0), and agents and workers would have ignored all later planners. A progress record with stamp 2^64-1 hid all later progress of its job. An entry without a valid address was given to all agents to dial, counted for the rank of claims and had to promise before a planner kept its authority in an outage.

Cause: StoreState.Apply took each record that was valid CBOR; only submissions over HTTP were checked.

Ruled out by tests that passed before: 100,000 nested lists, endless lists, nested tags, lists and strings of 2^60, numbers beyond their type (the CBOR decoder rejects them, at 32 levels); the loop of the first restore and of the tail goes on after an error, with a line and the counter records_skipped.

Change: Apply rejects jobs that Check rejects or that have another job's key, epochs above 2^31-1 and stamps made from them, unknown outcomes, and addresses that cannot be dialed. The record of an agent is the exception: the agent is kept even if the value cannot be decoded, because a new planner that does not wait for its run lists could start a task twice.

Not solved: a malformed claim or progress record replaces the good one in the store (it keeps the newest record of each key). Running entries keep what they have applied; an entry that starts then has no progress of that job, or no epoch.

--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -78,6 +78,16 @@
 	delete(p.Tasks, position)
 }
 
+const (
+	// MaxEpoch is the highest epoch that can be claimed. Epochs rise by one with each claim.
+	// If a higher epoch were accepted, it would leave no epochs for later claims, and all
+	// agents and workers would ignore the planners of lower epochs.
+	MaxEpoch = 1<<31 - 1
+	// maxStamp is the highest Progress.Stamp of an epoch up to MaxEpoch. The epoch is in the
+	// upper 32 bits of a stamp.
+	maxStamp = MaxEpoch<<32 | 1<<32 - 1
+)
+
 // Claim is an entry's claim to be the planner of an epoch.
 type Claim struct {
 	Epoch cfcore.Epoch
--- a/pkg/cfjob/storestate.go
+++ b/pkg/cfjob/storestate.go
@@ -1,6 +1,7 @@
 package cfjob
 
 import (
+	"net/netip"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -56,9 +57,10 @@
 	Entries bool
 }
 
-// Apply applies one record. If the record has an unknown key or cannot be decoded, Apply
-// changes nothing and returns an error of KindRecord. Learned data is kept without
-// decoding it.
+// Apply applies one record. If the record has an unknown key, cannot be decoded or holds
+// values out of range, Apply returns an error of KindRecord and changes nothing, with one
+// exception: the record of an agent is applied even if its value cannot be decoded. Learned
+// data is kept without decoding it.
 func (s *StoreState) Apply(r cfcore.KeyedRecord) (Change, error) {
 	kind, name := splitKey(r.Key)
 	switch kind {
@@ -92,7 +94,7 @@
 	}()
 	switch kind {
 	case prefixJob:
-		return s.applySubmission(j, value)
+		return s.applySubmission(j, id, value)
 	case prefixCancel:
 		return decodeInto(s.codec, &j.Cancellation, value)
 	}
@@ -107,6 +109,9 @@
 	if err := decodeInto(s.codec, &p, value); err != nil {
 		return err
 	}
+	if err := p.check(); err != nil {
+		return err
+	}
 	if p != nil && j.Progress != nil && p.Stamp < j.Progress.Stamp {
 		return nil
 	}
@@ -115,12 +120,51 @@
 }
 
 // applySubmission keeps the first submission of a job, and ignores repeated ones. An empty
-// value deletes the job's record.
-func (s *StoreState) applySubmission(j *StoredJob, value []byte) error {
+// value deletes the job's record. A job that Check rejects is not kept: it could end the
+// process of every planner.
+func (s *StoreState) applySubmission(j *StoredJob, id string, value []byte) error {
 	if len(value) > 0 && j.Job != nil {
 		return nil
 	}
-	return decodeInto(s.codec, &j.Job, value)
+	var job *Job
+	if err := decodeInto(s.codec, &job, value); err != nil {
+		return err
+	}
+	if job != nil && job.ID != id {
+		return newRecordError("job %q has the key of job %q", job.ID, id)
+	}
+	if job != nil {
+		if err := job.Check(); err != nil {
+			return cferror.Wrap("apply record", KindRecord, err)
+		}
+	}
+	j.Job = job
+	return nil
+}
+
+func newRecordError(format string, args ...any) error {
+	return cferror.New("apply record", KindRecord, format, args...)
+}
+
+// check returns an error for values that no planner writes. A stamp out of range would hide
+// all later progress of the job.
+func (p *Progress) check() error {
+	switch {
+	case p == nil:
+	case p.Stamp > maxStamp:
+		return newRecordError("stamp %d is out of range", p.Stamp)
+	case p.Outcome != OutcomeNone && p.Outcome != OutcomeCompleted && p.Outcome != OutcomeFailed:
+		return newRecordError("unknown outcome %q", p.Outcome)
+	}
+	return nil
+}
+
+// checkAddress returns an error unless addr can be dialed.
+func checkAddress(addr netip.AddrPort) error {
+	if !addr.IsValid() || addr.Port() == 0 {
+		return newRecordError("address %s cannot be dialed", addr)
+	}
+	return nil
 }
 
 // decodeInto sets *out to the decoded value, or to nil if value is empty. On an error,
@@ -131,7 +175,7 @@
 		return nil
 	}
 	v := new(T)
-	if err := codec.Unmarshal(value, v); err != nil {
+	if err := codec.UnmarshalBounded(value, v); err != nil {
 		return cferror.Wrap("apply record", KindRecord, err)
 	}
 	*out = v
@@ -147,21 +191,28 @@
 		delete(s.Entries, name)
 		return nil
 	}
+	if err := checkAddress(e.Address); err != nil {
+		return err
+	}
 	s.Entries[name] = *e
 	return nil
 }
 
+// applyAgent applies the record of an agent. A value that cannot be decoded counts as the
+// zero time: a new planner that does not wait for the run lists of this agent could start
+// tasks that still run there.
 func (s *StoreState) applyAgent(agent string, value []byte) error {
 	var at *time.Time
-	if err := decodeInto(s.codec, &at, value); err != nil {
-		return err
-	}
-	if at == nil {
+	err := decodeInto(s.codec, &at, value)
+	if err == nil && at == nil {
 		delete(s.Agents, agent)
 		return nil
 	}
+	if err != nil {
+		at = &time.Time{}
+	}
 	s.Agents[agent] = *at
-	return nil
+	return err
 }
 
 // applyClaim keeps the claim with the highest epoch.
@@ -170,6 +221,12 @@
 	if err := decodeInto(s.codec, &c, value); err != nil || c == nil {
 		return Change{}, err
 	}
+	if c.Epoch > MaxEpoch {
+		return Change{}, newRecordError("epoch %d is out of range", c.Epoch)
+	}
+	if err := checkAddress(c.Address); err != nil {
+		return Change{}, err
+	}
 	if c.Epoch <= s.Planner.Epoch {
 		return Change{}, nil
 	}
--- a/pkg/cfrecord/codec.go
+++ b/pkg/cfrecord/codec.go
@@ -22,10 +22,20 @@
 
 // Codec encodes and decodes values in CBOR. The encoding is deterministic.
 type Codec struct {
-	enc cbor.EncMode
-	dec cbor.DecMode
+	enc     cbor.EncMode
+	dec     cbor.DecMode
+	bounded cbor.DecMode
 }
 
+// Limits of UnmarshalBounded. A list element of one byte can need a few hundred bytes in
+// memory.
+const (
+	// MaxListElements is the maximum number of elements of a list.
+	MaxListElements = 1 << 14
+	// MaxMapPairs is the maximum number of entries of a map.
+	MaxMapPairs = 1 << 17
+)
+
 // NewCodec returns a codec. Times are encoded with nanoseconds, in UTC.
 func NewCodec() (*Codec, error) {
 	opts := cbor.CoreDetEncOptions()
@@ -38,7 +48,11 @@
 	if err != nil {
 		return nil, cferror.Wrap("set up CBOR decoding", KindDecode, err)
 	}
-	return &Codec{enc: enc, dec: dec}, nil
+	bounded, err := cbor.DecOptions{MaxArrayElements: MaxListElements, MaxMapPairs: MaxMapPairs}.DecMode()
+	if err != nil {
+		return nil, cferror.Wrap("set up CBOR decoding", KindDecode, err)
+	}
+	return &Codec{enc: enc, dec: dec, bounded: bounded}, nil
 }
 
 // Marshal encodes v.
@@ -51,3 +65,9 @@
 func (c *Codec) Unmarshal(data []byte, v any) error {
 	return cferror.Wrap("read CBOR data", KindDecode, c.dec.Unmarshal(data, v))
 }
+
+// UnmarshalBounded decodes data into v. It rejects lists and maps that are too long for a
+// single record.
+func (c *Codec) UnmarshalBounded(data []byte, v any) error {
+	return cferror.Wrap("read CBOR data", KindDecode, c.bounded.Unmarshal(data, v))
+}
