Use the other rows of run lists if one cannot be decoded

What callers could see: one malformed row in a worker's run lists made each call for the lists fail. After 0.9 s the agent reported the worker as unreachable (by reading; not run with processes). It got no starts, no end of its runs was recorded, and stops got no result, as long as the row was there.

Cause: Hold returned an error for the whole answer.

Ruled out: nesting of 9,000 levels in a row and of 100,000 in the answer end in a JSON error, not the process.

A row that identifies no run is left out, and the lists are marked as incomplete. The agent logs the error ("a row of the worker's run lists cannot be decoded") and counts run_lists_malformed.

A row that is left out can name a run that exists. So nothing is concluded from a run that is missing in incomplete lists: - the agent reports no result for a stop, or for a start refused as stale; the planner repeats the order. Runs of this planner are kept in any case until an end is listed or the leases have expired. - a new planner doesn't count such lists as the first ones of an agent. It starts no inherited task until complete lists follow, or until the existing end of the wait (expectedUntil). After that, it starts them: a row that stays unreadable must not stop all jobs for good. If the row then still is a run of an inherited task, that task runs twice; its name is not known to anyone. The agent stays on record. An end that is left out is not acknowledged by itself: LastSeen stays below it, and the agent asks again after holdRetryDelay, since the worker answers at once. It is passed only with a later end of that worker. The content of an end doesn't change, so a row that arrived in a complete answer can never be decoded, and holding LastSeen back would keep all later ends of the worker from being recorded. The planner keeps the run as running then, so it starts no second one by itself.

--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -28,6 +28,8 @@
 	stopped chan uint64
 	// refusal is the kind of error that starts return; if empty, starts succeed.
 	refusal cfcore.ExecutorKind
+	// incomplete is set if the run lists have a row that cannot be decoded.
+	incomplete bool
 }
 
 func (w *worker) Start(_ context.Context, _ cfcore.Order, s cfcore.RunStart) error {
@@ -44,7 +46,7 @@
 }
 
 func (w *worker) Hold(context.Context, cfcore.Order, cfcore.HoldOptions) (cfcore.RunLists, error) {
-	return cfcore.RunLists{Born: born, Clock: time.Hour}, nil
+	return cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: w.incomplete}, nil
 }
 
 // newTestControl returns the control of an agent that has just started and is allowed to
@@ -135,3 +137,44 @@
 		})
 	}
 }
+
+// A run that is missing from run lists possibly is in a row that cannot be decoded. The agent
+// must not report that the run does not exist.
+func TestNoResultFromIncompleteRunLists(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		incomplete bool
+		results    int
+	}{
+		{"complete", false, 1},
+		{"incomplete", true, 0},
+	} {
+		t.Run(c.name+", stop", func(t *testing.T) {
+			a, w := newTestControl()
+			w.incomplete = c.incomplete
+			a.handleHeartbeat(workerState(born))
+			a.stopRun(t.Context(), cfwire.JobStop{Task: cfcore.TaskName{Job: "j"}, Run: 7})
+			a.handleEvent(t.Context(), <-a.events)
+			NewWithT(t).Expect(a.takeReport().Results).To(HaveLen(c.results))
+		})
+		t.Run(c.name+", start", func(t *testing.T) {
+			a, w := newTestControl()
+			w.incomplete, w.refusal = c.incomplete, cfcore.ExecutorStale
+			a.handleHeartbeat(workerState(born))
+			a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7})
+			a.handleEvent(t.Context(), <-a.events)
+			NewWithT(t).Expect(a.takeReport().Results).To(HaveLen(c.results))
+		})
+	}
+}
+
+// A worker with an end that is never acknowledged answers each call at once. The agent must
+// not call it again without a delay.
+func TestIncompleteRunListsAreNotRequestedAgainAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	a.handleHoldReturned(holdReturned{lists: cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: true}})
+	g.Expect(a.nextHoldAt).To(BeNumerically(">", a.bootClock.Now()))
+	g.Expect(a.lists.Incomplete).To(BeTrue())
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -50,7 +50,8 @@
 		return
 	}
 	c.applyLists(ev.lists, ev.token)
-	if c.lastListed > c.lastRecorded {
+	// A worker that lists ends which the planner does not record answers without waiting.
+	if c.lastListed > c.lastRecorded || ev.lists.Incomplete {
 		c.nextHoldAt = c.bootClock.Now() + holdRetryDelay
 	}
 }
@@ -71,6 +72,7 @@
 		return
 	}
 	c.recordClock(l.Clock)
+	c.logMalformedRow(l.Malformed)
 	c.lists, c.hasLists = l, true
 	for _, e := range l.Ended {
 		c.lastListed = max(c.lastListed, e.Number)
@@ -78,6 +80,18 @@
 	c.reportAll = true
 }
 
+// logMalformedRow logs and counts run lists with a malformed row. It logs the error of the
+// row once, not for each call that lists it again.
+func (c *control) logMalformedRow(err error) {
+	if err == nil {
+		return
+	}
+	c.Scope.Counter("run_lists_malformed").Inc(1)
+	if c.lists.Malformed == nil || c.lists.Malformed.Error() != err.Error() {
+		c.Log.Warn().Err(err).Str("Worker", c.worker.ID).Msg("a row of the worker's run lists cannot be decoded; using the other rows")
+	}
+}
+
 // startRun sends the worker an order to start a run.
 func (c *control) startRun(ctx context.Context, s cfwire.JobStart) {
 	key := orderKey{task: s.Task, run: s.Run, born: s.Born}
@@ -173,7 +187,7 @@
 	res := cfwire.JobOrderResult{Task: ev.key.task, Run: ev.key.run}
 	switch {
 	case ev.key.stop:
-		if !ev.hasLists || inLists(&ev.lists, ev.key) {
+		if !ev.hasLists || mayBeListed(&ev.lists, ev.key) {
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
@@ -186,7 +200,7 @@
 		c.logOrder(ev)
 		return
 	case cferror.Is(ev.err, cfcore.ExecutorStale):
-		if !ev.hasLists || inLists(&ev.lists, ev.key) {
+		if !ev.hasLists || mayBeListed(&ev.lists, ev.key) {
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
@@ -225,6 +239,12 @@
 	return cfcore.ExecutorRefused
 }
 
+// mayBeListed reports whether the run of an order is in the run lists, or possibly in a row
+// that is left out because it cannot be decoded.
+func mayBeListed(l *cfcore.RunLists, key orderKey) bool {
+	return l.Incomplete || inLists(l, key)
+}
+
 // inLists reports whether the run of an order is in the run lists.
 func inLists(l *cfcore.RunLists, key orderKey) bool {
 	for _, r := range l.Running {
--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -118,6 +118,12 @@
 	Born    time.Time
 	Running []RunningTask
 	Ended   []EndedTask
+	// Incomplete is set if rows are left out because they cannot be decoded. A run that is
+	// missing from the lists then possibly exists.
+	Incomplete bool `cbor:",omitempty"`
+	// Malformed is the error of the first row that is left out, or that has a field which
+	// cannot be decoded. It is nil if there is no such row.
+	Malformed error `cbor:"-"`
 }
 
 // HoldOptions are the options of Executor.Hold.
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -132,7 +132,8 @@
 		w.tailsUnchecked = true
 	}
 	w.hasListed, w.isUnreachable = true, false
-	if p.expectedAgents[w.agent] {
+	// A row that is left out can name a run of an inherited task.
+	if p.expectedAgents[w.agent] && !l.Incomplete {
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
 	}
@@ -345,7 +346,7 @@
 // ExpireLeases returns the agents of these workers, and the agents whose workers have left
 // since the previous call. The planner waits until expectedUntil for the run lists of the
 // agents that were passed to New. After that, ExpireLeases also returns, once, those agents
-// whose lists are still missing.
+// whose lists are still missing. It does not return agents whose lists are incomplete.
 func (p *Planner) ExpireLeases(now time.Time) []GoneAgent {
 	gone := p.gone
 	p.gone = nil
@@ -367,6 +368,9 @@
 	}
 	if len(p.expectedAgents) > 0 && now.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
+			if w := p.workers[a]; w != nil && w.hasListed {
+				continue
+			}
 			gone = append(gone, GoneAgent{Agent: a})
 		}
 		clear(p.expectedAgents)
