Reject heartbeats with values out of range

What callers could see: one malformed heartbeat made an agent useless for good. With a start in the year 292 million, the agent ignored its real worker as an earlier incarnation, and could not send reports, since the time cannot be encoded. With an ID that is not UTF-8 (a path of /instances/%ff), the planner could not decode the reports and closed the connection, again and again. A clock out of range stopped the agent's readings of the clock, from which it concludes when leases have expired.

Cause: decodeHeartbeat checked only the service, the state and the types.

Ruled out by cases that passed before: 20,000 and 100,000 nested lists, 1e400, 2^64, negative values in unsigned fields, 100,000 labels (above the limit of 64 KiB).

The agent rejects a start more than 24 h ahead of its clock. Rejected heartbeats are logged ("heartbeat rejected", with worker and reason) and counted (heartbeats_rejected); before, there was neither.

Not solved: a heartbeat in range with another ID and a later start still replaces the worker. On the platform nobody else calls an agent's address.

--- a/internal/cfjobagent/agent.go
+++ b/internal/cfjobagent/agent.go
@@ -7,15 +7,26 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/google/uuid"
 
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfconfig"
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfnet"
 )
 
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindHeartbeat marks a heartbeat that names no usable worker.
+const KindHeartbeat Kind = "bad heartbeat"
+
+// Error is the error type of this package.
+type Error = cferror.Error[Kind]
+
 // eventQueueCapacity is the capacity of the control goroutine's event queue.
 const eventQueueCapacity = 256
 
@@ -110,8 +121,17 @@
 // registry implements cfcore.WorkerRegistry for the agent.
 type registry struct{ *Agent }
 
+// maxBornAhead is how far the start of a worker can be ahead of the agent's clock. The agent
+// ignores all heartbeats of earlier incarnations, so a start in the far future would hide the
+// real worker. The limit allows for clocks that were set wrongly.
+const maxBornAhead = 24 * time.Hour
+
 // Heartbeat implements cfcore.WorkerRegistry.
 func (r registry) Heartbeat(ctx context.Context, w cfcore.WorkerState) bool {
+	if ahead := w.Born.Sub(r.Clock.Now()); ahead > maxBornAhead {
+		r.Reject(w.ID, cferror.New("check heartbeat", KindHeartbeat, "the worker starts %s from now", ahead))
+		return false
+	}
 	handled := make(chan struct{})
 	r.post(ctx, heartbeat{state: w, handled: handled})
 	return waitHandled(ctx, handled)
@@ -124,6 +144,12 @@
 	return waitHandled(ctx, handled)
 }
 
+// Reject implements cfcore.WorkerRegistry.
+func (r registry) Reject(id string, err error) {
+	r.Log.Warn().Err(err).Str("Worker", id).Msg("heartbeat rejected")
+	r.Scope.Counter("heartbeats_rejected").Inc(1)
+}
+
 // waitHandled waits until handled is closed. It reports false if the context ended before
 // that.
 func waitHandled(ctx context.Context, handled <-chan struct{}) bool {
--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -178,3 +178,23 @@
 	g.Expect(a.nextHoldAt).To(BeNumerically(">", a.bootClock.Now()))
 	g.Expect(a.lists.Incomplete).To(BeTrue())
 }
+
+// A heartbeat of an incarnation that starts in the future would make the agent ignore its
+// worker until then.
+func TestHeartbeatFromTheFutureIsRejected(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	go func() {
+		for {
+			select {
+			case ev := <-a.events:
+				a.handleEvent(t.Context(), ev)
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	g.Expect(registry{a.Agent}.Heartbeat(t.Context(), workerState(time.Now().Add(30*24*time.Hour)))).To(BeFalse())
+	g.Expect(registry{a.Agent}.Heartbeat(t.Context(), workerState(time.Now()))).To(BeTrue())
+	g.Expect(a.worker.Born).To(BeTemporally("~", time.Now(), time.Minute))
+}
--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -201,4 +201,7 @@
 	// Leave processes the notice that a worker is about to shut down. It reports false if ctx
 	// was done before the notice was processed.
 	Leave(ctx context.Context, id string) bool
+	// Reject records that a heartbeat was rejected because it cannot be decoded. id is the
+	// worker's ID in the heartbeat; it can be invalid.
+	Reject(id string, err error)
 }
