Go on after a record of the store that cannot be read

What callers could see: a page with one record whose length exceeds the page, or a list of newest records with one item that cannot be decoded, stopped an entry from following the store: it repeated the same read for good, and after a restart never had a state (it stays unready).

Cause: Store.Read and Store.Newest returned an error for the whole page, and tail repeated the read at the same offset. The store itself writes lengths and items; by the interface they are well-formed, so this needs a fault of the store.

Ruled out by cases that passed before: a record of 0 bytes, a key longer than its record, half a length at the end of a page.

Skipped records now have a line with topic and number, in addition to records_skipped.

--- a/internal/cfjobentry/config.go
+++ b/internal/cfjobentry/config.go
@@ -92,6 +92,7 @@
 		if end < 0 {
 			end = page.End
 		}
+		e.countSkipped(topic, page.Skipped)
 		for _, r := range page.Records {
 			e.applyOperatorRecord(ctx, r)
 			after = r.Key
@@ -109,6 +110,7 @@
 	if err != nil {
 		return 0, err
 	}
+	e.countSkipped(topic, page.Skipped)
 	for _, r := range page.Records {
 		e.applyOperatorRecord(ctx, r)
 	}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -236,9 +236,7 @@
 		c.applyRecord(ctx, r)
 	}
 	c.stored.Next = max(c.stored.Next, ev.page.Next)
-	if ev.page.Skipped > 0 {
-		c.Scope.Counter("records_skipped").Inc(int64(ev.page.Skipped))
-	}
+	c.countSkipped(c.topic, ev.page.Skipped)
 	if ev.sentAt > c.confirmedAt {
 		c.confirmedAt = ev.sentAt
 	}
--- a/internal/cfjobentry/follow.go
+++ b/internal/cfjobentry/follow.go
@@ -55,6 +55,7 @@
 		if first {
 			stored.Next, first = page.End, false
 		}
+		c.countSkipped(c.topic, page.Skipped)
 		for _, r := range page.Records {
 			if _, err := stored.Apply(r); err != nil {
 				c.Log.Warn().Err(err).Str("Key", r.Key).Msg("record cannot be applied; skipping it")
@@ -68,8 +69,17 @@
 	}
 }
 
-// tail reads the records whose offset is at least next, until the context ends or the store
-// no longer has the record to be read next.
+// countSkipped logs and counts n records that were left out of a page of a topic because
+// they cannot be decoded.
+func (e *Entry) countSkipped(t cfcore.Topic, n int) {
+	if n > 0 {
+		e.Log.Warn().Str("Topic", t.Name).Int("Records", n).Msg("records cannot be decoded; skipping them")
+		e.Scope.Counter("records_skipped").Inc(int64(n))
+	}
+}
+
+// tail reads the records whose offset is at least next, until the context ends, the store
+// no longer has the record to be read next, or this record cannot be read.
 func (c *control) tail(ctx context.Context, next int64) {
 	for ctx.Err() == nil {
 		sentAt := c.bootTime()
@@ -80,6 +90,12 @@
 		}
 		if err != nil {
 			c.recordFailureAndWait(ctx, err)
+			if cferror.Is(err, cfcore.StoreBadAnswer) {
+				// The same read would fail again. The newest records of all keys can still be
+				// read.
+				c.Log.Warn().Err(err).Int64("Offset", next).Msg("record cannot be read; reading the whole store again")
+				return
+			}
 			continue
 		}
 		c.recordStoreAnswer()
--- a/pkg/cfcore/store.go
+++ b/pkg/cfcore/store.go
@@ -85,6 +85,8 @@
 	More bool
 	// End is the end offset of the partition when the page was read.
 	End int64
+	// Skipped is the number of records that are left out because they cannot be decoded.
+	Skipped int
 }
 
 // Store accesses the keyed topics of the platform's store. Acknowledged appends are
