Leave out a route that cannot be decoded, and use the other ones

What callers could see: one malformed route among many kept the whole version of the configuration from being in force. New routes were answered 404 and changes had no effect. A version of 2^64-1 kept out all later versions until the entry restarted. The store accepts only valid configurations, so this needs a fault of the store or a newer format.

Cause: the routes were decoded together.

Ruled out by cases that passed before: 100,000 nested lists, 1e400 and 2^64 as the version. From reading, not tested: parts from another entry with a negative or huge From or Size are ignored by sendConfig and receiveConfigPart (checks of From; maxConfigBytes), and the assembled bytes go through DecodeConfig.

The errors of those left out are in Config.Malformed, logged ("queue cannot be decoded; leaving it out") and counted (queues_skipped).

--- a/internal/cfjobentry/config.go
+++ b/internal/cfjobentry/config.go
@@ -138,6 +138,10 @@
 	if !e.replaceConfig(&configRecord{Config: cfg, value: value}) {
 		return nil
 	}
+	for _, err := range cfg.Malformed {
+		e.Log.Error().Err(err).Uint64("Version", cfg.Version).Msg("queue cannot be decoded; leaving it out")
+		e.Scope.Counter("queues_skipped").Inc(1)
+	}
 	e.Log.Info().Uint64("Version", cfg.Version).Int("Queues", len(cfg.Queues)).Str("From", source).Msg("configuration in force")
 	e.post(ctx, configChanged{config: cfg})
 	return nil
--- a/pkg/cfjob/queue.go
+++ b/pkg/cfjob/queue.go
@@ -43,6 +43,9 @@
 type Config struct {
 	Version uint64
 	Queues  []Queue
+	// Malformed are the errors of the queues that are left out because they cannot be
+	// decoded.
+	Malformed []error
 }
 
 // Match returns the queue for a request to a host and path. Several queues can have the
