Limit the size of challenges before a peer has proved its key

What callers could see: anything that could reach the inner address of an entry could use up its memory without the key.

Cause: the read limit of a connection applied to the handshake, which decodes the same type as all messages.

Ruled out by cases that passed before: 100,000 nested lists, endless lists, a list of 2^60, no CBOR. The entry accepts other peers afterwards.

Change: 16 KiB until the handshake is done.

Not changed: peers that have the key can still send such messages.

--- a/pkg/cfwire/conn.go
+++ b/pkg/cfwire/conn.go
@@ -41,6 +41,9 @@
 const (
 	// MaxMessageBytes is the maximum size of one message.
 	MaxMessageBytes = 24 << 20
+	// maxHandshakeBytes is the maximum size of a challenge or proof. The peer has not proved
+	// yet that it has the key.
+	maxHandshakeBytes = 16 << 10
 	// sendQueueSize is the maximum number of messages in a connection's send queue.
 	sendQueueSize = 256
 	// handshakeTimeout limits the time for dialing. The handshake has a separate limit of the
@@ -115,7 +118,7 @@
 
 // startConn does the handshake and starts the goroutine that writes messages.
 func startConn(ctx context.Context, ws *websocket.Conn, o Options) (*Conn, func(), error) {
-	ws.SetReadLimit(MaxMessageBytes)
+	ws.SetReadLimit(maxHandshakeBytes)
 	connCtx, cancel := context.WithCancel(ctx)
 	c := &Conn{
 		ws: ws, codec: o.Codec, clock: o.Clock, cancel: cancel, openedAt: o.Clock.Now(),
@@ -126,6 +129,7 @@
 		_ = ws.CloseNow()
 		return nil, nil, err
 	}
+	ws.SetReadLimit(MaxMessageBytes)
 	c.recordReceived()
 	go c.writeLoop(connCtx)
 	return c, c.close, nil
