--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -118,6 +118,12 @@
 	Born    time.Time
 	Running []RunningTask
 	Ended   []EndedTask
+	// Incomplete is set if rows are left out because they cannot be decoded. A run that is
+	// missing from the lists then possibly exists.
+	Incomplete bool `cbor:",omitempty"`
+	// Malformed is the error of the first row that is left out, or that has a field which
+	// cannot be decoded. It is nil if there is no such row.
+	Malformed error `cbor:"-"`
 }
 
 // HoldOptions are the options of Executor.Hold.
@@ -221,4 +227,7 @@
 	// Leave processes the notice that a worker is about to shut down. It reports false if ctx
 	// was done before the notice was processed.
 	Leave(ctx context.Context, id string) bool
+	// Reject records that a heartbeat was rejected because it cannot be decoded. id is the
+	// worker's ID in the heartbeat; it can be invalid.
+	Reject(id string, err error)
 }
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -138,7 +138,8 @@
 		w.tailsUnchecked = true
 	}
 	w.hasListed, w.isUnreachable = true, false
-	if p.expectedAgents[w.agent] {
+	// A row that is left out can name a run of an inherited task.
+	if p.expectedAgents[w.agent] && !l.Incomplete {
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
 	}
@@ -361,6 +362,9 @@
 	}
 	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
+			if w := p.workers[a]; w != nil && w.hasListed {
+				continue
+			}
 			gone = append(gone, GoneAgent{Agent: a})
 		}
 		clear(p.expectedAgents)
