Keep the record of an agent that reports without run lists

Cause: when a new planner's wait for the expected agents ends, ExpireLeases returned all agents without run lists as gone, also those that report but whose worker does not answer. Their records in the store were dropped, while the planner kept the agents as recorded and gave them starts once their workers were back. The next planner did not expect these agents, and started their tasks elsewhere at once.

Change: only agents that have not reported at all are returned.

Evidence: TestAgentWithoutRunListsStaysOnRecord failed before.

--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -51,7 +51,7 @@
 	if w.holds != nil {
 		w.holds <- h
 	}
-	return cfcore.RunLists{Born: born, Clock: time.Hour}, nil
+	return cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: w.incomplete}, nil
 }
 
 // newTestControl returns the control of an agent that has just started and is allowed to
@@ -179,7 +179,7 @@
 	g := NewWithT(t)
 	a, _ := newTestControl()
 	a.handleHeartbeat(workerState(born))
-	a.handleHoldReturned(holdReturned{lists: cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: true}})
+	a.handleHoldReturned(holdReturned{token: a.fence.token(a.epoch), lists: cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: true}})
 	g.Expect(a.nextHoldAt).To(BeNumerically(">", a.bootClock.Now()))
 	g.Expect(a.lists.Incomplete).To(BeTrue())
 }
--- a/pkg/cfdispatch/incomplete_test.go
+++ b/pkg/cfdispatch/incomplete_test.go
@@ -41,7 +41,7 @@
 			f.Expect(f.runPlanner()).To(ConsistOf("new.0@a"), "the worker itself can be used")
 			f.now = f.now.Add(c.wait)
 			report(!c.complete)
-			f.Expect(f.ExpireLeases(f.now)).To(BeEmpty(), "the agent has reported and stays on record")
+			f.Expect(f.ExpireLeases(f.now, f.now)).To(BeEmpty(), "the agent has reported and stays on record")
 			f.Expect(slices.Contains(f.runPlanner(), "old.0@a")).To(Equal(c.starts))
 		})
 	}
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -316,6 +316,14 @@
 	f.Expect(f.runPlanner()).To(ConsistOf("old.0@a"))
 }
 
+// The next planner must wait for this agent as well.
+func TestAgentWithoutRunListsStaysOnRecord(t *testing.T) {
+	f := newFleet(t, cfdispatch.New(settings, []string{"a", "b", "c"}, epochStart.Add(time.Second)), "a")
+	f.now = f.now.Add(2 * time.Second)
+	f.ApplyReport(f.now, "b", &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreachable{For: time.Second}})
+	f.Expect(f.ExpireLeases(f.now, f.now)).To(ConsistOf(cfdispatch.GoneAgent{Agent: "c"}))
+}
+
 func TestNewPlannerAdoptsRuns(t *testing.T) {
 	old := newFleet(t, newPlanner(), "a")
 	old.add("j", newStep(1, 100))
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -293,6 +293,9 @@
 // execute a late start of its earlier incarnation until it has returned its first lists, see
 // cfjobagent. Until then, the runs count as existing.
 func (p *Planner) expireMissingRuns(now time.Time, w *worker, l *cfcore.RunLists) {
+	if l.Incomplete {
+		return
+	}
 	for r := range w.runs {
 		if r.born.Equal(w.state.Born) || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
 			continue
@@ -339,8 +342,7 @@
 // confirmed found no valid lease to extend. ExpireLeases returns the agents of these
 // workers, and the agents whose workers have left since the previous call. The planner waits
 // until confirmed is after expectedUntil for the run lists of the agents that were passed to
-// New. After that, ExpireLeases also returns, once, those agents whose lists are still
-// missing.
+// New. After that, ExpireLeases also returns, once, those agents that have not reported.
 func (p *Planner) ExpireLeases(now, confirmed time.Time) []GoneAgent {
 	gone := p.gone
 	p.gone = nil
@@ -362,10 +364,9 @@
 	}
 	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
-			if w := p.workers[a]; w != nil && w.hasListed {
-				continue
+			if p.workers[a] == nil {
+				gone = append(gone, GoneAgent{Agent: a})
 			}
-			gone = append(gone, GoneAgent{Agent: a})
 		}
 		clear(p.expectedAgents)
 		p.changed = true
