--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -84,6 +84,8 @@
 	stopWorker []func()
 	cleanups   []func()
 	servers    []*http.Server
+	// proxies is nil if agents and entries connect to entries directly.
+	proxies *proxies
 }
 
 // freeAddr returns an address with a free port. Within a fleet, it returns each port at most
@@ -110,28 +112,39 @@
 }
 
 // newFleet starts a fleet and waits until all entries are ready.
-func newFleet(entries, agents int) *fleet {
-	f := &fleet{dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{DecisionTime: 20 * time.Millisecond}}
+func newFleet(entries, agents int) *fleet { return startFleet(entries, agents, nil) }
+
+// startFleet is newFleet with proxies in front of the entries unless p is nil.
+func startFleet(entries, agents int, p *proxies) *fleet {
+	f := &fleet{proxies: p, dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{DecisionTime: 20 * time.Millisecond}}
 	storeAddr := f.freeAddr(250)
-	f.listen(storeAddr, f.store)
+	if p != nil {
+		f.listen(storeAddr, p.rewriteAddrs(f.store))
+	} else {
+		f.listen(storeAddr, f.store)
+	}
 	adviceAddr := f.freeAddr(250)
 	f.listen(adviceAddr, f.advisor)
 	f.configure(1)
 	var innerAddrs []string
 	for i := range entries {
-		p := &process{callers: f.freeAddr(i + 1), readiness: f.freeAddr(i + 1)}
+		entry := &process{callers: f.freeAddr(i + 1), readiness: f.freeAddr(i + 1)}
 		innerAddr := f.freeAddr(i + 1)
-		innerAddrs = append(innerAddrs, fmt.Sprintf("%q", innerAddr))
-		f.launch(p, "job-entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf(
-			`"Callers": %q, "Readiness": %q, "Inner": %q, "Store": %q, "Advice": %q`, p.callers, p.readiness, innerAddr, storeAddr, adviceAddr))
-		f.entries = append(f.entries, p)
+		reachableAddr := innerAddr
+		if p != nil {
+			reachableAddr = f.addProxy(i, innerAddr)
+		}
+		innerAddrs = append(innerAddrs, fmt.Sprintf("%q", reachableAddr))
+		f.launch(entry, "job-entry", fmt.Sprintf("entry-%d", i), fmt.Sprintf(
+			`"Callers": %q, "Readiness": %q, "Inner": %q, "Store": %q, "Advice": %q`, entry.callers, entry.readiness, innerAddr, storeAddr, adviceAddr))
+		f.entries = append(f.entries, entry)
 	}
 	for i := range agents {
-		p := &process{}
+		agent := &process{}
 		workerAddr, heartbeatAddr := f.freeAddr(i+100), f.freeAddr(i+100)
-		f.launch(p, "job-agent", fmt.Sprintf("agent-%d", i), fmt.Sprintf(
+		f.launch(agent, "job-agent", fmt.Sprintf("agent-%d", i), fmt.Sprintf(
 			`"Worker": %q, "Heartbeats": %q, "Entries": [%s]`, workerAddr, heartbeatAddr, strings.Join(innerAddrs, ",")))
-		f.agents = append(f.agents, p)
+		f.agents = append(f.agents, agent)
 		ctx, cancel := context.WithCancel(context.Background())
 		f.cleanups = append(f.cleanups, cancel)
 		f.stopWorker = append(f.stopWorker, cancel)
