--- a/integration/jobs/late_test.go
+++ b/integration/jobs/late_test.go
@@ -56,8 +56,6 @@
 // its next incarnation. It then freezes the agent so that the calls are executed meanwhile.
 func holdOfFormerIncarnation(spec string, freezeTime time.Duration) func(f *fleet) {
 	return func(f *fleet) {
-		// The expiry times in the late calls must be late on the clock of the next incarnation.
-		time.Sleep(8 * time.Second)
 		f.delayOrders("/hold", 1, 4*time.Second, 5*time.Second, 1500*time.Millisecond)
 		f.workers[0].Restart()
 		time.Sleep(500 * time.Millisecond)
@@ -73,8 +71,6 @@
 // end interrupt its agent for a time. The starts are executed after that time.
 func startAfterAbsence(begin, end func(p *process), d time.Duration) func(f *fleet) {
 	return func(f *fleet) {
-		// The expiry times in the late starts must be late on the clock of the next incarnation.
-		time.Sleep(8 * time.Second)
 		f.delayOrders("/run-start", 1, 9*time.Second, 12*time.Second, 300*time.Millisecond)
 		begin(f.agents[0])
 		f.workers[0].Restart()
--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -125,6 +126,23 @@
 	p.session.Wait(8 * time.Second)
 }
 
+// linkFault returns a function for the field begin of a soakFault that cuts a link from the address
+// that pick returns to a random entry. Such a fault is possible in a fleet with proxies only.
+func linkFault(pick func(s *soak) netip.Addr) func(*soak) func() {
+	return func(s *soak) func() {
+		if s.proxies == nil {
+			return nil
+		}
+		from := pick(s)
+		i, release, ok := s.reserve("link"+from.String()+"-", len(s.entries))
+		if !ok {
+			return nil
+		}
+		s.cutLinks(from, true, i)
+		return func() { s.cutLinks(from, false, i); release() }
+	}
+}
+
 // storeFault returns a function for the field begin of a soakFault that hits requests to the
 // store: with equal probability, those of one random entry or those of all entries.
 func storeFault(f standin.Fault) func(*soak) func() {
@@ -196,6 +214,8 @@
 	{"an agent is killed", processFault("agent", agentsOf, kill, restart), 2 * time.Second},
 	{"an agent gets SIGTERM", processFault("agent", agentsOf, terminate, restart), time.Second},
 	{"an agent freezes", processFault("agent", agentsOf, freeze, thaw), 9 * time.Second},
+	{"an agent is cut from an entry", linkFault(func(s *soak) netip.Addr { return agentIP(s.rng.IntN(len(s.agents))) }), 9 * time.Second},
+	{"an entry is cut from another one", linkFault(func(s *soak) netip.Addr { return s.entries[s.rng.IntN(len(s.entries))].callers.Addr() }), 4 * time.Second},
 	{"the store answers 503", storeFault(standin.Down), 4 * time.Second},
 	{"the store answers 429", storeFault(standin.Busy), 3 * time.Second},
 	{"the store resets connections", storeFault(standin.Reset), 4 * time.Second},
@@ -366,7 +386,13 @@
 func runSoak(seed uint64, d time.Duration) {
 	GinkgoHelper()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	s := &soak{fleet: newFleet(3+rng.IntN(2), 3+rng.IntN(3)), rng: rng, faulted: map[string]bool{}, version: 1, storeFaults: map[string]standin.Fault{}}
+	entries, agents := 3+rng.IntN(2), 3+rng.IntN(3)
+	// Behind proxies, entries that are down refuse no connections. Half of the soaks have none.
+	var p *proxies
+	if rng.IntN(2) == 0 {
+		p = &proxies{cut: map[proxiedLink]bool{}}
+	}
+	s := &soak{fleet: startFleet(entries, agents, p), rng: rng, faulted: map[string]bool{}, version: 1, storeFaults: map[string]standin.Fault{}}
 	s.store.SetFault(s.faultOfCall)
 	done, loadDone := make(chan struct{}), make(chan struct{})
 	go func() {
