Extend the planner's model: agents, incarnations, late orders, store outages

Events are now drawn with fixed probabilities, tasks can outlast a lease, and agents extend leases by themselves as the real ones do. The checks now also follow which ends are acknowledged without a lapse of the lease.

--- /dev/null
+++ b/pkg/cfdispatch/model_check_test.go
@@ -0,0 +1,125 @@
+package cfdispatch_test
+
+import (
+	"fmt"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// modelEnd is what is known about a run that ended as done. The planners don't see it.
+type modelEnd struct {
+	worker string
+	born   time.Time
+	number uint64
+	run    uint64
+	// lapsed is set if the worker's leases expired before the end was acknowledged. The end
+	// then doesn't count, even if it is acknowledged later.
+	lapsed bool
+	acked  bool
+	// restarted is set once the task has started again.
+	restarted bool
+}
+
+// The kinds of violations.
+const (
+	violationTwoRuns = "two runs at the same time"
+	// violationAcked is a start after an end that counts, see modelEnd.
+	violationAcked = "start after an acknowledged end"
+	// violationRecorded is a start of a task that is recorded as done. The end of its run
+	// possibly doesn't count.
+	violationRecorded = "start although recorded as done"
+)
+
+// violation is a breach of the rule that no task runs twice.
+type violation struct {
+	kind string
+	text string
+	task cfcore.TaskName
+}
+
+// tracef adds an event to the trace.
+func (m *model) tracef(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%5.1f  ", m.now.Sub(epochStart).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// violate records a violation.
+func (m *model) violate(kind string, n cfcore.TaskName, format string, args ...any) {
+	text := fmt.Sprintf("after %s: task %s: %s: ", m.now.Sub(epochStart), taskString(n), kind) + fmt.Sprintf(format, args...)
+	m.tracef("VIOLATION %s", text)
+	m.violations = append(m.violations, violation{kind: kind, text: text, task: n})
+}
+
+// violation returns the text of the first violation, or "".
+func (m *model) violation() string {
+	if len(m.violations) == 0 {
+		return ""
+	}
+	return m.violations[0].text
+}
+
+// addEnd remembers a run that ended as done.
+func (m *model) addEnd(w *modelWorker, n cfcore.TaskName, number uint64) {
+	m.ends[n] = append(m.ends[n], &modelEnd{worker: w.name, born: w.born, number: number, run: w.highestRun[n]})
+}
+
+// findEnd returns the end with the number that a worker gave it, or nil if the run did not
+// end as done.
+func (m *model) findEnd(w *modelWorker, e cfcore.EndedTask) *modelEnd {
+	for _, x := range m.ends[e.Task] {
+		if x.worker == w.name && x.born.Equal(w.born) && x.number == e.Number {
+			return x
+		}
+	}
+	return nil
+}
+
+// markLapsed marks the ends that a worker holds while its leases have expired.
+func (m *model) markLapsed(w *modelWorker) {
+	for _, e := range w.ended {
+		if x := m.findEnd(w, e); x != nil {
+			x.lapsed = true
+		}
+	}
+}
+
+// acknowledgeEnd checks that the task of an end that counts has not started again.
+func (m *model) acknowledgeEnd(w *modelWorker, e cfcore.EndedTask) {
+	x := m.findEnd(w, e)
+	if x == nil {
+		return
+	}
+	x.acked = true
+	m.tracef("%s: end %d (run %x of %s) is acknowledged, lapsed before: %v", w.name, e.Number, e.Run, taskString(e.Task), x.lapsed)
+	if x.restarted && !x.lapsed {
+		m.violate(violationAcked, e.Task, "end of run %x on %s is acknowledged after the task started again", e.Run, w.name)
+	}
+}
+
+// checkStart checks that the task of a run that starts has not ended before.
+func (m *model) checkStart(w *modelWorker, n cfcore.TaskName, run uint64) {
+	for _, x := range m.ends[n] {
+		x.restarted = true
+		if x.acked && !x.lapsed {
+			m.violate(violationAcked, n, "run %x starts on %s, run %x has ended on %s", run, w.name, x.run, x.worker)
+		}
+	}
+	if e := m.jobs[n.Job]; e.Progress != nil && e.Progress.IsDone(n.Index) {
+		m.violate(violationRecorded, n, "run %x starts on %s", run, w.name)
+	}
+}
+
+// checkUniqueRuns checks that no task has two runs at the same time. It reports each task
+// once.
+func (m *model) checkUniqueRuns() {
+	seen := map[cfcore.TaskName]*modelWorker{}
+	for _, w := range m.workers {
+		for _, n := range w.runningTasks() {
+			if other := seen[n]; other != nil && !m.twoRuns[n] {
+				m.twoRuns[n] = true
+				m.violate(violationTwoRuns, n, "run %x on %s and run %x on %s", other.runs[n].id, other.name, w.runs[n].id, w.name)
+			}
+			seen[n] = w
+		}
+	}
+}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,15 +27,66 @@
 	modelTicks = 400
 	// leadershipTime is how long an earlier planner keeps its leadership after a new one
 	// was created. slowClockFactor is the factor by which a lease lasts longer on a
-	// worker's slow clock. ticksPerTask is the duration of a task.
+	// worker's slow clock. shortTask and longTask are the durations of tasks, in ticks. A
+	// long task outlasts a lease that is not extended.
 	leadershipTime  = 2 * time.Second
 	slowClockFactor = 1.02
-	ticksPerTask    = 15
+	shortTask       = 15
+	longTask        = 110
 	// maxOrderDelay is the maximum delay after which an unanswered order is carried out.
 	maxOrderDelay = 12 * time.Second
+	// runsPerWorker is how many tasks of the model's jobs fit on a worker.
+	runsPerWorker = 4
 )
 
-// modelFaults are faults of planners and workers that the model must detect.
+var workerCapacity = cfcore.Resources{MilliCores: 4000, MemoryMB: 8000}
+
+// modelScope selects the disruptions in a history besides takeovers and cuts between planners
+// and agents.
+type modelScope struct {
+	// lateStarts, lateStops and lateHolds let orders of a kind be carried out late if they
+	// get no answer.
+	lateStarts, lateStops, lateHolds bool
+	// workerRestarts and agentRestarts restart workers under the same ID and agents.
+	workerRestarts, agentRestarts bool
+	// workerCuts cut workers from their agents.
+	workerCuts bool
+	// slowClocks make the workers' clocks slow.
+	slowClocks bool
+	// storeOutages make the store refuse the records of the newest planner for a while.
+	storeOutages bool
+	rules        modelRules
+}
+
+// modelRules are changes to the rules that planners and agents follow. Without them, the model
+// follows the product.
+type modelRules struct {
+	// confirmedExpiry makes planners count leases as expired only if they had expired when the
+	// planner was last the newest one.
+	confirmedExpiry bool
+	// incarnationToken makes agents use a higher fencing token for each incarnation of the
+	// worker.
+	incarnationToken bool
+}
+
+// The scopes of the tests.
+var (
+	takeovers             = modelScope{slowClocks: true}
+	lateStarts            = modelScope{slowClocks: true, lateStarts: true}
+	lateOrders            = modelScope{slowClocks: true, lateStarts: true, lateStops: true, lateHolds: true}
+	workerRestarts        = modelScope{slowClocks: true, workerRestarts: true}
+	restartsAndLateStarts = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true}
+	restartsAndLate       = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true}
+	agentRestarts         = modelScope{slowClocks: true, agentRestarts: true, lateStarts: true, workerCuts: true}
+	workerCuts            = modelScope{slowClocks: true, workerCuts: true}
+	storeOutages          = modelScope{slowClocks: true, storeOutages: true}
+	allDisruptions        = modelScope{
+		lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
+		workerCuts: true, slowClocks: true, storeOutages: true,
+	}
+)
+
+// modelFaults are faults of planners, agents and workers that the model must detect.
 type modelFaults struct {
 	// ignoreLeases makes planners count all leases on a worker as expired soon after the
 	// contact with the worker's agent is lost.
@@ -42,115 +96,153 @@
 	expectNoAgents bool
 	// skipFencing makes workers accept orders of earlier planners.
 	skipFencing bool
+	// reportUncertain makes agents report a start without an answer as refused, and
+	// trustStops a stop without an answer as carried out.
+	reportUncertain, trustStops bool
+	// relativeLeases makes workers count a lease from the arrival of a hold.
+	relativeLeases bool
+	// hideSameID makes agents report another worker ID for each incarnation.
+	hideSameID bool
+	// forgetUncertain makes agents report a refusal although an earlier attempt got no
+	// answer.
+	forgetUncertain bool
+	// expireUnreachable makes agents report the leases of an unreachable worker as expired at
+	// once.
+	expireUnreachable bool
+	// ackUnrecorded makes planners acknowledge ends that are not recorded.
+	ackUnrecorded bool
 }
 
 // modelPlanner is a planner together with its epoch.
 type modelPlanner struct {
 	*cfdispatch.Planner
 	epoch cfcore.Epoch
-	// leadsUntil is when the planner's leadership ends; zero for the newest planner.
-	leadsUntil time.Time
+	// confirmedAt is when the planner last was the newest one. Its authority ends
+	// leadershipTime later.
+	confirmedAt time.Time
+	// recordedAgents are the agents on record as far as the planner knows.
+	recordedAgents map[string]bool
+	// reachedAt is when the planner last reached each agent.
+	reachedAt map[string]time.Time
+	// progress and ends are in the batch that the store has not accepted yet.
+	progress []cfdispatch.JobProgress
+	ends     []cfdispatch.EndedRunsPosition
+	// readEnds holds the ends that the planner has read, for the trace.
+	readEnds map[string]bool
 }
 
-// modelRun is a run on a worker. ticks is the number of ticks since the run's start.
-type modelRun struct {
-	start cfwire.JobStart
-	ticks int
+// modelLink is the connection of an agent to its worker.
+type modelLink struct {
+	disturbedUntil time.Time
+	disturbance    disturbance
 }
 
-// modelAgent is an agent together with its worker.
-type modelAgent struct {
-	name string
-	// epoch is the newest epoch that the agent knows.
-	epoch       cfcore.Epoch
-	requestedAt time.Time
-	state       cfcore.WorkerState
-	// fencingToken is the lowest epoch whose orders the worker accepts.
-	fencingToken cfcore.Epoch
-	// leaseUntil is when the leases of all runs expire. highestRun holds, for each task,
-	// the highest number of a run that has ended or was ordered to stop.
-	leaseUntil time.Time
-	runs       map[cfcore.TaskName]*modelRun
-	highestRun map[cfcore.TaskName]uint64
-	ended      []cfcore.EndedTask
-	ackedEnd   uint64
-	results    []cfwire.JobOrderResult
-}
+// disturbance is the effect of a disturbed connection.
+type disturbance int
 
-// delayedStart is a start order that got no response and is carried out at the time at.
-type delayedStart struct {
-	at         time.Time
-	agent      *modelAgent
-	epoch      cfcore.Epoch
-	start      cfwire.JobStart
-	leaseUntil time.Time
-}
+const (
+	// loseSomeAnswers lets some calls get no answer, loseAllAnswers all. The calls are possibly
+	// carried out late.
+	loseSomeAnswers disturbance = iota
+	loseAllAnswers
+	// loseCalls lets no call arrive.
+	loseCalls
+)
 
 // model is a random simulation of planners, agents and workers that advances in ticks.
 // Planners are replaced while earlier ones still have leadership. Each agent can be
-// disconnected from each planner separately. Orders can go unanswered and be carried out
-// late. Workers' clocks are slow.
+// disconnected from each planner separately.
 type model struct {
-	t             *rapid.T
-	faults        modelFaults
-	now           time.Time
-	planners      []*modelPlanner
-	agents        []*modelAgent
-	delayedStarts []delayedStart
-	jobs          map[string]*cfjob.StoredJob
+	t          *rapid.T
+	scope      modelScope
+	faults     modelFaults
+	now        time.Time
+	planners   []*modelPlanner
+	agents     []*modelAgent
+	workers    []*modelWorker
+	links      map[string]*modelLink
+	lateOrders []lateOrder
+	// jobs and recordedAgents are in the store. The store refuses records until
+	// storeDownUntil.
+	jobs map[string]*cfjob.StoredJob
+	// taskTicks holds the duration of each job's tasks, in ticks.
+	taskTicks      map[string]int
+	recordedAgents map[string]bool
+	storeDownUntil time.Time
 	// disconnectedUntil is indexed by the planner's epoch followed by the agent's name.
 	disconnectedUntil map[string]time.Time
-	// violation describes the first violation that was found.
-	violation string
-	// trace holds a line for each event.
-	trace []string
-}
 
-// tracef adds an event to the trace.
-func (m *model) tracef(format string, args ...any) {
-	m.trace = append(m.trace, fmt.Sprintf("%5.1f  ", m.now.Sub(epochStart).Seconds())+fmt.Sprintf(format, args...))
+	ends       map[cfcore.TaskName][]*modelEnd
+	twoRuns    map[cfcore.TaskName]bool
+	violations []violation
+	trace      []string
 }
 
-// compareTasks orders tasks by name. The model sorts by it whatever comes from a map, so
-// that the same seed gives the same history.
-func compareTasks(a, b cfcore.TaskName) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-}
-
-func (m *model) settings(epoch cfcore.Epoch) cfdispatch.Settings {
+// electPlanner creates a new planner.
+func (m *model) electPlanner() {
+	epoch := cfcore.Epoch(len(m.planners) + 1)
+	near := m.agentsNearExpiry()
+	// With split set, the new planner reaches only the agents in near. The others can still
+	// follow the earlier planner.
+	split := len(near) > 0 && rapid.Bool().Draw(m.t, "split")
 	s := settings
 	s.Epoch = epoch
 	if m.faults.ignoreLeases {
 		s.GrantTime, s.LeaseTime = 0, 0
 	}
-	return s
-}
-
-// electPlanner creates a new planner. The previous one keeps its leadership for
-// leadershipTime.
-func (m *model) electPlanner() {
-	epoch := cfcore.Epoch(len(m.planners) + 1)
-	var names []string
-	if !m.faults.expectNoAgents {
-		for _, a := range m.agents {
-			names = append(names, a.name)
-		}
+	names := slices.Sorted(maps.Keys(m.recordedAgents))
+	if m.faults.expectNoAgents {
+		names = nil
 	}
-	if n := len(m.planners); n > 0 {
-		m.planners[n-1].leadsUntil = m.now.Add(leadershipTime)
+	p := &modelPlanner{
+		Planner: cfdispatch.New(s, names, m.now.Add(leadershipTime+settings.LeaseExpiryTime())),
+		epoch:   epoch, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{},
 	}
-	s := m.settings(epoch)
-	p := &modelPlanner{epoch: epoch, Planner: cfdispatch.New(s, names, m.now.Add(leadershipTime+settings.LeaseExpiryTime()))}
+	m.tracef("planner %d elected", epoch)
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		p.AddJob(m.now, m.jobs[id], queue, true)
 	}
 	m.planners = append(m.planners, p)
-	m.tracef("planner %d elected", epoch)
 	for _, a := range m.agents {
-		if rapid.IntRange(0, 2).Draw(m.t, "unreached") == 0 {
-			m.disconnectedUntil[fmt.Sprint(epoch, a.name)] = m.now.Add(time.Duration(rapid.IntRange(1, 150).Draw(m.t, "cut")) * modelTick)
+		if split && !near[a] || !split && m.oneIn(2, "unreached") {
+			m.disconnect(p, a)
+		}
+	}
+}
+
+// oneIn draws true with the probability 1/2^bits. The range generators of rapid prefer small
+// numbers, which would make some disruptions too frequent and most of them too short.
+func (m *model) oneIn(bits int, label string) bool {
+	for range bits {
+		if !rapid.Bool().Draw(m.t, label) {
+			return false
+		}
+	}
+	return true
+}
+
+// uniform draws a number below 2^bits.
+func (m *model) uniform(bits int, label string) int {
+	n := 0
+	for range bits {
+		n *= 2
+		if rapid.Bool().Draw(m.t, label) {
+			n++
 		}
 	}
+	return n
+}
+
+// ticks draws a duration of up to 2^bits ticks.
+func (m *model) ticks(bits int, label string) time.Duration {
+	return time.Duration(1+m.uniform(bits, label)) * modelTick
+}
+
+// disconnect cuts an agent from a planner for a while.
+func (m *model) disconnect(p *modelPlanner, a *modelAgent) {
+	until := m.now.Add(m.ticks(7, "cut"))
+	m.disconnectedUntil[fmt.Sprint(p.epoch, a.name)] = until
+	m.tracef("planner %d is cut from %s until %.1f", p.epoch, a.name, until.Sub(epochStart).Seconds())
 }
 
 func (m *model) isDisconnected(p *modelPlanner, a *modelAgent) bool {
@@ -160,171 +252,161 @@
 // advance simulates one tick.
 func (m *model) advance() {
 	m.now = m.now.Add(modelTick)
+	for _, w := range m.workers {
+		w.advance()
+	}
+	m.runLateOrders()
 	for _, a := range m.agents {
-		a.advanceRuns(m.now)
+		a.advance()
 	}
-	m.runDelayedStarts()
+	m.planners[len(m.planners)-1].confirmedAt = m.now
 	for _, p := range m.planners {
-		if !p.leadsUntil.IsZero() && !m.now.Before(p.leadsUntil) {
-			continue
+		if m.now.Sub(p.confirmedAt) < leadershipTime {
+			m.runPlanner(p)
 		}
-		m.runPlanner(p)
 	}
 	m.checkUniqueRuns()
 }
 
-// advanceRuns advances the runs on the worker by one tick. It ends runs that are done, and
-// all runs once their leases have expired.
-func (a *modelAgent) advanceRuns(now time.Time) {
-	for _, n := range a.runningTasks() {
-		r := a.runs[n]
-		if !now.Before(a.leaseUntil) {
-			a.endRun(n, cfcore.EndLeaseExpired)
+func (m *model) runLateOrders() {
+	remaining := m.lateOrders[:0]
+	for _, o := range m.lateOrders {
+		if m.now.Before(o.at) {
+			remaining = append(remaining, o)
 			continue
 		}
-		if r.ticks++; r.ticks >= ticksPerTask {
-			a.endRun(n, cfcore.EndDone)
-		}
+		o.run()
 	}
+	m.lateOrders = remaining
 }
 
-// runningTasks returns the tasks that run on the worker, sorted.
-func (a *modelAgent) runningTasks() []cfcore.TaskName {
-	return slices.SortedFunc(maps.Keys(a.runs), compareTasks)
-}
-
-func (a *modelAgent) endRun(n cfcore.TaskName, how cfcore.RunEnd) {
-	r := a.runs[n]
-	delete(a.runs, n)
-	a.highestRun[n] = max(a.highestRun[n], r.start.Run)
-	a.ended = append(a.ended, cfcore.EndedTask{Number: uint64(len(a.ended) + 1), Task: n, Run: r.start.Run, How: how})
-}
-
-// runPlanner delivers the reports of the agents that a planner reaches, and carries out its orders.
+// runPlanner delivers the reports of the agents that a planner reaches, and sends its orders.
 func (m *model) runPlanner(p *modelPlanner) {
-	isNewest := p.leadsUntil.IsZero()
 	for _, a := range m.agents {
 		if m.isDisconnected(p, a) || a.epoch > p.epoch {
 			continue
 		}
-		a.epoch = p.epoch
-		if !m.faults.skipFencing {
-			a.fencingToken = p.epoch
-		}
-		lists := &cfcore.RunLists{Born: a.state.Born, Clock: m.now.Sub(epochStart), Ended: a.ended[a.ackedEnd:]}
-		for _, n := range a.runningTasks() {
-			r := a.runs[n]
-			lists.Running = append(lists.Running, cfcore.RunningTask{Task: n, Run: r.start.Run, Percent: 100 * r.ticks / ticksPerTask})
-		}
-		p.ApplyReport(m.now, a.name, &cfwire.JobReport{Worker: &a.state, Lists: lists, Results: a.results})
-		a.results = nil
-		p.MarkAgentRecorded(a.name)
+		a.follow(p.epoch)
+		r := a.takeReport()
+		m.traceReport(p, a, r)
+		p.ApplyReport(m.now, a.name, r)
 		p.MarkAnswered(a.name, m.now)
-		a.requestedAt = m.now
-		m.extendLease(a)
+		a.hasGrant, a.grantedAt, p.reachedAt[a.name] = true, m.now, m.now
 	}
-	p.ExpireLeases(m.now)
+	gone := m.expireLeases(p)
 	p.Plan(m.now)
-	if isNewest {
-		m.recordProgress(p)
-	}
+	m.record(p, gone)
 	orders := p.TakeOrders(m.now)
 	for _, a := range m.agents {
 		if o := orders[a.name]; o != nil && !m.isDisconnected(p, a) && a.epoch == p.epoch {
-			slices.SortFunc(o.Stops, func(a, b cfwire.JobStop) int { return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
-			slices.SortFunc(o.Starts, func(a, b cfwire.JobStart) int { return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
-			m.applyOrders(p, a, o)
+			m.sendOrders(p, a, o)
 		}
 	}
+	// The planner keeps events until they are taken.
+	_ = p.TakeEvents()
 }
 
-// extendLease extends the leases on an agent's worker, whose clock is slow.
-func (m *model) extendLease(a *modelAgent) {
-	if m.now.Sub(a.requestedAt) <= settings.GrantTime {
-		a.leaseUntil = m.now.Add(time.Duration(float64(settings.LeaseTime) * slowClockFactor))
+// expireLeases returns the agents whose records are dropped.
+func (m *model) expireLeases(p *modelPlanner) []string {
+	var names []string
+	now := m.now
+	if m.scope.rules.confirmedExpiry {
+		now = p.confirmedAt
 	}
-}
-
-// recordProgress records the progress from p, which must be the newest planner. No other
-// planner can write.
-func (m *model) recordProgress(p *modelPlanner) {
-	progress, ends := p.TakeUnrecordedProgress(m.now, true)
-	for _, u := range progress {
-		m.jobs[u.ID].Progress = u.Progress
+	for _, g := range p.ExpireLeases(now) {
+		names = append(names, g.Agent)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		delete(p.recordedAgents, name)
+		m.tracef("planner %d: leases of %s have expired", p.epoch, name)
 	}
-	p.MarkEndsRecorded(ends)
+	return names
 }
 
-// applyOrders carries out orders on an agent's worker. Some starts go unanswered and are
-// delayed.
-func (m *model) applyOrders(p *modelPlanner, a *modelAgent, o *cfdispatch.Orders) {
-	a.ackedEnd = max(a.ackedEnd, o.RecordedEnd)
-	for _, s := range o.Stops {
-		a.highestRun[s.Task] = max(a.highestRun[s.Task], s.Run)
-		if r := a.runs[s.Task]; r != nil && r.start.Run == s.Run {
-			a.endRun(s.Task, cfcore.EndStopped)
-		} else {
-			a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorStale})
+// record records progress, ended runs and agents. The store accepts only the records of the
+// newest planner. A planner has one batch at a time.
+func (m *model) record(p *modelPlanner, gone []string) {
+	isNewest := p == m.planners[len(m.planners)-1]
+	accepts := isNewest && !m.now.Before(m.storeDownUntil)
+	for _, name := range gone {
+		if isNewest {
+			delete(m.recordedAgents, name)
 		}
 	}
-	for _, s := range o.Starts {
-		if rapid.IntRange(0, 9).Draw(m.t, "answer") == 0 {
-			after := time.Duration(rapid.IntRange(0, int(maxOrderDelay/modelTick)).Draw(m.t, "late")) * modelTick
-			m.delayedStarts = append(m.delayedStarts, delayedStart{at: m.now.Add(after), agent: a, epoch: p.epoch, start: s, leaseUntil: a.leaseUntil})
-			continue
+	for _, name := range p.UnrecordedAgents() {
+		if accepts {
+			m.recordedAgents[name], p.recordedAgents[name] = true, true
 		}
-		m.start(a, p.epoch, s, a.leaseUntil)
-		a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run})
-	}
-}
-
-func (m *model) runDelayedStarts() {
-	remaining := m.delayedStarts[:0]
-	for _, d := range m.delayedStarts {
-		if m.now.Before(d.at) {
-			remaining = append(remaining, d)
-			continue
+		if p.recordedAgents[name] {
+			p.MarkAgentRecorded(name)
 		}
-		m.start(d.agent, d.epoch, d.start, d.leaseUntil)
 	}
-	m.delayedStarts = remaining
+	if !isNewest {
+		return
+	}
+	if p.progress == nil && p.ends == nil {
+		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, true)
+	}
+	if m.faults.ackUnrecorded {
+		p.MarkEndsRecorded(p.ends)
+	}
+	if !accepts && len(p.progress) > 0 {
+		return
+	}
+	slices.SortFunc(p.progress, func(a, b cfdispatch.JobProgress) int { return cmp.Compare(a.ID, b.ID) })
+	for _, u := range p.progress {
+		m.jobs[u.ID].Progress = u.Progress
+		m.tracef("planner %d records progress of job %s", p.epoch, u.ID[12:])
+	}
+	p.MarkEndsRecorded(p.ends)
+	p.progress, p.ends = nil, nil
 }
 
-// start carries out a start order as a worker does. It refuses orders of earlier planners,
-// orders whose run number is not above the task's highestRun, orders for a running task,
-// and orders whose lease has expired.
-func (m *model) start(a *modelAgent, epoch cfcore.Epoch, s cfwire.JobStart, leaseUntil time.Time) {
-	if epoch < a.fencingToken || s.Run <= a.highestRun[s.Task] || a.runs[s.Task] != nil || !m.now.Before(leaseUntil) {
-		return
+// sendOrders sends orders to an agent, in the order in which the agent handles them.
+func (m *model) sendOrders(p *modelPlanner, a *modelAgent, o *cfdispatch.Orders) {
+	if o.RecordedEnd > a.lastRecorded && o.Born.Equal(a.born) {
+		a.lastRecorded = o.RecordedEnd
+		m.tracef("planner %d: ends of %s up to %d are recorded", p.epoch, a.name, o.RecordedEnd)
+	}
+	slices.SortFunc(o.Starts, func(a, b cfwire.JobStart) int { return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
+	slices.SortFunc(o.Stops, func(a, b cfwire.JobStop) int { return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
+	for _, s := range o.Starts {
+		m.tracef("planner %d orders the start of run %x of %s on %s", p.epoch, s.Run, taskString(s.Task), a.name)
+		a.startRun(s)
 	}
-	if e := m.jobs[s.Task.Job]; e.Progress != nil && e.Progress.IsDone(s.Task.Index) && m.violation == "" {
-		m.violation = fmt.Sprintf("after %s: task %v starts on agent %s although it is recorded as done", m.now.Sub(epochStart), s.Task, a.name)
+	for _, s := range o.Stops {
+		m.tracef("planner %d orders the stop of run %x of %s on %s", p.epoch, s.Run, taskString(s.Task), a.name)
+		a.stopRun(s.Task, s.Run)
 	}
-	m.tracef("%s starts run %d of %v", a.name, s.Run, s.Task)
-	a.runs[s.Task] = &modelRun{start: s}
 }
 
-// checkUniqueRuns records a violation if a task has two runs at the same time.
-func (m *model) checkUniqueRuns() {
-	seen := map[cfcore.TaskName]string{}
-	for _, a := range m.agents {
-		for n := range a.runs {
-			if other := seen[n]; other != "" && m.violation == "" {
-				m.violation = fmt.Sprintf("after %s: task %v runs on agents %s and %s at the same time", m.now.Sub(epochStart), n, other, a.name)
-			}
-			seen[n] = a.name
+// traceReport adds the ends that a planner reads for the first time to the trace.
+func (m *model) traceReport(p *modelPlanner, a *modelAgent, r *cfwire.JobReport) {
+	if r.Lists == nil {
+		return
+	}
+	for _, e := range r.Lists.Ended {
+		if k := fmt.Sprint(a.name, r.Lists.Born, e.Number); !p.readEnds[k] {
+			p.readEnds[k] = true
+			m.tracef("planner %d reads end %d of %s: run %x of %s as %s", p.epoch, e.Number, a.name, e.Run, taskString(e.Task), e.How)
 		}
 	}
 }
 
-// runModel simulates one random history. Its field violation is the first violation, or "".
-func runModel(t *rapid.T, faults modelFaults) *model {
-	m := &model{t: t, faults: faults, now: epochStart, jobs: map[string]*cfjob.StoredJob{}, disconnectedUntil: map[string]time.Time{}}
+// runModel simulates one random history.
+func runModel(t *rapid.T, scope modelScope, faults modelFaults) *model {
+	m := &model{
+		t: t, scope: scope, faults: faults, now: epochStart, jobs: map[string]*cfjob.StoredJob{}, taskTicks: map[string]int{}, recordedAgents: map[string]bool{},
+		links: map[string]*modelLink{}, disconnectedUntil: map[string]time.Time{},
+		ends: map[cfcore.TaskName][]*modelEnd{}, twoRuns: map[cfcore.TaskName]bool{},
+	}
 	for i := range 3 {
-		m.agents = append(m.agents, &modelAgent{
-			name: fmt.Sprintf("a%d", i), runs: map[cfcore.TaskName]*modelRun{}, highestRun: map[cfcore.TaskName]uint64{},
-			state: cfcore.WorkerState{ID: "w", Service: "dispatch", Born: epochStart, Capacity: cfcore.Resources{MilliCores: 4000, MemoryMB: 8000}},
-		})
+		w := &modelWorker{m: m, name: fmt.Sprintf("a%d", i)}
+		w.restart()
+		m.workers = append(m.workers, w)
+		m.agents = append(m.agents, newModelAgent(m, w))
+		m.links[w.name] = &modelLink{}
 	}
 	m.electPlanner()
 	for i := range modelTicks {
@@ -332,6 +414,7 @@
 			m.submit(i)
 		}
 		m.injectFault()
+		m.injectDisruption()
 		m.advance()
 	}
 	return m
@@ -342,56 +425,210 @@
 	id := fmt.Sprintf("%016x", i)
 	e := &cfjob.StoredJob{Job: &cfjob.Job{ID: id, Queue: queue, Steps: []cfjob.Step{newStep(2, 1000)}, Accepted: m.now}}
 	m.jobs[id] = e
-	p := m.planners[len(m.planners)-1]
-	p.AddJob(m.now, e, queue, false)
+	m.taskTicks[id] = shortTask
+	if m.oneIn(2, "long") {
+		m.taskTicks[id] = longTask
+	}
+	m.planners[len(m.planners)-1].AddJob(m.now, e, queue, false)
 }
 
 // injectFault replaces the planner, disconnects an agent from a planner, or does nothing.
 func (m *model) injectFault() {
-	switch rapid.IntRange(0, 40).Draw(m.t, "fault") {
-	case 0:
+	bits := 6
+	if len(m.agentsNearExpiry()) > 0 {
+		bits = 3
+	}
+	if m.oneIn(bits, "elect") {
 		m.electPlanner()
-	case 1, 2:
-		p := m.planners[rapid.IntRange(0, len(m.planners)-1).Draw(m.t, "planner")]
-		a := m.agents[rapid.IntRange(0, len(m.agents)-1).Draw(m.t, "agent")]
-		m.disconnectedUntil[fmt.Sprint(p.epoch, a.name)] = m.now.Add(time.Duration(rapid.IntRange(1, 150).Draw(m.t, "cut")) * modelTick)
+	}
+	if m.oneIn(4, "disconnect") {
+		// Planners without authority send nothing.
+		p := m.planners[max(0, len(m.planners)-1-m.uniform(1, "planner"))]
+		m.disconnect(p, m.agents[m.uniform(4, "agent")%len(m.agents)])
 	}
 }
 
-func TestModelRunsNoTaskTwice(t *testing.T) {
+// agentsNearExpiry returns the agents that the newest planner has not reached for so long that
+// it will soon count the leases on their workers as expired. A takeover then is of interest:
+// the earlier planner can count leases as expired that the new one lets the agents extend.
+func (m *model) agentsNearExpiry() map[*modelAgent]bool {
+	out := map[*modelAgent]bool{}
+	if len(m.planners) == 0 {
+		return out
+	}
+	p := m.planners[len(m.planners)-1]
+	for _, a := range m.agents {
+		if left := p.reachedAt[a.name].Add(settings.LeaseExpiryTime()).Sub(m.now); left > 0 && left < leadershipTime {
+			out[a] = true
+		}
+	}
+	return out
+}
+
+// injectDisruption injects a disruption of the scope, or does nothing.
+func (m *model) injectDisruption() {
+	s := m.scope
+	isLate := s.lateStarts || s.lateStops || s.lateHolds
+	disturbs := s.workerCuts || isLate
+	if !disturbs && !s.workerRestarts && !s.agentRestarts && !s.storeOutages {
+		return
+	}
+	if !m.oneIn(3, "disruption") {
+		return
+	}
+	kind, i := m.uniform(3, "kind"), m.uniform(4, "agent")%len(m.agents)
+	a, w := m.agents[i], m.workers[i]
+	switch {
+	case kind <= 1 && disturbs:
+		until := m.now.Add(m.ticks(6, "disturbed"))
+		first, last := loseCalls, loseAllAnswers
+		if isLate {
+			first = loseSomeAnswers
+		}
+		if s.workerCuts {
+			last = loseCalls
+		}
+		d := first + disturbance(m.uniform(4, "disturbance")%(int(last-first)+1))
+		*m.links[a.name] = modelLink{disturbedUntil: until, disturbance: d}
+		m.tracef("%s: calls to the worker are disturbed until %.1f, %s", a.name, until.Sub(epochStart).Seconds(), []string{"some get no answer", "none gets an answer", "none arrives"}[d])
+	case (kind == 2 || kind == 3) && s.workerRestarts:
+		w.restart()
+	case kind == 4 && s.agentRestarts:
+		m.agents[i] = newModelAgent(m, w)
+		m.tracef("agent %s restarts", a.name)
+	case kind == 5 && s.storeOutages:
+		m.storeDownUntil = m.now.Add(m.ticks(6, "outage"))
+		m.tracef("store refuses records until %.1f", m.storeDownUntil.Sub(epochStart).Seconds())
+	}
+}
+
+// timeline returns the part of the trace that concerns a task.
+func (m *model) timeline(n cfcore.TaskName) string {
+	var out []string
+	for _, l := range m.trace {
+		isOther := strings.Contains(l, " run ") || strings.Contains(l, "(run ") || strings.Contains(l, " of run ") || strings.Contains(l, "of job ") || strings.Contains(l, "are recorded")
+		if !isOther || strings.Contains(l, taskString(n)) || strings.Contains(l, "of job "+n.Job[12:]) {
+			out = append(out, l)
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+// TestMain limits the time for which rapid simplifies a failing history. A flag of the command
+// line has precedence.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.shrinktime", "2s"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+// checkModel simulates random histories. With MODEL_TRACE set, it logs the timeline of the
+// first task with a violation.
+func checkModel(t *testing.T, scope modelScope) {
 	rapid.Check(t, func(t *rapid.T) {
-		if m := runModel(t, modelFaults{}); m.violation != "" {
-			t.Fatal(m.violation)
+		m := runModel(t, scope, modelFaults{})
+		if len(m.violations) == 0 {
+			return
 		}
+		if os.Getenv("MODEL_TRACE") != "" {
+			t.Log("\n" + m.timeline(m.violations[0].task))
+		}
+		t.Fatal(m.violation())
 	})
 }
 
+func TestModelRunsNoTaskTwice(t *testing.T) { checkModel(t, takeovers) }
+
+func TestModelWithLateOrders(t *testing.T) { checkModel(t, lateOrders) }
+
+func TestModelWithWorkerRestarts(t *testing.T) { checkModel(t, workerRestarts) }
+
+func TestModelWithLateOrdersAndWorkerRestarts(t *testing.T) { checkModel(t, restartsAndLate) }
+
+func TestModelWithAgentRestarts(t *testing.T) { checkModel(t, agentRestarts) }
+
+func TestModelWithWorkerCuts(t *testing.T) { checkModel(t, workerCuts) }
+
+func TestModelWithStoreOutages(t *testing.T) { checkModel(t, storeOutages) }
+
+func TestModelWithAllDisruptions(t *testing.T) { checkModel(t, allDisruptions) }
+
 // Without this, a failure that rapid reports could not be reproduced from its seed.
 func TestModelIsReproducible(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range 30 {
-		trace := func() string {
-			return rapid.Custom(func(t *rapid.T) string { return strings.Join(runModel(t, modelFaults{}).trace, "\n") }).Example(seed)
-		}
+		trace := func() string { return strings.Join(modelHistory(seed, allDisruptions, modelFaults{}).trace, "\n") }
 		g.Expect(trace()).To(Equal(trace()), "seed %d", seed)
 	}
 }
 
+// modelHistory returns the history of a seed.
+func modelHistory(seed int, scope modelScope, faults modelFaults) *model {
+	return rapid.Custom(func(t *rapid.T) *model { return runModel(t, scope, faults) }).Example(seed)
+}
+
 // For each fault in modelFaults, the model finds a history with a violation. Without this
 // test, TestModelRunsNoTaskTwice could also pass because the model detects nothing.
 func TestModelFindsInjectedFaults(t *testing.T) {
-	for name, faults := range map[string]modelFaults{
-		"planners ignore leases":             {ignoreLeases: true},
-		"new planners don't wait for agents": {expectNoAgents: true},
-		"workers accept earlier planners":    {skipFencing: true},
+	for name, c := range map[string]struct {
+		scope  modelScope
+		faults modelFaults
+	}{
+		"planners ignore leases":                      {takeovers, modelFaults{ignoreLeases: true}},
+		"new planners don't wait for agents":          {takeovers, modelFaults{expectNoAgents: true}},
+		"workers accept earlier planners":             {lateStarts, modelFaults{skipFencing: true}},
+		"agents report unanswered starts as refused":  {lateStarts, modelFaults{reportUncertain: true}},
+		"agents report unanswered stops as done":      {lateOrders, modelFaults{trustStops: true}},
+		"agents forget unanswered starts":             {lateStarts, modelFaults{forgetUncertain: true}},
+		"late holds extend leases from their arrival": {lateOrders, modelFaults{relativeLeases: true}},
+		"planners forget starts on a restart":         {restartsAndLateStarts, modelFaults{hideSameID: true}},
+		"agents report leases as expired at once":     {workerCuts, modelFaults{expireUnreachable: true}},
+		"restarted agents count no leases":            {agentRestarts, modelFaults{expireUnreachable: true}},
+		"planners acknowledge unrecorded ends":        {storeOutages, modelFaults{ackUnrecorded: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			// The product has faults of its own. A history counts only if its seed gives no
+			// violation without the injected fault.
 			found := false
 			for seed := 1; seed <= 300 && !found; seed++ {
-				gen := rapid.Custom(func(t *rapid.T) string { return runModel(t, faults).violation })
-				found = gen.Example(seed) != ""
+				found = modelHistory(seed, c.scope, c.faults).violation() != "" && modelHistory(seed, c.scope, modelFaults{}).violation() == ""
 			}
 			NewWithT(t).Expect(found).To(BeTrue())
 		})
 	}
 }
+
+// TestModelSearch counts the violations in MODEL_SEEDS histories of the scope MODEL_SCOPE from
+// the seed MODEL_FIRST on, with the rules in MODEL_RULES. With MODEL_TRACE, it prints a timeline
+// for each history.
+func TestModelSearch(t *testing.T) {
+	n, _ := strconv.Atoi(os.Getenv("MODEL_SEEDS"))
+	first, _ := strconv.Atoi(os.Getenv("MODEL_FIRST"))
+	if n == 0 {
+		t.Skip("started by hand")
+	}
+	scope := map[string]modelScope{
+		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
+		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "workerCuts": workerCuts,
+		"storeOutages": storeOutages, "all": allDisruptions,
+	}[os.Getenv("MODEL_SCOPE")]
+	scope.rules.confirmedExpiry = strings.Contains(os.Getenv("MODEL_RULES"), "confirmedExpiry")
+	scope.rules.incarnationToken = strings.Contains(os.Getenv("MODEL_RULES"), "incarnationToken")
+	counts, seeds := map[string]int{}, map[string][]int{}
+	for seed := first; seed < first+n; seed++ {
+		m := modelHistory(seed, scope, modelFaults{})
+		for i, v := range m.violations {
+			counts[v.kind]++
+			if !slices.Contains(seeds[v.kind], seed) {
+				seeds[v.kind] = append(seeds[v.kind], seed)
+			}
+			if i == 0 && os.Getenv("MODEL_TRACE") != "" {
+				fmt.Printf("seed %d: %s\n%s\n", seed, v.text, m.timeline(v.task))
+			}
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Printf("%s: %d, in %d of %d histories, seeds %v\n", kind, counts[kind], len(seeds[kind]), n, seeds[kind][:min(8, len(seeds[kind]))])
+	}
+}
--- /dev/null
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -0,0 +1,190 @@
+package cfdispatch_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// modelRun is a run on a worker. ticks is the number of ticks since the run's start.
+type modelRun struct {
+	id    uint64
+	ticks int
+}
+
+// modelWorker is a worker. A restart resets all fields but m and name.
+type modelWorker struct {
+	m    *model
+	name string
+	born time.Time
+	// fencingToken is the highest token of an order so far.
+	fencingToken cfcore.Epoch
+	// leaseUntil is when the leases of all runs expire, on the worker's clock. lapsed is set
+	// while no lease is valid.
+	leaseUntil time.Duration
+	lapsed     bool
+	runs       map[cfcore.TaskName]*modelRun
+	// highestRun holds, for each task, the highest number of a run that has ended or was
+	// ordered to stop.
+	highestRun map[cfcore.TaskName]uint64
+	// ended are the ended runs that were not acknowledged. endCount is the number of all ended
+	// runs.
+	ended    []cfcore.EndedTask
+	endCount uint64
+}
+
+// maxLease is the maximum duration of a lease. The worker shortens a longer one.
+const maxLease = 10 * time.Second
+
+// workerID is the ID of all incarnations of all workers.
+const workerID = "w"
+
+func (w *modelWorker) restart() {
+	w.born, w.fencingToken, w.leaseUntil, w.lapsed = w.m.now, 0, 0, true
+	w.runs, w.highestRun = map[cfcore.TaskName]*modelRun{}, map[cfcore.TaskName]uint64{}
+	w.ended, w.endCount = nil, 0
+	w.m.tracef("%s restarts", w.name)
+}
+
+func (w *modelWorker) clock() time.Duration {
+	d := w.m.now.Sub(w.born)
+	if w.m.scope.slowClocks {
+		d = time.Duration(float64(d) / slowClockFactor)
+	}
+	return d
+}
+
+// compareTasks orders tasks by name. The model sorts by it whatever comes from a map, so
+// that the same seed gives the same history.
+func compareTasks(a, b cfcore.TaskName) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// runningTasks returns the tasks that run on the worker, sorted.
+func (w *modelWorker) runningTasks() []cfcore.TaskName {
+	return slices.SortedFunc(maps.Keys(w.runs), compareTasks)
+}
+
+// advance advances the runs by one tick. It ends runs that are done, and all runs once their
+// leases have expired.
+func (w *modelWorker) advance() {
+	if lapsed := w.clock() >= w.leaseUntil; lapsed != w.lapsed {
+		w.lapsed = lapsed
+		if lapsed {
+			w.m.tracef("%s: leases lapse", w.name)
+		}
+	}
+	for _, n := range w.runningTasks() {
+		r := w.runs[n]
+		if w.lapsed {
+			w.endRun(n, cfcore.EndLeaseExpired)
+			continue
+		}
+		if r.ticks++; r.ticks >= w.m.taskTicks[n.Job] {
+			w.endRun(n, cfcore.EndDone)
+		}
+	}
+	if w.lapsed {
+		w.m.markLapsed(w)
+	}
+}
+
+func (w *modelWorker) endRun(n cfcore.TaskName, how cfcore.RunEnd) {
+	r := w.runs[n]
+	delete(w.runs, n)
+	w.highestRun[n] = max(w.highestRun[n], r.id)
+	w.endCount++
+	w.ended = append(w.ended, cfcore.EndedTask{Number: w.endCount, Task: n, Run: r.id, How: how})
+	w.m.tracef("%s: run %x of %s ends as %s, end %d", w.name, r.id, taskString(n), how, w.endCount)
+	if how == cfcore.EndDone {
+		w.m.addEnd(w, n, w.endCount)
+	}
+}
+
+// accept applies the fencing token of an order and reports whether the worker may carry out
+// the order.
+func (w *modelWorker) accept(token cfcore.Epoch) bool {
+	if token < w.fencingToken && !w.m.faults.skipFencing {
+		return false
+	}
+	w.fencingToken = max(w.fencingToken, token)
+	return true
+}
+
+// extend extends the leases of all runs.
+func (w *modelWorker) extend(until time.Duration) {
+	until = min(until, w.clock()+maxLease)
+	if until <= w.leaseUntil {
+		return
+	}
+	if w.lapsed && until > w.clock() {
+		w.lapsed = false
+		w.m.tracef("%s: leases are valid again", w.name)
+	}
+	w.leaseUntil = until
+}
+
+// hold extends leases, forgets acknowledged ends and lists the runs.
+func (w *modelWorker) hold(token cfcore.Epoch, until time.Duration, lastSeen uint64) (cfcore.RunLists, cfcore.ExecutorKind) {
+	if !w.accept(token) {
+		return cfcore.RunLists{}, cfcore.ExecutorFenced
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= lastSeen {
+		w.m.acknowledgeEnd(w, w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	if w.m.faults.relativeLeases && until > 0 {
+		until = w.clock() + settings.LeaseTime
+	}
+	w.extend(until)
+	l := cfcore.RunLists{Clock: w.clock(), Born: w.born, Ended: slices.Clone(w.ended)}
+	for _, n := range w.runningTasks() {
+		r := w.runs[n]
+		l.Running = append(l.Running, cfcore.RunningTask{Task: n, Run: r.id, Percent: 100 * r.ticks / w.m.taskTicks[n.Job]})
+	}
+	return l, ""
+}
+
+// start carries out a start order.
+func (w *modelWorker) start(token cfcore.Epoch, n cfcore.TaskName, run uint64, until time.Duration) cfcore.ExecutorKind {
+	if !w.accept(token) {
+		return cfcore.ExecutorFenced
+	}
+	if r := w.runs[n]; r != nil && r.id == run {
+		return ""
+	}
+	if run <= w.highestRun[n] || w.runs[n] != nil {
+		w.extend(until)
+		return cfcore.ExecutorStale
+	}
+	if len(w.runs) >= runsPerWorker {
+		w.extend(until)
+		return cfcore.ExecutorNoCapacity
+	}
+	if until <= w.clock() {
+		return cfcore.ExecutorLeaseExpired
+	}
+	w.extend(until)
+	w.m.tracef("%s: run %x of %s starts, leases until %s on a clock at %s", w.name, run, taskString(n), w.leaseUntil, w.clock())
+	w.runs[n] = &modelRun{id: run}
+	w.m.checkStart(w, n, run)
+	return ""
+}
+
+// stop carries out a stop order.
+func (w *modelWorker) stop(token cfcore.Epoch, n cfcore.TaskName, run uint64) cfcore.ExecutorKind {
+	if !w.accept(token) {
+		return cfcore.ExecutorFenced
+	}
+	w.highestRun[n] = max(w.highestRun[n], run)
+	if r := w.runs[n]; r != nil && r.id == run {
+		w.endRun(n, cfcore.EndStopped)
+	}
+	return ""
+}
+
+func taskString(n cfcore.TaskName) string { return fmt.Sprintf("%s.%d", n.Job[12:], n.Index) }
