--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -83,6 +83,11 @@
 	// store. lastListed is the number of the last ended run that the worker has listed.
 	lastRecorded uint64
 	lastListed   uint64
+	// leasedUntil is the time on the worker's clock until which answered calls have extended the
+	// leases. uncertainEnd is the number of the last end that was listed after that time: the
+	// leases possibly expired between the end and its listing.
+	leasedUntil  time.Duration
+	uncertainEnd uint64
 	// holdInFlight is set while the regular call for the run lists is in flight. The next
 	// call is due at nextHoldAt.
 	holdInFlight bool
@@ -210,6 +215,7 @@
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain = map[orderKey]bool{}, map[orderKey]bool{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
+	c.leasedUntil, c.uncertainEnd = 0, 0
 }
 
 // handleWorkerLeft records that the worker with the given ID is gone or is about to shut
@@ -345,7 +351,7 @@
 		r.Worker = &w
 		if c.hasLists {
 			l := c.lists
-			r.Lists = &l
+			r.Lists, r.UncertainEnd = &l, c.uncertainEnd
 		}
 	}
 	// An agent that has not received a heartbeat yet does not know which tasks its worker
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -168,3 +168,24 @@
 	a.handleHoldReturned(holdReturned{worker: "w", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "refused")})
 	g.Expect(a.hasLeft).To(BeFalse())
 }
+
+// The leases possibly expired between an end and its listing, unless answered calls extended
+// them without a gap.
+func TestEndsListedAfterTheLeasesAreUncertain(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	list := func(clock, until time.Duration, ends ...uint64) uint64 {
+		l := cfcore.RunLists{Born: born, Clock: clock}
+		for _, n := range ends {
+			l.Ended = append(l.Ended, cfcore.EndedTask{Number: n})
+		}
+		a.handleHoldReturned(holdReturned{worker: "w", token: a.fence.token(a.epoch), lists: l, until: until})
+		return a.takeReport().UncertainEnd
+	}
+	g.Expect(list(10*time.Second, 15*time.Second, 1)).To(BeEquivalentTo(1), "a restarted agent knows no leases")
+	g.Expect(list(11*time.Second, 16*time.Second, 1, 2)).To(BeEquivalentTo(1))
+	g.Expect(list(12*time.Second, 0, 1, 2, 3)).To(BeEquivalentTo(1))
+	g.Expect(list(16*time.Second, 21*time.Second, 1, 2, 3, 4)).To(BeEquivalentTo(4), "the leases had expired")
+	g.Expect(list(17*time.Second, 22*time.Second, 1, 2, 3, 4, 5)).To(BeEquivalentTo(4))
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -28,7 +28,7 @@
 	c.holdInFlight = true
 	worker, epoch := c.worker.ID, c.epoch
 	go func() {
-		ev := holdReturned{worker: worker}
+		ev := holdReturned{worker: worker, until: h.Until}
 		ev.token, ev.err = c.fence.send(worker, epoch, false, func(o cfcore.Order) (err error) {
 			ev.lists, err = c.Executor.Hold(ctx, o, h)
 			return err
@@ -50,6 +50,9 @@
 		return
 	}
 	c.applyLists(ev.lists, ev.token)
+	if ev.lists.Born.Equal(c.worker.Born) {
+		c.leasedUntil = max(c.leasedUntil, ev.until)
+	}
 	// A worker that lists ends which the planner does not record answers without waiting.
 	if c.lastListed > c.lastRecorded || ev.lists.Incomplete {
 		c.nextHoldAt = c.bootClock.Now() + holdRetryDelay
@@ -76,6 +79,11 @@
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
 	c.lists, c.hasLists = l, true
+	for _, e := range l.Ended {
+		if e.Number > c.lastListed && l.Clock >= c.leasedUntil {
+			c.uncertainEnd = max(c.uncertainEnd, e.Number)
+		}
+	}
 	for _, e := range l.Ended {
 		c.lastListed = max(c.lastListed, e.Number)
 	}
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -30,7 +30,7 @@
 // modelCall is an order whose last attempt was not answered.
 type modelCall struct {
 	key     modelOrderKey
-	token   cfcore.Epoch
+	token   cfcore.FencingToken
 	until   time.Duration
 	attempt int
 	// dueAt is when the agent gives up waiting for an answer.
@@ -50,7 +50,9 @@
 	name   string
 	worker *modelWorker
 
+	// session is the number of the agent's session, see internal/cfjobagent.
 	epoch     cfcore.Epoch
+	session   uint64
 	hasGrant  bool
 	grantedAt time.Time
 
@@ -61,7 +63,12 @@
 	lists         cfcore.RunLists
 	hasLists      bool
 	lastRecorded  uint64
+	lastListed    uint64
+	leasedUntil   time.Duration
+	uncertainEnd  uint64
 	holdDueAt     time.Time
+	holdFailed    bool
+	holdToken     cfcore.FencingToken
 	answeredAt    time.Time
 	startedAt     time.Time
 	inFlight      map[modelOrderKey]bool
@@ -72,7 +79,7 @@
 
 func newModelAgent(m *model, w *modelWorker) *modelAgent {
 	return &modelAgent{
-		m: m, name: w.name, worker: w, workerClockAt: m.now, answeredAt: m.now, startedAt: m.now,
+		m: m, name: w.name, worker: w, session: m.sessionNow(), workerClockAt: m.now, answeredAt: m.now, startedAt: m.now,
 		inFlight: map[modelOrderKey]bool{}, uncertain: map[modelOrderKey]bool{},
 	}
 }
@@ -96,13 +103,18 @@
 }
 
 // token is the fencing token of orders to the worker.
-func (a *modelAgent) token() cfcore.Epoch {
-	if a.m.scope.rules.incarnationToken {
-		return a.epoch<<32 | cfcore.Epoch(a.born.Sub(epochStart)/modelTick)
+func (a *modelAgent) token() cfcore.FencingToken { return cfcore.NewFencingToken(a.epoch, a.session) }
+
+// endSession begins a new session unless the session of t has already ended.
+func (a *modelAgent) endSession(t cfcore.FencingToken) {
+	if t.Session() == a.session && !a.m.faults.keepSession {
+		a.session = max(a.session+1, a.m.sessionNow())
 	}
-	return a.epoch
 }
 
+// sessionNow returns the number of a session that begins now.
+func (m *model) sessionNow() uint64 { return uint64(m.now.Sub(epochStart) / modelTick) }
+
 // leaseUntil returns the time on the worker's clock until which the agent may extend leases,
 // or 0.
 func (a *modelAgent) leaseUntil() time.Duration {
@@ -135,22 +147,35 @@
 		case a.m.now.Before(c.dueAt):
 			a.calls = append(a.calls, c)
 		case c.key.stop || c.attempt >= startAttempts:
+			a.endSession(c.token)
 			a.handleOrder(c.key, c.token, cfcore.ExecutorOutcomeUnknown)
 		default:
-			c.attempt++
+			a.endSession(c.token)
+			c.attempt, c.token = c.attempt+1, cfcore.NewFencingToken(c.token.Epoch(), a.session)
 			a.sendStart(c)
 		}
 	}
 	if !a.hasWorker || a.m.now.Before(a.holdDueAt) {
 		return
 	}
-	token, until, lastSeen, w := a.token(), a.leaseUntil(), a.lastRecorded, a.worker
-	if !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(token, until, lastSeen) }) {
-		a.holdDueAt = a.m.now.Add(orderTimeout)
+	lastSeen := a.lastRecorded
+	if a.holdFailed {
+		a.endSession(a.holdToken)
+		lastSeen = 0
+	}
+	token, until, w := a.token(), a.leaseUntil(), a.worker
+	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(token, until, lastSeen) })
+	if a.holdFailed {
+		a.holdDueAt, a.holdToken = a.m.now.Add(orderTimeout), token
+		return
+	}
+	l, refusal := w.hold(token, until, lastSeen)
+	if refusal != "" {
 		return
 	}
-	if l, refusal := w.hold(token, until, lastSeen); refusal == "" {
-		a.applyLists(l, token)
+	a.applyLists(l, token)
+	if l.Born.Equal(a.born) {
+		a.leasedUntil = max(a.leasedUntil, until)
 	}
 }
 
@@ -159,7 +184,9 @@
 	if !born.After(a.born) {
 		return
 	}
+	a.endSession(a.token())
 	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
+	a.lastListed, a.leasedUntil, a.uncertainEnd = 0, 0, 0
 	a.inFlight, a.uncertain = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}
 	a.answeredAt, a.holdDueAt = a.m.now, time.Time{}
 }
@@ -171,16 +198,24 @@
 }
 
 // applyLists records run lists that a call returned.
-func (a *modelAgent) applyLists(l cfcore.RunLists, token cfcore.Epoch) {
+func (a *modelAgent) applyLists(l cfcore.RunLists, token cfcore.FencingToken) {
 	if l.Born.Before(a.born) {
 		return
 	}
 	a.observeBorn(l.Born)
 	a.answeredAt = a.m.now
-	if token < a.token() {
+	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session {
 		return
 	}
 	a.recordClock(l.Clock)
+	for _, e := range l.Ended {
+		if e.Number > a.lastListed && l.Clock >= a.leasedUntil {
+			a.uncertainEnd = max(a.uncertainEnd, e.Number)
+		}
+	}
+	for _, e := range l.Ended {
+		a.lastListed = max(a.lastListed, e.Number)
+	}
 	a.lists, a.hasLists = l, true
 }
 
@@ -204,7 +239,7 @@
 		}
 		if a.hasLists {
 			l := a.lists
-			r.Lists = &l
+			r.Lists, r.UncertainEnd = &l, a.uncertainEnd
 		}
 	}
 	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker {
@@ -235,6 +270,10 @@
 	refusal := cfcore.ExecutorUnhealthy
 	if !a.m.now.Before(a.m.links[a.name].disturbedUntil) || !rapid.Bool().Draw(a.m.t, "unhealthy") {
 		refusal = start()
+		if refusal == cfcore.ExecutorFenced && c.token.Session() != a.session {
+			c.token = cfcore.NewFencingToken(c.token.Epoch(), a.session)
+			refusal = start()
+		}
 	}
 	if c.attempt > 1 && refusal != "" && refusal != cfcore.ExecutorStale {
 		// The refusal of a retry does not prove that the first attempt had no effect.
@@ -261,7 +300,7 @@
 }
 
 // listsAfter requests the run lists that show the effect of an order.
-func (a *modelAgent) listsAfter(token cfcore.Epoch) (cfcore.RunLists, bool) {
+func (a *modelAgent) listsAfter(token cfcore.FencingToken) (cfcore.RunLists, bool) {
 	w := a.worker
 	if !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(token, 0, 0) }) {
 		return cfcore.RunLists{}, false
@@ -271,7 +310,7 @@
 }
 
 // handleOrder handles the outcome of an order.
-func (a *modelAgent) handleOrder(key modelOrderKey, token cfcore.Epoch, refusal cfcore.ExecutorKind) {
+func (a *modelAgent) handleOrder(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind) {
 	delete(a.inFlight, key)
 	needsLists := refusal == cfcore.ExecutorStale || key.stop && refusal == ""
 	var l cfcore.RunLists
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -55,18 +55,6 @@
 	slowClocks bool
 	// storeOutages make the store refuse the records of the newest planner for a while.
 	storeOutages bool
-	rules        modelRules
-}
-
-// modelRules are changes to the rules that planners and agents follow. Without them, the model
-// follows the product.
-type modelRules struct {
-	// confirmedExpiry makes planners count leases as expired only if they had expired when the
-	// planner was last the newest one.
-	confirmedExpiry bool
-	// incarnationToken makes agents use a higher fencing token for each incarnation of the
-	// worker.
-	incarnationToken bool
 }
 
 // The scopes of the tests.
@@ -111,12 +99,25 @@
 	expireUnreachable bool
 	// ackUnrecorded makes planners acknowledge ends that are not recorded.
 	ackUnrecorded bool
+	// presentExpiry makes planners count leases as expired although a newer planner possibly
+	// extended them.
+	presentExpiry bool
+	// keepSession makes agents keep their session after unanswered orders.
+	keepSession bool
+	// newJobsAtOnce makes planners start new jobs while an earlier planner is in force.
+	newJobsAtOnce bool
+	// skipUnknownJobs makes planners take jobs that they have not read yet for unknown ones.
+	skipUnknownJobs bool
 }
 
 // modelPlanner is a planner together with its epoch.
 type modelPlanner struct {
 	*cfdispatch.Planner
 	epoch cfcore.Epoch
+	// electedAt is when the planner was elected. jobs are those that it has not read yet, by
+	// the time at which it reads them.
+	electedAt time.Time
+	jobs      []unreadJob
 	// confirmedAt is when the planner last was the newest one. Its authority ends
 	// leadershipTime later.
 	confirmedAt time.Time
@@ -131,6 +132,13 @@
 	readEnds map[string]bool
 }
 
+// unreadJob is an accepted job that a planner has not read in the store yet.
+type unreadJob struct {
+	job      *cfjob.StoredJob
+	storedAt time.Time
+	readAt   time.Time
+}
+
 // modelLink is the connection of an agent to its worker.
 type modelLink struct {
 	disturbedUntil time.Time
@@ -196,7 +204,7 @@
 	}
 	p := &modelPlanner{
 		Planner: cfdispatch.New(s, names, m.now.Add(leadershipTime+settings.LeaseExpiryTime())),
-		epoch:   epoch, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{},
+		epoch:   epoch, electedAt: m.now, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{},
 	}
 	m.tracef("planner %d elected", epoch)
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
@@ -293,6 +301,7 @@
 		p.MarkAnswered(a.name, m.now)
 		a.hasGrant, a.grantedAt, p.reachedAt[a.name] = true, m.now, m.now
 	}
+	m.readJobs(p)
 	gone := m.expireLeases(p)
 	p.Plan(m.now)
 	m.record(p, gone)
@@ -309,11 +318,11 @@
 // expireLeases returns the agents whose records are dropped.
 func (m *model) expireLeases(p *modelPlanner) []string {
 	var names []string
-	now := m.now
-	if m.scope.rules.confirmedExpiry {
-		now = p.confirmedAt
+	confirmed := p.confirmedAt
+	if m.faults.presentExpiry {
+		confirmed = m.now
 	}
-	for _, g := range p.ExpireLeases(now) {
+	for _, g := range p.ExpireLeases(m.now, confirmed) {
 		names = append(names, g.Agent)
 	}
 	slices.Sort(names)
@@ -429,7 +438,48 @@
 	if m.oneIn(2, "long") {
 		m.taskTicks[id] = longTask
 	}
-	m.planners[len(m.planners)-1].AddJob(m.now, e, queue, false)
+	for i, p := range m.planners {
+		// Entries that do not know the newest planner yet send the job to an earlier one.
+		isNewest := i == len(m.planners)-1
+		if !isNewest && (m.now.Sub(p.confirmedAt) >= leadershipTime || m.oneIn(1, "unsent")) {
+			continue
+		}
+		u := unreadJob{job: e, storedAt: m.now, readAt: m.now}
+		if isNewest && m.oneIn(1, "unread") {
+			u.readAt = m.now.Add(m.ticks(3, "read"))
+		}
+		p.jobs = append(p.jobs, u)
+	}
+}
+
+// readJobs passes a planner the jobs that it has read by now.
+func (m *model) readJobs(p *modelPlanner) {
+	readTo := p.confirmedAt
+	remaining := p.jobs[:0]
+	for _, u := range p.jobs {
+		if m.now.Before(u.readAt) {
+			remaining = append(remaining, u)
+			readTo = minTime(readTo, u.storedAt)
+			continue
+		}
+		// The planner reads a job with the first read that was sent after the job was stored.
+		confirmed := minTime(p.confirmedAt, u.storedAt)
+		inherited := !confirmed.After(p.electedAt.Add(leadershipTime)) && !m.faults.newJobsAtOnce
+		p.AddJob(m.now, u.job, queue, inherited)
+		m.tracef("planner %d reads job %s", p.epoch, u.job.Job.ID[12:])
+	}
+	p.jobs = remaining
+	if m.faults.skipUnknownJobs {
+		readTo = m.now.Add(time.Hour)
+	}
+	p.MarkStoreRead(readTo)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // injectFault replaces the planner, disconnects an agent from a planner, or does nothing.
@@ -586,6 +636,10 @@
 		"agents report leases as expired at once":     {workerCuts, modelFaults{expireUnreachable: true}},
 		"restarted agents count no leases":            {agentRestarts, modelFaults{expireUnreachable: true}},
 		"planners acknowledge unrecorded ends":        {storeOutages, modelFaults{ackUnrecorded: true}},
+		"planners count leases as expired too early":  {takeovers, modelFaults{presentExpiry: true}},
+		"agents keep their sessions":                  {restartsAndLate, modelFaults{keepSession: true}},
+		"planners start new jobs at once":             {takeovers, modelFaults{newJobsAtOnce: true}},
+		"planners skip unknown jobs":                  {takeovers, modelFaults{skipUnknownJobs: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			// The product has faults of its own. A history counts only if its seed gives no
@@ -600,7 +654,7 @@
 }
 
 // TestModelSearch counts the violations in MODEL_SEEDS histories of the scope MODEL_SCOPE from
-// the seed MODEL_FIRST on, with the rules in MODEL_RULES. With MODEL_TRACE, it prints a timeline
+// the seed MODEL_FIRST on. With MODEL_TRACE, it prints a timeline
 // for each history.
 func TestModelSearch(t *testing.T) {
 	n, _ := strconv.Atoi(os.Getenv("MODEL_SEEDS"))
@@ -613,8 +667,6 @@
 		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "workerCuts": workerCuts,
 		"storeOutages": storeOutages, "all": allDisruptions,
 	}[os.Getenv("MODEL_SCOPE")]
-	scope.rules.confirmedExpiry = strings.Contains(os.Getenv("MODEL_RULES"), "confirmedExpiry")
-	scope.rules.incarnationToken = strings.Contains(os.Getenv("MODEL_RULES"), "incarnationToken")
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
 		m := modelHistory(seed, scope, modelFaults{})
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -22,7 +22,7 @@
 	name string
 	born time.Time
 	// fencingToken is the highest token of an order so far.
-	fencingToken cfcore.Epoch
+	fencingToken cfcore.FencingToken
 	// leaseUntil is when the leases of all runs expire, on the worker's clock. lapsed is set
 	// while no lease is valid.
 	leaseUntil time.Duration
@@ -107,7 +107,7 @@
 
 // accept applies the fencing token of an order and reports whether the worker may carry out
 // the order.
-func (w *modelWorker) accept(token cfcore.Epoch) bool {
+func (w *modelWorker) accept(token cfcore.FencingToken) bool {
 	if token < w.fencingToken && !w.m.faults.skipFencing {
 		return false
 	}
@@ -129,7 +129,7 @@
 }
 
 // hold extends leases, forgets acknowledged ends and lists the runs.
-func (w *modelWorker) hold(token cfcore.Epoch, until time.Duration, lastSeen uint64) (cfcore.RunLists, cfcore.ExecutorKind) {
+func (w *modelWorker) hold(token cfcore.FencingToken, until time.Duration, lastSeen uint64) (cfcore.RunLists, cfcore.ExecutorKind) {
 	if !w.accept(token) {
 		return cfcore.RunLists{}, cfcore.ExecutorFenced
 	}
@@ -150,7 +150,7 @@
 }
 
 // start carries out a start order.
-func (w *modelWorker) start(token cfcore.Epoch, n cfcore.TaskName, run uint64, until time.Duration) cfcore.ExecutorKind {
+func (w *modelWorker) start(token cfcore.FencingToken, n cfcore.TaskName, run uint64, until time.Duration) cfcore.ExecutorKind {
 	if !w.accept(token) {
 		return cfcore.ExecutorFenced
 	}
@@ -176,7 +176,7 @@
 }
 
 // stop carries out a stop order.
-func (w *modelWorker) stop(token cfcore.Epoch, n cfcore.TaskName, run uint64) cfcore.ExecutorKind {
+func (w *modelWorker) stop(token cfcore.FencingToken, n cfcore.TaskName, run uint64) cfcore.ExecutorKind {
 	if !w.accept(token) {
 		return cfcore.ExecutorFenced
 	}
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -19,6 +19,7 @@
 // make way for more urgent tasks. It does nothing if nothing has changed and the last scan
 // is less than scanInterval ago.
 func (p *Planner) Plan(now time.Time) {
+	p.applyPostponedEnds(now)
 	scanDue := now.Sub(p.lastScan) >= scanInterval
 	if !scanDue && !p.changed {
 		return
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -272,7 +272,8 @@
 	if j.Accepted.Before(now) && inherited {
 		j.objective = j.objective.Add(j.Accepted.Sub(now))
 	}
-	p.applyUnknownRuns(now, j.ID)
+	p.adoptListedRuns(now, j.ID)
+	p.applyPostponedEnds(now)
 }
 
 // buildTasks creates the tasks of a job and restores their recorded progress.
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -324,6 +324,24 @@
 	f.Expect(f.ExpireLeases(f.now, f.now)).To(ConsistOf(cfdispatch.GoneAgent{Agent: "c"}))
 }
 
+// An agent that reports without run lists extends leases with the new planner's permission, so
+// that they outlast the wait for earlier planners.
+func TestNewPlannerWaitsForRunListsOfAnAgentThatReports(t *testing.T) {
+	f := newFleet(t, cfdispatch.New(settings, []string{"a", "b"}, epochStart.Add(time.Second)), "a")
+	f.AddJob(f.now, &cfjob.StoredJob{Job: &cfjob.Job{ID: "old", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}, Accepted: f.now}}, queue, true)
+	f.ApplyReport(f.now, "b", &cfwire.JobReport{})
+	lastContact := f.now
+	for f.now.Sub(lastContact) < settings.LeaseExpiryTime() {
+		f.report()
+		f.ExpireLeases(f.now, f.now)
+		f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", f.now.Sub(lastContact))
+		f.now = f.now.Add(200 * time.Millisecond)
+	}
+	f.report()
+	f.ExpireLeases(f.now, f.now)
+	f.Expect(f.runPlanner()).To(ConsistOf("old.0@a"))
+}
+
 func TestNewPlannerAdoptsRuns(t *testing.T) {
 	old := newFleet(t, newPlanner(), "a")
 	old.add("j", newStep(1, 100))
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -13,7 +13,7 @@
 func (p *Planner) ApplyReport(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}, unknown: newUnknownRuns(), unexpectedStops: map[runKey]time.Time{}}
+		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}}
 		p.addWorker(w)
 	}
 	if !w.isUsable(now, p.cfg.SuspectAfter) {
@@ -33,7 +33,7 @@
 		p.markLeft(w)
 	}
 	if m.Lists != nil {
-		p.applyLists(now, w, m.Lists)
+		p.applyLists(now, w, m.Lists, m.UncertainEnd)
 	}
 	// Results are applied after the lists of the same report, which are as recent. If a run
 	// has both a result and an end, its end is therefore applied first. applyResult then
@@ -66,7 +66,7 @@
 		if s.Clock < cfcore.MaxLease {
 			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
 		}
-		w.unknown, w.unexpectedStops = newUnknownRuns(), map[runKey]time.Time{}
+		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
 		w.hasListed, w.lastEnd, w.recordedEnd, w.ackedEnd = false, 0, 0, 0
 		w.failures = failureStreak{}
 		if w.hasLeft {
@@ -129,8 +129,9 @@
 	}
 }
 
-// applyLists applies a worker's lists of running and ended runs.
-func (p *Planner) applyLists(now time.Time, w *worker, l *cfcore.RunLists) {
+// applyLists applies a worker's lists of running and ended runs. uncertainEnd is
+// cfwire.JobReport.UncertainEnd.
+func (p *Planner) applyLists(now time.Time, w *worker, l *cfcore.RunLists, uncertainEnd uint64) {
 	if l.Born.Before(w.state.Born) {
 		return
 	}
@@ -143,8 +144,8 @@
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
 	}
-	unknown := w.unknown.running
-	w.unknown.running = map[runKey]unknownRun{}
+	unknown := w.unsettled.running
+	w.unsettled.running = map[runKey]unknownRun{}
 	for _, row := range l.Running {
 		if p.lookupTask(row.Task) == nil {
 			p.applyUnknownRunning(now, w, row, unknown)
@@ -155,7 +156,7 @@
 	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
 	p.enforceTailTargets(now, w)
-	p.applyEnds(now, w, l.Ended)
+	p.applyEnds(now, w, l.Ended, uncertainEnd)
 }
 
 // applyRunning applies a row of a worker's list of running runs, whose job must be known and
@@ -360,16 +361,23 @@
 		}
 		p.expireRuns(now, w)
 		p.removeWorker(w)
+		delete(p.expectedAgents, w.agent)
+		p.changed = true
 		gone = append(gone, GoneAgent{Agent: w.agent})
 	}
 	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
-			if p.workers[a] == nil {
+			w := p.workers[a]
+			if w != nil && !w.hasListed {
+				// The agent has extended leases with this planner's permission.
+				continue
+			}
+			if w == nil {
 				gone = append(gone, GoneAgent{Agent: a})
 			}
+			delete(p.expectedAgents, a)
+			p.changed = true
 		}
-		clear(p.expectedAgents)
-		p.changed = true
 	}
 	return gone
 }
--- a/pkg/cfdispatch/unknown_test.go
+++ b/pkg/cfdispatch/unsettled_test.go
@@ -9,6 +9,7 @@
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
 )
 
 // takeOverUnknownJob returns the fleet of a new planner whose only worker runs both tasks of
@@ -86,3 +87,39 @@
 	f.runPlanner()
 	f.Expect(f.workers["a"].stops).To(HaveLen(4))
 }
+
+// The leases on a worker possibly expired after a run had ended there. An earlier planner then
+// takes the run for lost, and possibly starts its task again on an agent that the new planner
+// has not reached.
+func TestUncertainEndWaitsForEarlierPlanner(t *testing.T) {
+	authority := 2 * time.Second
+	for name, c := range map[string]struct {
+		uncertainEnd uint64
+		// wait is how long after its election the planner gets the report again. reached is set
+		// if the other agent has reported by then.
+		wait    time.Duration
+		reached bool
+		applied bool
+	}{
+		"certain":                             {applied: true},
+		"uncertain":                           {uncertainEnd: 1, wait: authority},
+		"uncertain, all agents have reported": {uncertainEnd: 1, reached: true, applied: true},
+		"uncertain, earlier planners have no effect": {uncertainEnd: 1, wait: authority + settings.GrantTime, applied: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := cfdispatch.New(settings, []string{"a", "b"}, epochStart.Add(authority+settings.LeaseExpiryTime()))
+			f := newFleet(t, p)
+			f.AddJob(f.now, &cfjob.StoredJob{Job: &cfjob.Job{ID: "j", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}, Accepted: f.now}}, queue, true)
+			f.now = f.now.Add(c.wait)
+			state := cfcore.WorkerState{ID: "w", Service: "dispatch", Born: epochStart, Clock: time.Hour}
+			if c.reached {
+				f.ApplyReport(f.now, "b", &cfwire.JobReport{Worker: &state, Lists: &cfcore.RunLists{Born: epochStart}})
+			}
+			end := cfcore.EndedTask{Number: 1, Task: cfcore.TaskName{Job: "j"}, Run: 5, How: cfcore.EndDone}
+			f.ApplyReport(f.now, "a", &cfwire.JobReport{
+				Worker: &state, Lists: &cfcore.RunLists{Born: epochStart, Ended: []cfcore.EndedTask{end}}, UncertainEnd: c.uncertainEnd,
+			})
+			f.Expect(f.outcome("j") == cfjob.OutcomeCompleted).To(Equal(c.applied))
+		})
+	}
+}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -64,9 +64,8 @@
 	// ackedEnd is the last recordedEnd that was sent to the agent.
 	ackedEnd uint64
 	failures failureStreak
-	// unknown holds what the worker lists of jobs that are not known yet. unexpectedStops holds
-	// when the stop of each unexpected run was last ordered.
-	unknown         unknownRuns
+	// unexpectedStops holds when the stop of each unexpected run was last ordered.
+	unsettled       unsettledRuns
 	unexpectedStops map[runKey]time.Time
 	// refusedAt is when the worker last refused an order. The order was a start that was
 	// refused for another reason than its ticket, or a stop of a run that the worker does
