--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -84,8 +84,8 @@
 	lastRecorded uint64
 	lastListed   uint64
 	// leasedUntil is the time on the worker's clock until which answered calls have extended the
-	// leases. uncertainEnd is the number of the last end that was listed after that time: the
-	// leases possibly expired between the end and its listing.
+	// leases. uncertainEnd is the number of the last end that was listed when that time was
+	// over: the leases possibly expired since the end.
 	leasedUntil  time.Duration
 	uncertainEnd uint64
 	// holdInFlight is set while the regular call for the run lists is in flight. The next
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -186,6 +186,7 @@
 	g.Expect(list(10*time.Second, 15*time.Second, 1)).To(BeEquivalentTo(1), "a restarted agent knows no leases")
 	g.Expect(list(11*time.Second, 16*time.Second, 1, 2)).To(BeEquivalentTo(1))
 	g.Expect(list(12*time.Second, 0, 1, 2, 3)).To(BeEquivalentTo(1))
-	g.Expect(list(16*time.Second, 21*time.Second, 1, 2, 3, 4)).To(BeEquivalentTo(4), "the leases had expired")
-	g.Expect(list(17*time.Second, 22*time.Second, 1, 2, 3, 4, 5)).To(BeEquivalentTo(4))
+	g.Expect(list(16*time.Second, 21*time.Second, 1, 2, 3)).To(BeEquivalentTo(3), "the leases had expired since the ends were listed")
+	g.Expect(list(21*time.Second, 26*time.Second, 1, 2, 3, 4)).To(BeEquivalentTo(4), "the leases had expired")
+	g.Expect(list(22*time.Second, 27*time.Second, 1, 2, 3, 4, 5)).To(BeEquivalentTo(4))
 }
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -79,14 +79,12 @@
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
 	c.lists, c.hasLists = l, true
-	for _, e := range l.Ended {
-		if e.Number > c.lastListed && l.Clock >= c.leasedUntil {
-			c.uncertainEnd = max(c.uncertainEnd, e.Number)
-		}
-	}
 	for _, e := range l.Ended {
 		c.lastListed = max(c.lastListed, e.Number)
 	}
+	if l.Clock >= c.leasedUntil {
+		c.uncertainEnd = c.lastListed
+	}
 	c.reportAll = true
 }
 
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -208,14 +208,12 @@
 		return
 	}
 	a.recordClock(l.Clock)
-	for _, e := range l.Ended {
-		if e.Number > a.lastListed && l.Clock >= a.leasedUntil {
-			a.uncertainEnd = max(a.uncertainEnd, e.Number)
-		}
-	}
 	for _, e := range l.Ended {
 		a.lastListed = max(a.lastListed, e.Number)
 	}
+	if l.Clock >= a.leasedUntil {
+		a.uncertainEnd = a.lastListed
+	}
 	a.lists, a.hasLists = l, true
 }
 
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -446,7 +446,7 @@
 		}
 		u := unreadJob{job: e, storedAt: m.now, readAt: m.now}
 		if isNewest && m.oneIn(1, "unread") {
-			u.readAt = m.now.Add(m.ticks(3, "read"))
+			u.readAt = m.now.Add(m.ticks(5, "read"))
 		}
 		p.jobs = append(p.jobs, u)
 	}
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -17,8 +17,8 @@
 	Epoch  cfcore.Epoch
 	Worker *cfcore.WorkerState `cbor:",omitempty"`
 	Lists  *cfcore.RunLists    `cbor:",omitempty"`
-	// UncertainEnd is the Number of the last end in Lists that possibly happened before the
-	// leases on the worker expired; 0 if there is none.
+	// UncertainEnd is the Number of the last end since which the leases on the worker possibly
+	// expired; 0 if there is none.
 	UncertainEnd uint64 `cbor:",omitempty"`
 	// Results are the results of orders since the previous report.
 	Results []JobOrderResult `cbor:",omitempty"`
