Forget a job only when its last record is dropped

Cause: 150 s after a job has ended (Planning.Keep), the planner forgot it and then dropped its records: cancellation, progress, submission. When it applied the dropped progress, the stored job had its submission alone, and the planner added it as a new job and started its tasks. Dropping the submission did not remove it from the planner.

Change: the planner forgets the job when its last record is gone.

Evidence: TestDroppedJobIsNotStartedAgain failed before (1 start).

--- a/internal/cfjobentry/cleanup.go
+++ b/internal/cfjobentry/cleanup.go
@@ -87,7 +87,6 @@
 			continue
 		}
 		c.Log.Info().Str("Job", id).Msg("job ended long ago; dropping its records")
-		c.plan.Forget(id)
 		c.plan.extraRecords = append(c.plan.extraRecords, c.codec.DropJob(id)...)
 		n++
 	}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -255,6 +255,10 @@
 	}
 	switch {
 	case change.JobID != "":
+		if c.stored.Jobs[change.JobID] == nil && c.plan != nil {
+			// Before its last record is dropped, a forgotten job would be added as a new one.
+			c.plan.Forget(change.JobID)
+		}
 		if e := c.stored.Jobs[change.JobID]; e != nil {
 			c.addJob(e)
 			if e.Ended() {
