Count clock differences into an earlier planner's authority

Found by the reviewer, by reading. The wait for an earlier planner counted its authority as exactly 2 s; on a clock that is 4 % slow, and with the time from the check to the sending, its orders can come later. Both bounds have the slack now. Also: the send time of a read whose page did not reach the end counts once the records up to that end are applied. A reader that stays a page behind would otherwise never confirm anything (unit test; not seen in a run).

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -32,6 +32,8 @@
 	// confirmedAt is when this entry sent the newest read that the store has answered, on
 	// the boot clock. All records that were stored before have been applied.
 	confirmedAt time.Duration
+	// pendingRead is the oldest read whose records up to its end are not all applied.
+	pendingRead storeRead
 	// plannerSeenAt is when a message of the current planner last arrived, or when this
 	// entry began to wait for one.
 	plannerSeenAt time.Time
@@ -239,9 +241,22 @@
 	if ev.page.Skipped > 0 {
 		c.Scope.Counter("records_skipped").Inc(int64(ev.page.Skipped))
 	}
-	if c.stored.Next >= ev.page.End && ev.sentAt > c.confirmedAt {
-		c.confirmedAt = ev.sentAt
+	if c.pendingRead.end == 0 {
+		c.pendingRead = storeRead{end: ev.page.End, sentAt: ev.sentAt}
 	}
+	if c.stored.Next >= ev.page.End {
+		c.confirmedAt = max(c.confirmedAt, ev.sentAt)
+	}
+	if c.stored.Next >= c.pendingRead.end {
+		c.confirmedAt = max(c.confirmedAt, c.pendingRead.sentAt)
+		c.pendingRead = storeRead{}
+	}
+}
+
+// storeRead is a read of the store. end is the end of the records in the answer.
+type storeRead struct {
+	end    int64
+	sentAt time.Duration
 }
 
 // applyRecord applies a record to the stored state, and acts on the change that the record
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -21,6 +21,10 @@
 // of the entries' names. The entries therefore do not all claim at the same time.
 const rankDelay = 100 * time.Millisecond
 
+// authorityMargin is added to the time for which an earlier planner possibly gives orders. It
+// covers the time from a check of its authority to the sending of the orders.
+const authorityMargin = 300 * time.Millisecond
+
 // claimIfNoPlanner claims the next epoch if there has been no planner, if the planner of
 // the newest claim is gone, or if that planner has sent no message for Planning.Silence.
 // In all three cases, the claim is delayed by rankDelay times this entry's rank. If the
@@ -154,10 +158,11 @@
 		agents = append(agents, a)
 		recordedAgents[a] = true
 	}
-	until := c.Clock.Now().Add(c.cfg.Lease.Authority + s.LeaseExpiryTime())
+	othersFor := time.Duration(float64(c.cfg.Lease.Authority)*(1+clockSlack)) + authorityMargin
+	until := c.Clock.Now().Add(othersFor + s.LeaseExpiryTime())
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
-		othersUntil: c.bootTime() + c.cfg.Lease.Authority, entrySeenAt: map[string]time.Time{},
+		othersUntil: c.bootTime() + othersFor, entrySeenAt: map[string]time.Time{},
 	}
 	c.restoreLearned()
 	for _, e := range c.stored.Jobs {
--- a/internal/cfjobentry/planning_test.go
+++ b/internal/cfjobentry/planning_test.go
@@ -41,12 +41,14 @@
 // A planner that was superseded keeps its authority for a while, and other entries may send
 // it new jobs.
 func TestNewJobsWaitForAgentsWhileAnEarlierPlannerIsInForce(t *testing.T) {
+	// The earlier planner has authority for 2 s on a clock that is up to 4 % slow.
+	earlierPlanner := 2080*time.Millisecond + authorityMargin
 	for name, c := range map[string]struct {
 		confirmed time.Duration
 		starts    int
 	}{
-		"the last read was sent before the earlier planner's authority ended": {confirmed: 2 * time.Second},
-		"the last read was sent later":                                        {confirmed: 2*time.Second + time.Millisecond, starts: 1},
+		"the last read was sent before the earlier planner's authority ended": {confirmed: earlierPlanner},
+		"the last read was sent later":                                        {confirmed: earlierPlanner + time.Millisecond, starts: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -78,6 +80,9 @@
 	*clock += fakeBootClock(time.Second)
 	c.handlePageRead(t.Context(), pageRead{from: 0, page: cfcore.StorePage{Next: 1, End: 2}, sentAt: c.bootTime()})
 	g.Expect(c.confirmedAt).To(Equal(time.Minute))
-	c.handlePageRead(t.Context(), pageRead{from: 1, page: cfcore.StorePage{Next: 2, End: 2}, sentAt: c.bootTime()})
-	g.Expect(c.confirmedAt).To(Equal(time.Minute + time.Second))
+	*clock += fakeBootClock(time.Second)
+	c.handlePageRead(t.Context(), pageRead{from: 1, page: cfcore.StorePage{Next: 2, End: 3}, sentAt: c.bootTime()})
+	g.Expect(c.confirmedAt).To(Equal(time.Minute+time.Second), "the end of the first read is reached")
+	c.handlePageRead(t.Context(), pageRead{from: 2, page: cfcore.StorePage{Next: 3, End: 3}, sentAt: c.bootTime()})
+	g.Expect(c.confirmedAt).To(Equal(time.Minute + 2*time.Second))
 }
