Tie orders to the incarnation that they were made for

The agent extends no lease of an unreachable worker, and counts from the last extension. - A run whose leases expired was adopted once its job became known (TestExpiredRunOfAnUnknownJobIsNotAdopted). - Leases of a worker that has just started can be too long until its clock is at 25 s: late calls arrive for 15 s and extend by 10 s. Only the first 10 s counted.

After 3 s without an answer the agent calls a worker each 100 ms, not 20 ms.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -31,6 +31,9 @@
 	// failedHoldRetryDelay is the delay after a failed call. Until the first call, a worker
 	// that has restarted executes late orders of its previous incarnation.
 	failedHoldRetryDelay = 20 * time.Millisecond
+	// restartWait is how long a worker normally takes to restart. After that time without an
+	// answer, the delay is holdRetryDelay.
+	restartWait = 3 * time.Second
 	// maxPendingGrants bounds the number of grant requests that wait for answers. If there
 	// are more, the agent discards all of them and ignores their answers.
 	maxPendingGrants = 64
@@ -102,6 +105,8 @@
 	// holds even if a call that extends a lease is delayed, since the call contains the
 	// expiry time on the worker's clock.
 	workerClockAt time.Duration
+	// leaseFrom is the workerClockAt from which leases were last extended.
+	leaseFrom time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
 	// uncertain holds the starts with an unanswered attempt that the worker can still
@@ -123,6 +128,7 @@
 	// An earlier incarnation of this agent possibly extended leases just before this one
 	// started. The time until leases have expired is therefore counted from now.
 	c.workerClockAt = c.bootClock.Now()
+	c.leaseFrom = c.workerClockAt
 	c.answeredAt, c.startedAt = c.workerClockAt, c.workerClockAt
 	return c
 }
@@ -211,7 +217,7 @@
 // which the agent learns of the new incarnation ends: until then, the agent possibly sent
 // the new incarnation orders for the previous one.
 func (c *control) resetWorker() {
-	c.fence.endSession(c.fence.token(c.epoch))
+	c.fence.beginIncarnation()
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain = map[orderKey]bool{}, map[orderKey]bool{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
@@ -294,11 +300,13 @@
 }
 
 // leaseUntil returns the time on the worker's clock until which the agent is now allowed
-// to extend leases, or 0 if it is not allowed to extend them.
+// to extend leases, or 0 if it is not allowed to extend them. It does not extend the leases of
+// an unreachable worker, so that they certainly expire.
 func (c *control) leaseUntil() time.Duration {
-	if !c.hasGrant || c.workerClock == 0 || c.bootClock.Now()-c.grantedAt > c.cfg.Lease.Grant {
+	if _, unreachable := c.unansweredFor(); unreachable || !c.hasGrant || c.workerClock == 0 || c.bootClock.Now()-c.grantedAt > c.cfg.Lease.Grant {
 		return 0
 	}
+	c.leaseFrom = max(c.leaseFrom, c.workerClockAt)
 	return c.workerClock + c.cfg.Lease.Lease
 }
 
@@ -312,7 +320,7 @@
 
 // leasesExpired reports whether all leases on the worker have certainly expired.
 func (c *control) leasesExpired() bool {
-	return c.bootClock.Now()-c.workerClockAt > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+leaseExpiryMargin
+	return c.bootClock.Now()-c.leaseFrom > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+leaseExpiryMargin
 }
 
 // sendReport sends changes to the planner. If a grant request is due, the report contains
--- a/internal/cfjobagent/fence.go
+++ b/internal/cfjobagent/fence.go
@@ -29,9 +29,11 @@
 	clock clockwork.Clock
 	mu    sync.Mutex
 	// session is the number of the current session. raise is the last step by which
-	// raiseSession increased it; 0 if the worker has not refused the session's orders.
+	// handleRefusal increased it; 0 if the worker has not refused the session's orders.
 	session uint64
 	raise   uint64
+	// incarnation counts the incarnations of the worker that the agent has seen.
+	incarnation uint64
 }
 
 func newFence(clock clockwork.Clock) *fence {
@@ -56,6 +58,29 @@
 	}
 }
 
+// currentIncarnation returns the number of the worker's incarnation.
+func (f *fence) currentIncarnation() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.incarnation
+}
+
+// beginIncarnation begins another incarnation of the worker, in a new session.
+func (f *fence) beginIncarnation() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.incarnation++
+	f.session = max(f.session+1, sessionAt(f.clock.Now()))
+}
+
+// tokenFor returns the token for an order to an incarnation. It reports false if the worker has
+// another incarnation since.
+func (f *fence) tokenFor(incarnation uint64, epoch cfcore.Epoch) (cfcore.FencingToken, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cfcore.NewFencingToken(epoch, f.session), f.incarnation == incarnation
+}
+
 // isCurrent reports whether t belongs to the current session.
 func (f *fence) isCurrent(t cfcore.FencingToken) bool {
 	f.mu.Lock()
@@ -87,15 +112,19 @@
 }
 
 // send calls attempt with the fields of an order, up to orderAttempts times. It repeats an
-// order that the worker refused because a newer session has begun meanwhile. An order that
-// got no answer ends its session; send repeats it only if retryUnanswered is set. send returns
-// the token and the error of the last attempt, except that an unanswered attempt is not
-// followed by a refusal: the refusal does not prove that the attempt had no effect. After an
-// unanswered attempt, only a success or cfcore.ExecutorStale replaces its error.
-func (f *fence) send(worker string, epoch cfcore.Epoch, retryUnanswered bool, attempt func(cfcore.Order) error) (cfcore.FencingToken, error) {
+// order that the worker refused because a newer session has begun meanwhile, and an order
+// that got no answer if retryUnanswered is set. It makes no attempt once the worker has
+// another incarnation than the given one. send returns the token of the last attempt and its
+// error. After an unanswered attempt, only a success or cfcore.ExecutorStale replaces that
+// attempt's error: another refusal does not prove that the attempt had no effect.
+func (f *fence) send(worker string, incarnation uint64, epoch cfcore.Epoch, retryUnanswered bool, attempt func(cfcore.Order) error) (cfcore.FencingToken, error) {
 	var unanswered error
 	for n := 1; ; n++ {
-		o := cfcore.Order{Worker: worker, Token: f.token(epoch)}
+		token, ok := f.tokenFor(incarnation, epoch)
+		if !ok {
+			return token, cferror.New("send order", cfcore.ExecutorOutcomeUnknown, "worker %s has restarted", worker)
+		}
+		o := cfcore.Order{Worker: worker, Token: token}
 		err := attempt(o)
 		switch {
 		case err == nil, cferror.Is(err, cfcore.ExecutorStale):
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -67,7 +67,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f, w := newFence(clockwork.NewFakeClock()), &fencingWorker{errs: c.errs}
-			_, err := f.send("w", 1, c.retryUnanswered, w.execute)
+			_, err := f.send("w", 0, 1, c.retryUnanswered, w.execute)
 			if c.kind == "" {
 				g.Expect(err).NotTo(HaveOccurred())
 			} else {
@@ -76,7 +76,7 @@
 			g.Expect(w.tokens).To(HaveLen(c.attempts))
 			if cferror.Is(c.errs[0], cfcore.ExecutorOutcomeUnknown) {
 				late := w.tokens[0]
-				_, err = f.send("w", 1, false, w.execute)
+				_, err = f.send("w", 0, 1, false, w.execute)
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(cferror.Is(w.execute(cfcore.Order{Token: late}), cfcore.ExecutorFenced)).To(BeTrue())
 			}
@@ -87,7 +87,7 @@
 func TestOrderRefusedBecauseOfANewSessionIsRepeated(t *testing.T) {
 	g := NewWithT(t)
 	f, w := newFence(clockwork.NewFakeClock()), &fencingWorker{}
-	_, err := f.send("w", 1, true, func(o cfcore.Order) error {
+	_, err := f.send("w", 0, 1, true, func(o cfcore.Order) error {
 		if len(w.tokens) == 0 {
 			// Another order begins a new session while this one is in flight.
 			f.endSession(o.Token)
@@ -106,11 +106,11 @@
 	clock := clockwork.NewFakeClock()
 	f := newFence(clock)
 	w := &fencingWorker{newest: cfcore.NewFencingToken(1, sessionAt(clock.Now().Add(time.Hour)))}
-	g.Eventually(func() error { _, err := f.send("w", 1, false, w.execute); return err }).Should(Succeed())
+	g.Eventually(func() error { _, err := f.send("w", 0, 1, false, w.execute); return err }).Should(Succeed())
 	g.Expect(len(w.tokens)).To(BeNumerically("<", 30))
 	newer := &fencingWorker{newest: cfcore.NewFencingToken(2, 0)}
 	for range 100 {
-		_, err := f.send("w", 1, false, newer.execute)
+		_, err := f.send("w", 0, 1, false, newer.execute)
 		g.Expect(cferror.Is(err, cfcore.ExecutorFenced)).To(BeTrue(), "the worker follows a newer planner")
 	}
 	g.Expect(f.token(1).Session()).To(BeNumerically("<=", sessionAt(clock.Now())+maxSessionLead))
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfcore"
@@ -26,10 +27,10 @@
 		}
 	}
 	c.holdInFlight = true
-	worker, epoch := c.worker.ID, c.epoch
+	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
 		ev := holdReturned{worker: worker, until: h.Until}
-		ev.token, ev.err = c.fence.send(worker, epoch, false, func(o cfcore.Order) (err error) {
+		ev.token, ev.err = c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) (err error) {
 			ev.lists, err = c.Executor.Hold(ctx, o, h)
 			return err
 		})
@@ -41,7 +42,7 @@
 func (c *control) handleHoldReturned(ev holdReturned) {
 	c.holdInFlight, c.holdFailed, c.nextHoldAt = false, ev.err != nil, 0
 	if ev.err != nil {
-		c.nextHoldAt = c.bootClock.Now() + failedHoldRetryDelay
+		c.nextHoldAt = c.bootClock.Now() + c.failedHoldRetryDelay()
 		if cferror.Is(ev.err, cfcore.ExecutorOtherIncarnation) {
 			c.handleWorkerLeft(ev.worker)
 		}
@@ -50,7 +51,8 @@
 		return
 	}
 	c.applyLists(ev.lists, ev.token)
-	if ev.lists.Born.Equal(c.worker.Born) {
+	// A call that was sent before a restart was noticed contains a time on the earlier clock.
+	if ev.lists.Born.Equal(c.worker.Born) && ev.until <= ev.lists.Clock+c.cfg.Lease.Lease {
 		c.leasedUntil = max(c.leasedUntil, ev.until)
 	}
 	// A worker that lists ends which the planner does not record answers without waiting.
@@ -59,6 +61,14 @@
 	}
 }
 
+// failedHoldRetryDelay returns the delay after a failed call for the run lists.
+func (c *control) failedHoldRetryDelay() time.Duration {
+	if d, _ := c.unansweredFor(); d > restartWait {
+		return holdRetryDelay
+	}
+	return failedHoldRetryDelay
+}
+
 // applyLists records run lists unless they are older than the current ones. Run lists of a
 // newer incarnation show that the worker has restarted. The first run lists of an
 // incarnation or an epoch must come from a call of the current session, because only then
@@ -115,11 +125,11 @@
 		return
 	}
 	c.inFlight[key] = true
-	worker, epoch := c.worker.ID, c.epoch
+	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until}
 	go func() {
-		token, err := c.fence.send(worker, epoch, true, func(o cfcore.Order) error { return c.Executor.Start(ctx, o, run) })
-		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, cferror.Is(err, cfcore.ExecutorStale)))
+		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error { return c.Executor.Start(ctx, o, run) })
+		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, incarnation, cferror.Is(err, cfcore.ExecutorStale)))
 	}()
 }
 
@@ -131,21 +141,21 @@
 		return
 	}
 	c.inFlight[key] = true
-	worker, epoch := c.worker.ID, c.epoch
+	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
-		token, err := c.fence.send(worker, epoch, false, func(o cfcore.Order) error { return c.Executor.Stop(ctx, o, s.Task, s.Run) })
-		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, err == nil))
+		token, err := c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) error { return c.Executor.Stop(ctx, o, s.Task, s.Run) })
+		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, incarnation, err == nil))
 	}()
 }
 
 // withRunLists requests the worker's run lists if needed is set, and returns the outcome
 // of an order with these lists. needed means that the state of the run cannot be
 // determined without the lists. If the request fails, the outcome has no lists.
-func (c *control) withRunLists(ctx context.Context, ev orderReturned, worker string, needed bool) orderReturned {
+func (c *control) withRunLists(ctx context.Context, ev orderReturned, worker string, incarnation uint64, needed bool) orderReturned {
 	if !needed {
 		return ev
 	}
-	token, err := c.fence.send(worker, ev.token.Epoch(), false, func(o cfcore.Order) (err error) {
+	token, err := c.fence.send(worker, incarnation, ev.token.Epoch(), false, func(o cfcore.Order) (err error) {
 		ev.lists, err = c.Executor.Hold(ctx, o, cfcore.HoldOptions{})
 		return err
 	})
@@ -158,9 +168,9 @@
 // throttleRun sends the worker an order to throttle a run to a percentage of its full
 // speed. It does not report the result to the planner.
 func (c *control) throttleRun(ctx context.Context, p cfwire.JobThrottle) {
-	worker, epoch := c.worker.ID, c.epoch
+	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
-		_, err := c.fence.send(worker, epoch, false, func(o cfcore.Order) error { return c.Executor.Throttle(ctx, o, p.Task, p.Run, p.Percent) })
+		_, err := c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) error { return c.Executor.Throttle(ctx, o, p.Task, p.Run, p.Percent) })
 		if err != nil {
 			c.Log.Debug().Err(err).Msg("call to throttle a run failed")
 			c.Scope.Counter("paces_failed").Inc(1)
--- /dev/null
+++ b/internal/cfjobagent/restart_test.go
@@ -0,0 +1,135 @@
+package cfjobagent
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfwire"
+)
+
+// restartingWorker is a worker that restarts with the same ID. The first start ends when first
+// is closed, with the error outcome if it is set.
+type restartingWorker struct {
+	cfcore.Executor
+	mu      sync.Mutex
+	born    time.Time
+	newest  cfcore.FencingToken
+	first   chan struct{}
+	outcome error
+	// calls counts the starts.
+	calls   int
+	started []cfcore.RunStart
+	holds   []cfcore.HoldOptions
+	clock   time.Duration
+}
+
+func (w *restartingWorker) Start(_ context.Context, o cfcore.Order, s cfcore.RunStart) error {
+	w.mu.Lock()
+	w.calls++
+	n := w.calls
+	w.mu.Unlock()
+	if n == 1 {
+		<-w.first
+		if w.outcome != nil {
+			return w.outcome
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Token < w.newest {
+		return cferror.New("start", cfcore.ExecutorFenced, "fenced")
+	}
+	w.newest = o.Token
+	w.started = append(w.started, s)
+	return nil
+}
+
+func (w *restartingWorker) Hold(_ context.Context, o cfcore.Order, h cfcore.HoldOptions) (cfcore.RunLists, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Token < w.newest {
+		return cfcore.RunLists{}, cferror.New("hold", cfcore.ExecutorFenced, "fenced")
+	}
+	w.newest = o.Token
+	w.holds = append(w.holds, h)
+	w.clock += time.Millisecond
+	return cfcore.RunLists{Born: w.born, Clock: w.clock}, nil
+}
+
+func expectNoStartAfterRestart(t *testing.T, outcome error) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	w := &restartingWorker{born: born, first: make(chan struct{}), outcome: outcome, clock: 2 * time.Minute}
+	a.Executor = w
+	a.handleHeartbeat(workerState(born))
+	a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7})
+	g.Eventually(func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.calls }).Should(Equal(1))
+	// The agent learns of the restart by a heartbeat, and reports run lists without the run.
+	w.mu.Lock()
+	w.born, w.newest, w.clock = born.Add(time.Minute), 0, 500*time.Millisecond
+	w.mu.Unlock()
+	s := workerState(born.Add(time.Minute))
+	s.Clock = 400 * time.Millisecond
+	a.handleHeartbeat(s)
+	a.requestRunLists(t.Context())
+	a.handleEvent(t.Context(), <-a.events)
+	r := a.takeReport()
+	g.Expect(r.Lists).NotTo(BeNil())
+	g.Expect(r.Lists.Born).To(Equal(born.Add(time.Minute)))
+	g.Expect(r.Lists.Running).To(BeEmpty())
+	close(w.first)
+	a.handleEvent(t.Context(), <-a.events)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g.Expect(w.started).To(BeEmpty(), "the new incarnation must not start the run after its first lists")
+}
+
+// The worker restarts with the same ID while the agent waits for the answer to a start. After
+// the first run lists of the new incarnation, the planner possibly starts the task elsewhere.
+func TestStartIsNotRepeatedAfterARestart(t *testing.T) {
+	for name, outcome := range map[string]error{"no answer": errUnanswered, "refused because of a newer session": nil} {
+		t.Run(name, func(t *testing.T) { expectNoStartAfterRestart(t, outcome) })
+	}
+}
+
+// The agent sends a call with a time on the clock of the earlier incarnation before it learns of
+// the restart.
+func TestLeaseTimeOfAnEarlierIncarnationIsNotKept(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	w := &restartingWorker{born: born, clock: time.Hour}
+	a.Executor = w
+	s := workerState(born)
+	s.Clock = time.Hour
+	a.handleHeartbeat(s)
+	a.requestRunLists(t.Context())
+	a.handleEvent(t.Context(), <-a.events)
+	a.nextHoldAt = 0
+	w.born, w.clock, w.newest = born.Add(time.Minute), time.Second, 0
+	a.requestRunLists(t.Context())
+	a.handleEvent(t.Context(), <-a.events)
+	g.Expect(a.leasedUntil).To(BeNumerically("<=", 12*time.Second))
+}
+
+// Otherwise a new planner would wait for the run lists of such a worker without limit.
+func TestLeasesExpireOnAWorkerThatOnlySendsHeartbeats(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	s := workerState(born)
+	a.handleHeartbeat(s)
+	a.answeredAt -= 20 * time.Second
+	a.leaseFrom -= 20 * time.Second
+	a.workerClockAt -= 20 * time.Second
+	s.Sequence++
+	s.Clock += 20 * time.Second
+	a.handleHeartbeat(s)
+	r := a.takeReport()
+	g.Expect(r.Lost).NotTo(BeNil())
+	g.Expect(r.Lost.LeasesExpired).To(BeTrue(), "no call answered for %s", r.Lost.For)
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -63,7 +63,7 @@
 		if s.ID != w.state.ID {
 			p.expireRuns(now, w)
 		}
-		if s.Clock < cfcore.MaxLease {
+		if s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
 			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
 		}
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
@@ -308,6 +308,7 @@
 // expireRuns drops all runs of a worker. The leases on the worker must have expired, or the
 // worker must have left.
 func (p *Planner) expireRuns(now time.Time, w *worker) {
+	clear(w.unsettled.running)
 	for r := range w.runs {
 		p.expireRun(now, r)
 	}
--- a/pkg/cfdispatch/unsettled_test.go
+++ b/pkg/cfdispatch/unsettled_test.go
@@ -123,3 +123,10 @@
 		})
 	}
 }
+
+func TestExpiredRunOfAnUnknownJobIsNotAdopted(t *testing.T) {
+	f := takeOverUnknownJob(t)
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreachable{For: 6 * time.Second, LeasesExpired: true}})
+	f.learnJob()
+	f.Expect(f.HasLiveRuns("j")).To(BeFalse())
+}
