--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -25,9 +25,15 @@
 	// reports the worker as unreachable to the planner.
 	unreachableAfter = 900 * time.Millisecond
 	// holdRetryDelay is the delay between two calls for the worker's run lists
-	// (Executor.Hold) if the first call failed, or if it listed ended runs that the
-	// planner has not recorded in the store yet.
+	// (Executor.Hold) if the first call listed ended runs that the planner has not recorded
+	// in the store yet.
 	holdRetryDelay = 100 * time.Millisecond
+	// failedHoldRetryDelay is the delay after a failed call. Until the first call, a worker
+	// that has restarted executes late orders of its previous incarnation.
+	failedHoldRetryDelay = 20 * time.Millisecond
+	// restartWait is how long a worker normally takes to restart. After that time without an
+	// answer, the delay is holdRetryDelay.
+	restartWait = 3 * time.Second
 	// maxPendingGrants bounds the number of grant requests that wait for answers. If there
 	// are more, the agent discards all of them and ignores their answers.
 	maxPendingGrants = 64
@@ -52,6 +58,7 @@
 	// epoch, or nil if there is none.
 	epoch   cfcore.Epoch
 	planner *link
+	fence   *fence
 	// A grant request asks the planner for permission to extend leases. grantSeq is the
 	// number of the last grant request. pendingGrants holds the send time of each
 	// unanswered one, by its number.
@@ -79,10 +86,17 @@
 	// store. lastListed is the number of the last ended run that the worker has listed.
 	lastRecorded uint64
 	lastListed   uint64
+	// leasedUntil is the time on the worker's clock until which answered calls have extended the
+	// leases. uncertainEnd is the number of the last end that was listed when that time was
+	// over: the leases possibly expired since the end.
+	leasedUntil  time.Duration
+	uncertainEnd uint64
 	// holdInFlight is set while the regular call for the run lists is in flight. The next
 	// call is due at nextHoldAt.
 	holdInFlight bool
 	nextHoldAt   time.Duration
+	// holdFailed is set if the last regular call for the run lists has failed.
+	holdFailed bool
 	// answeredAt is when the worker last returned its run lists. It is reset to the current
 	// time when the agent starts and when a new incarnation of the worker appears.
 	answeredAt time.Duration
@@ -91,6 +105,8 @@
 	// holds even if a call that extends a lease is delayed, since the call contains the
 	// expiry time on the worker's clock.
 	workerClockAt time.Duration
+	// leaseFrom is the workerClockAt from which leases were last extended.
+	leaseFrom time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
 	// uncertain holds the starts with an unanswered attempt that the worker can still
@@ -107,11 +123,12 @@
 func newControl(a *Agent) *control {
 	c := &control{
 		Agent: a, bootClock: cfclock.System{}, dialCancels: map[netip.AddrPort]context.CancelFunc{},
-		seeds: a.cfg.Entries, dialDone: make(chan struct{}), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
+		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
 	}
 	// An earlier incarnation of this agent possibly extended leases just before this one
 	// started. The time until leases have expired is therefore counted from now.
 	c.workerClockAt = c.bootClock.Now()
+	c.leaseFrom = c.workerClockAt
 	c.answeredAt, c.startedAt = c.workerClockAt, c.workerClockAt
 	return c
 }
@@ -196,11 +213,15 @@
 	}
 }
 
-// resetWorker clears the state of the previous incarnation of the worker.
+// resetWorker clears the state of the previous incarnation of the worker. The session in
+// which the agent learns of the new incarnation ends: until then, the agent possibly sent
+// the new incarnation orders for the previous one.
 func (c *control) resetWorker() {
+	c.fence.beginIncarnation()
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain = map[orderKey]bool{}, map[orderKey]bool{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
+	c.leasedUntil, c.uncertainEnd = 0, 0
 }
 
 // handleWorkerLeft records that the worker with the given ID is gone or is about to shut
@@ -264,7 +285,7 @@
 // current epoch. l is the connection to the planner, or nil if there is none yet. With a
 // newer epoch, the agent discards its run lists: a start that was ordered in the older
 // epoch can still be in flight, and the run is then missing from the lists. After a call
-// with the new epoch as its fencing token, the worker refuses such starts. The run lists
+// with a fencing token of the new epoch, the worker refuses such starts. The run lists
 // that this call returns are therefore complete.
 func (c *control) followPlanner(l *link, epoch cfcore.Epoch) {
 	if epoch > c.epoch {
@@ -279,11 +300,13 @@
 }
 
 // leaseUntil returns the time on the worker's clock until which the agent is now allowed
-// to extend leases, or 0 if it is not allowed to extend them.
+// to extend leases, or 0 if it is not allowed to extend them. It does not extend the leases of
+// an unreachable worker, so that they certainly expire.
 func (c *control) leaseUntil() time.Duration {
-	if !c.hasGrant || c.workerClock == 0 || c.bootClock.Now()-c.grantedAt > c.cfg.Lease.Grant {
+	if _, unreachable := c.unansweredFor(); unreachable || !c.hasGrant || c.workerClock == 0 || c.bootClock.Now()-c.grantedAt > c.cfg.Lease.Grant {
 		return 0
 	}
+	c.leaseFrom = max(c.leaseFrom, c.workerClockAt)
 	return c.workerClock + c.cfg.Lease.Lease
 }
 
@@ -297,7 +320,7 @@
 
 // leasesExpired reports whether all leases on the worker have certainly expired.
 func (c *control) leasesExpired() bool {
-	return c.bootClock.Now()-c.workerClockAt > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+leaseExpiryMargin
+	return c.bootClock.Now()-c.leaseFrom > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+leaseExpiryMargin
 }
 
 // sendReport sends changes to the planner. If a grant request is due, the report contains
@@ -336,7 +359,7 @@
 		r.Worker = &w
 		if c.hasLists {
 			l := c.lists
-			r.Lists = &l
+			r.Lists, r.UncertainEnd = &l, c.uncertainEnd
 		}
 	}
 	// An agent that has not received a heartbeat yet does not know which tasks its worker
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -30,8 +30,10 @@
 	// plan is the planner's state, or nil while this entry is not the planner.
 	plan *planning
 	// confirmedAt is when this entry sent the newest read that the store has answered, on
-	// the boot clock.
+	// the boot clock. All records that were stored before have been applied.
 	confirmedAt time.Duration
+	// pendingRead is the oldest read whose records up to its end are not all applied.
+	pendingRead storeRead
 	// plannerSeenAt is when a message of the current planner last arrived, or when this
 	// entry began to wait for one.
 	plannerSeenAt time.Time
@@ -239,11 +241,24 @@
 	if ev.page.Skipped > 0 {
 		c.Scope.Counter("records_skipped").Inc(int64(ev.page.Skipped))
 	}
-	if ev.sentAt > c.confirmedAt {
-		c.confirmedAt = ev.sentAt
+	if c.pendingRead.end == 0 {
+		c.pendingRead = storeRead{end: ev.page.End, sentAt: ev.sentAt}
+	}
+	if c.stored.Next >= ev.page.End {
+		c.confirmedAt = max(c.confirmedAt, ev.sentAt)
+	}
+	if c.stored.Next >= c.pendingRead.end {
+		c.confirmedAt = max(c.confirmedAt, c.pendingRead.sentAt)
+		c.pendingRead = storeRead{}
 	}
 }
 
+// storeRead is a read of the store. end is the end of the records in the answer.
+type storeRead struct {
+	end    int64
+	sentAt time.Duration
+}
+
 // applyRecord applies a record to the stored state, and acts on the change that the record
 // makes.
 func (c *control) applyRecord(ctx context.Context, r cfcore.KeyedRecord) {
@@ -255,6 +270,10 @@
 	}
 	switch {
 	case change.JobID != "":
+		if c.stored.Jobs[change.JobID] == nil && c.plan != nil {
+			// Before its last record is dropped, a forgotten job would be added as a new one.
+			c.plan.Forget(change.JobID)
+		}
 		if e := c.stored.Jobs[change.JobID]; e != nil {
 			c.addJob(e)
 			if e.Ended() {
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -24,6 +24,9 @@
 	// whose records go into the next batch.
 	recordedAgents  map[string]bool
 	recordingAgents []string
+	// othersUntil is the time on the boot clock until which an earlier planner possibly gives
+	// orders.
+	othersUntil time.Duration
 	// entrySeenAt holds, by name, when each entry was last connected, or when the planner
 	// first saw the entry's record.
 	entrySeenAt map[string]time.Time
@@ -63,7 +66,9 @@
 }
 
 // addJob passes an accepted job or its cancellation to the planner. It does nothing if
-// this entry is not the planner.
+// this entry is not the planner. An earlier planner possibly received the job from another
+// entry and started it, unless the job was stored after the earlier planner's authority
+// ended. This is certain once a read that was sent after that time has been applied.
 func (c *control) addJob(e *cfjob.StoredJob) {
 	if c.plan == nil || e.Job == nil {
 		return
@@ -72,7 +77,8 @@
 		c.plan.Cancel(e.Job.ID)
 		return
 	}
-	c.plan.AddJob(c.Clock.Now(), e, c.currentQueue(e.Job), false)
+	inherited := c.confirmedAt <= c.plan.othersUntil
+	c.plan.AddJob(c.Clock.Now(), e, c.currentQueue(e.Job), inherited)
 }
 
 // currentQueue returns the current configuration of a job's queue. If the queue no longer
@@ -108,11 +114,13 @@
 		return
 	}
 	now := c.Clock.Now()
-	for _, g := range c.plan.ExpireLeases(now) {
+	c.plan.MarkStoreRead(now.Add(c.confirmedAt - c.bootTime()))
+	confirmedAge := c.bootTime() - c.leadershipConfirmedAt()
+	for _, g := range c.plan.ExpireLeases(now, now.Add(-confirmedAge)) {
 		if g.HasLeft {
 			c.Log.Info().Str("Agent", g.Agent).Msg("worker has left: its record is dropped")
 		} else {
-			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Msg("worker unreachable and all its leases expired; dropping its record")
+			c.Log.Warn().Str("Agent", g.Agent).Dur("After", c.cfg.Lease.Grant+c.cfg.Lease.Lease).Uint64("Epoch", uint64(c.plan.epoch)).Dur("ConfirmedAge", confirmedAge).Msg("worker unreachable and all its leases expired; dropping its record")
 		}
 		c.dropAgent(g.Agent)
 	}
@@ -144,6 +152,12 @@
 			l.Str("Outcome", string(e.Outcome)).Dur("AfterObjective", e.AfterObjective)
 			c.Scope.Timer("job_time").Record(e.Took)
 			c.unseenSince[e.Task.Job] = c.Clock.Now()
+		case cfdispatch.EventUnexpected:
+			l.Str("Reason", e.Reason).Time("Born", e.Born)
+			c.Scope.Counter("runs_unexpected").Inc(1)
+		case cfdispatch.EventOtherRun:
+			l.Time("Born", e.Born)
+			c.Scope.Counter("tasks_done_with_other_runs").Inc(1)
 		case cfdispatch.EventLost, cfdispatch.EventStalled, cfdispatch.EventAdopted, cfdispatch.EventQuarantined:
 		}
 		l.Uint64("Epoch", uint64(c.plan.epoch)).Msg(string(e.Kind))
@@ -163,10 +177,10 @@
 // sendOrders logs the planner's orders and sends them to an agent.
 func (c *control) sendOrders(l *link, o *cfdispatch.Orders) {
 	for _, s := range o.Starts {
-		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Str("Checkpoint", s.Checkpoint).Msg("start ordered")
+		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Time("Born", s.Born).Uint64("Epoch", uint64(c.plan.epoch)).Str("Checkpoint", s.Checkpoint).Msg("start ordered")
 	}
 	for _, s := range o.Stops {
-		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Msg("stop ordered")
+		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Uint64("Epoch", uint64(c.plan.epoch)).Msg("stop ordered")
 	}
 	c.Scope.Counter("starts_ordered").Inc(int64(len(o.Starts)))
 	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{
--- /dev/null
+++ b/internal/cfjobentry/planning_test.go
@@ -0,0 +1,88 @@
+package cfjobentry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"cranberryford/pkg/cfcommon"
+	"cranberryford/pkg/cfconfig"
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfrecord"
+	"cranberryford/pkg/cfwire"
+)
+
+// fakeBootClock is a boot clock that tests set.
+type fakeBootClock time.Duration
+
+func (c *fakeBootClock) Now() time.Duration { return time.Duration(*c) }
+
+// newTestControl returns the control of an entry at the time of one minute on its boot clock.
+func newTestControl(t *testing.T) (*control, *fakeBootClock) {
+	codec, err := cfrecord.NewCodec()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	e := &Entry{
+		Common: &cfcommon.Common{Log: zerolog.Nop(), Clock: clockwork.NewFakeClock(), Scope: tally.NoopScope, Codec: codec},
+		cfg:    cfconfig.DefaultJobEntry(), codec: cfjob.Codec{Codec: codec}, instance: "i", events: make(chan event, queueCapacity),
+	}
+	e.cfg.Name = "e"
+	e.relay = newRelay(e)
+	c := newControl(e)
+	clock := fakeBootClock(time.Minute)
+	c.bootClock, c.confirmedAt = &clock, time.Minute
+	return c, &clock
+}
+
+// A planner that was superseded keeps its authority for a while, and other entries may send
+// it new jobs.
+func TestNewJobsWaitForAgentsWhileAnEarlierPlannerIsInForce(t *testing.T) {
+	// The earlier planner has authority for 2 s on a clock that is up to 4 % slow.
+	earlierPlanner := 2080*time.Millisecond + authorityMargin
+	for name, c := range map[string]struct {
+		confirmed time.Duration
+		starts    int
+	}{
+		"the last read was sent before the earlier planner's authority ended": {confirmed: earlierPlanner},
+		"the last read was sent later":                                        {confirmed: earlierPlanner + time.Millisecond, starts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ctl, clock := newTestControl(t)
+			ctl.stored.Agents = map[string]time.Time{"a": {}, "b": {}}
+			ctl.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
+			*clock += fakeBootClock(c.confirmed)
+			ctl.confirmedAt = ctl.bootTime()
+			now := ctl.Clock.Now()
+			w := cfcore.WorkerState{ID: "w", Service: "s", Born: now, Clock: time.Hour, Capacity: cfcore.Resources{MilliCores: 1000, MemoryMB: 1000}}
+			ctl.plan.ApplyReport(now, "a", &cfwire.JobReport{Worker: &w, Lists: &cfcore.RunLists{Born: now}})
+			ctl.plan.MarkAgentRecorded("a")
+			j := &cfjob.Job{ID: "j", Queue: cfjob.Queue{Service: "s"}, Steps: []cfjob.Step{{Count: 1}}, Accepted: now}
+			ctl.addJob(&cfjob.StoredJob{Job: j})
+			ctl.plan.Plan(now)
+			var starts int
+			for _, o := range ctl.plan.TakeOrders(now) {
+				starts += len(o.Starts)
+			}
+			g.Expect(starts).To(Equal(c.starts))
+		})
+	}
+}
+
+// A page that does not reach the end of the records can precede the claim of a newer planner.
+func TestLeadershipIsConfirmedOnlyByReadsThatReachTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newTestControl(t)
+	*clock += fakeBootClock(time.Second)
+	c.handlePageRead(t.Context(), pageRead{from: 0, page: cfcore.StorePage{Next: 1, End: 2}, sentAt: c.bootTime()})
+	g.Expect(c.confirmedAt).To(Equal(time.Minute))
+	*clock += fakeBootClock(time.Second)
+	c.handlePageRead(t.Context(), pageRead{from: 1, page: cfcore.StorePage{Next: 2, End: 3}, sentAt: c.bootTime()})
+	g.Expect(c.confirmedAt).To(Equal(time.Minute+time.Second), "the end of the first read is reached")
+	c.handlePageRead(t.Context(), pageRead{from: 2, page: cfcore.StorePage{Next: 3, End: 3}, sentAt: c.bootTime()})
+	g.Expect(c.confirmedAt).To(Equal(time.Minute + 2*time.Second))
+}
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -76,14 +76,15 @@
 	id    uint64
 	w     *worker
 	phase phase
+	// born is when the incarnation of the worker started that the run was started on, or that
+	// last listed the run.
+	born time.Time
 	// startedAt is when the planner placed or adopted the run. When the result of the
 	// start order confirms the run, startedAt becomes the time of this result.
 	startedAt time.Time
 	// sentAt is when the last start or stop order for the run was sent. It is zero while a
 	// stop has not been sent yet. It is also zero for an adopted run until the first stop.
 	sentAt time.Time
-	// startSentAt is when the start order was last sent; zero for an adopted run.
-	startSentAt time.Time
 	// checkpoint is the last reported checkpoint. Before the first one, it is the
 	// checkpoint that the run was started from. ticket is the ticket in the start order;
 	// empty if there is none.
@@ -189,9 +190,12 @@
 	// expectedAgents are the agents whose first run lists the planner waits for. An earlier
 	// planner may have sent them starts.
 	expectedAgents map[string]bool
-	// expectedUntil is when the planner stops waiting for expectedAgents. By then, the
-	// leases of all runs that earlier planners started have expired.
+	// The planner waits for expectedAgents until it is confirmed to be in force after
+	// expectedUntil, see ExpireLeases. By then, the leases of all runs that earlier planners
+	// started have expired.
 	expectedUntil time.Time
+	// storeReadAt is a time: the planner has all jobs that were stored before it.
+	storeReadAt time.Time
 	// gone are the agents whose workers have left since the last call of ExpireLeases.
 	gone []GoneAgent
 	// unrecordedJobs holds the jobs whose progress must be recorded, by ID.
@@ -268,6 +272,8 @@
 	if j.Accepted.Before(now) && inherited {
 		j.objective = j.objective.Add(j.Accepted.Sub(now))
 	}
+	p.adoptListedRuns(now, j.ID)
+	p.applyPostponedEnds(now)
 }
 
 // buildTasks creates the tasks of a job and restores their recorded progress.
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -13,7 +13,7 @@
 func (p *Planner) ApplyReport(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}}
+		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}}
 		p.addWorker(w)
 	}
 	if !w.isUsable(now, p.cfg.SuspectAfter) {
@@ -24,7 +24,7 @@
 		p.updateWorker(now, w, *m.Worker)
 	}
 	w.isUnreachable = m.Lost != nil
-	if m.Lost != nil && (m.Lost.LeasesExpired || m.Lost.Left) {
+	if m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left) {
 		p.expireRuns(now, w)
 		w.hasListed = false
 		delete(p.expectedAgents, agent)
@@ -33,7 +33,7 @@
 		p.markLeft(w)
 	}
 	if m.Lists != nil {
-		p.applyLists(now, w, m.Lists)
+		p.applyLists(now, w, m.Lists, m.UncertainEnd)
 	}
 	// Results are applied after the lists of the same report, which are as recent. If a run
 	// has both a result and an end, its end is therefore applied first. applyResult then
@@ -53,14 +53,20 @@
 	delete(p.unrecordedAgents, w.agent)
 }
 
-// updateWorker applies the state that a worker reported. A new incarnation has lost all
-// runs of the previous one. The state of an earlier incarnation is ignored.
+// updateWorker applies the state that a worker reported. The state of an earlier incarnation is
+// ignored.
 func (p *Planner) updateWorker(now time.Time, w *worker, s cfcore.WorkerState) {
 	if s.Born.Before(w.state.Born) {
 		return
 	}
 	if s.Born.After(w.state.Born) {
-		p.replaceIncarnation(now, w, s.ID)
+		if s.ID != w.state.ID {
+			p.expireRuns(now, w)
+		}
+		if s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
+		}
+		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
 		w.hasListed, w.lastEnd, w.recordedEnd, w.ackedEnd = false, 0, 0, 0
 		w.failures = failureStreak{}
 		if w.hasLeft {
@@ -123,8 +129,9 @@
 	}
 }
 
-// applyLists applies a worker's lists of running and ended runs.
-func (p *Planner) applyLists(now time.Time, w *worker, l *cfcore.RunLists) {
+// applyLists applies a worker's lists of running and ended runs. uncertainEnd is
+// cfwire.JobReport.UncertainEnd.
+func (p *Planner) applyLists(now time.Time, w *worker, l *cfcore.RunLists, uncertainEnd uint64) {
 	if l.Born.Before(w.state.Born) {
 		return
 	}
@@ -132,37 +139,35 @@
 		w.tailsUnchecked = true
 	}
 	w.hasListed, w.isUnreachable = true, false
-	if p.expectedAgents[w.agent] {
+	// A row that is left out can name a run of an inherited task.
+	if p.expectedAgents[w.agent] && !l.Incomplete {
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
 	}
+	unknown := w.unsettled.running
+	w.unsettled.running = map[runKey]unknownRun{}
 	for _, row := range l.Running {
+		if p.lookupTask(row.Task) == nil {
+			p.applyUnknownRunning(now, w, row, unknown)
+			continue
+		}
 		p.applyRunning(now, w, row)
 	}
+	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
 	p.enforceTailTargets(now, w)
-	for _, e := range l.Ended {
-		if e.Number <= w.lastEnd {
-			continue
-		}
-		p.applyEnded(now, w, e)
-		w.lastEnd = e.Number
-	}
+	p.applyEnds(now, w, l.Ended, uncertainEnd)
 }
 
-// applyRunning applies a row of a worker's list of running runs. If the run is unknown to
-// this planner, an earlier planner started it. The run is then adopted, unless its job is
-// unknown, or its task already has another run and must not have two. applyRunning stops a
-// run that is not adopted, and a run whose task is done or whose job has ended.
+// applyRunning applies a row of a worker's list of running runs, whose job must be known and
+// open. If the run is unknown to this planner, an earlier planner started it. The run is then
+// adopted, unless its task already has another run and must not have two. applyRunning stops
+// a run that is not adopted, and a run whose task is done or whose job has ended.
 func (p *Planner) applyRunning(now time.Time, w *worker, row cfcore.RunningTask) {
 	t := p.lookupTask(row.Task)
-	if t == nil {
-		p.stopUnknownRun(w, row)
-		return
-	}
 	r := p.findRun(w, row.Task, row.Run)
 	if r == nil && len(t.runs) > 0 && !t.step.Duplicable {
-		p.stopUnknownRun(w, row)
+		p.stopUnexpectedRun(now, w, row, "task has another run")
 		return
 	}
 	if r == nil {
@@ -176,6 +181,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
+	r.born = w.state.Born
 	r.updateProgress(now, row.Percent)
 	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
@@ -186,14 +192,6 @@
 	}
 }
 
-// stopUnknownRun orders the stop of a listed run that this planner does not adopt: its job
-// is unknown or had ended when it was added, or its task already has another run and must
-// not have two.
-func (p *Planner) stopUnknownRun(w *worker, row cfcore.RunningTask) {
-	o := p.ordersFor(w)
-	o.Stops = append(o.Stops, cfwire.JobStop{Task: row.Task, Run: row.Run})
-}
-
 // applyEnded applies the end of a run.
 func (p *Planner) applyEnded(now time.Time, w *worker, e cfcore.EndedTask) {
 	t := p.lookupTask(e.Task)
@@ -257,6 +255,9 @@
 		st.remaining--
 		t.j.remaining--
 		for _, r := range m.runs {
+			if r.phase != stopping && !m.step.Duplicable && !m.step.Gang {
+				p.addEvent(Event{Kind: EventOtherRun, Agent: r.w.agent, Task: m.name, Run: r.id, Born: r.w.state.Born})
+			}
 			p.stopRun(r)
 		}
 	}
@@ -288,21 +289,16 @@
 	}
 }
 
-// replaceIncarnation stops those runs of a worker's previous incarnation that the new
-// incarnation may still start, and drops all others. id is the worker ID of the new
-// incarnation. The new incarnation may still start a run under two conditions: it has the
-// same worker ID as the previous one, and the run's start order was last sent less than
-// cfcore.MaxOrderDelay ago. Even if the previous incarnation answered the start order, the
-// new one may execute it: the order may have been sent several times, and each transmission
-// without a response can be executed up to cfcore.MaxOrderDelay later. The planner keeps a
-// run that it stops until the worker reports that the run has ended or that the worker does
-// not have the run.
-func (p *Planner) replaceIncarnation(now time.Time, w *worker, id string) {
+// expireMissingRuns drops the runs that were started on an earlier incarnation of a worker and
+// are not in the run lists of the present one. A worker that restarts with the same ID can
+// execute a late start of its earlier incarnation until it has returned its first lists, see
+// cfjobagent. Until then, the runs count as existing.
+func (p *Planner) expireMissingRuns(now time.Time, w *worker, l *cfcore.RunLists) {
+	if l.Incomplete {
+		return
+	}
 	for r := range w.runs {
-		if id == w.state.ID && now.Sub(r.startSentAt) < cfcore.MaxOrderDelay {
-			r.keepCheckpoint()
-			p.stopRun(r)
-			r.sentAt = time.Time{}
+		if r.born.Equal(w.state.Born) || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
 			continue
 		}
 		p.expireRun(now, r)
@@ -312,6 +308,7 @@
 // expireRuns drops all runs of a worker. The leases on the worker must have expired, or the
 // worker must have left.
 func (p *Planner) expireRuns(now time.Time, w *worker) {
+	clear(w.unsettled.running)
 	for r := range w.runs {
 		p.expireRun(now, r)
 	}
@@ -340,13 +337,15 @@
 	HasLeft bool
 }
 
-// ExpireLeases removes the workers whose agents have had no contact with the planner for
-// LeaseExpiryTime. No lease on these workers is valid any more, so their runs are dropped.
-// ExpireLeases returns the agents of these workers, and the agents whose workers have left
-// since the previous call. The planner waits until expectedUntil for the run lists of the
-// agents that were passed to New. After that, ExpireLeases also returns, once, those agents
-// whose lists are still missing.
-func (p *Planner) ExpireLeases(now time.Time) []GoneAgent {
+// ExpireLeases removes the workers whose leases have all expired, and drops their runs.
+// confirmed is the newest time for which it is certain that no newer planner was in force.
+// The leases on a worker have expired if the agent's last contact with the planner was more
+// than LeaseExpiryTime before confirmed: a newer planner that reached the agent after
+// confirmed found no valid lease to extend. ExpireLeases returns the agents of these
+// workers, and the agents whose workers have left since the previous call. The planner waits
+// until confirmed is after expectedUntil for the run lists of the agents that were passed to
+// New. After that, ExpireLeases also returns, once, those agents that have not reported.
+func (p *Planner) ExpireLeases(now, confirmed time.Time) []GoneAgent {
 	gone := p.gone
 	p.gone = nil
 	if now.Sub(p.lastExpiryScan) < scanInterval {
@@ -358,19 +357,28 @@
 		if w.reportedAt.After(lastContact) {
 			lastContact = w.reportedAt
 		}
-		if now.Sub(lastContact) <= p.cfg.LeaseExpiryTime() {
+		if confirmed.Sub(lastContact) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
 			continue
 		}
 		p.expireRuns(now, w)
 		p.removeWorker(w)
+		delete(p.expectedAgents, w.agent)
+		p.changed = true
 		gone = append(gone, GoneAgent{Agent: w.agent})
 	}
-	if len(p.expectedAgents) > 0 && now.After(p.expectedUntil) {
+	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
-			gone = append(gone, GoneAgent{Agent: a})
+			w := p.workers[a]
+			if w != nil && !w.hasListed {
+				// The agent has extended leases with this planner's permission.
+				continue
+			}
+			if w == nil {
+				gone = append(gone, GoneAgent{Agent: a})
+			}
+			delete(p.expectedAgents, a)
+			p.changed = true
 		}
-		clear(p.expectedAgents)
-		p.changed = true
 	}
 	return gone
 }
