Count longer leases only after a restart under the same ID

Traced: the stand-in worker was 20 s old when it was first reported, so that the wait of 10.7 s for leases on a worker that has just started held its tasks back; the spec allows 8 s, and rightly so. Only a restart under the same ID lets an agent extend leases by the clock of the earlier incarnation.

After: that spec and "its next incarnation executes holds that extend its leases" passed.

--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -60,10 +60,10 @@
 		return
 	}
 	if s.Born.After(w.state.Born) {
-		if s.ID != w.state.ID {
+		switch {
+		case s.ID != w.state.ID:
 			p.expireRuns(now, w)
-		}
-		if s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		case s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease:
 			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
 		}
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -31,7 +31,7 @@
 	// sent a response that lets it extend leases.
 	reportedAt time.Time
 	answeredAt time.Time
-	// newbornUntil is set for a worker that has just started. Until then, leases can last longer
+	// newbornUntil is set for a worker that has just restarted with the same ID. Until then, leases can last longer
 	// than LeaseTime: before the agent learns that a worker has restarted with the same ID, it
 	// extends leases by the clock of the previous incarnation.
 	newbornUntil time.Time
