Let the test of restarted workers see a start on another worker

It has a second worker now. Without the wait for the first run lists two cases fail, without the drop of missing runs one does.

--- a/pkg/cfdispatch/incarnation_test.go
+++ b/pkg/cfdispatch/incarnation_test.go
@@ -11,9 +11,11 @@
 )
 
 // startOnWorker starts the only task of job j on the worker of agent a, and returns the
-// fleet and the order.
+// fleet and the order. The worker of agent b can then run the task as well.
 func startOnWorker(t *testing.T) (*fleet, *fakeWorker, cfwire.JobStart) {
-	f := newFleet(t, newPlanner(), "a")
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.workers["b"].state.Draining = true
+	f.report()
 	f.add("j", newStep(1, 100))
 	f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
 	a := f.workers["a"]
@@ -21,6 +23,8 @@
 	for _, run = range a.runs {
 		f.ApplyReport(f.now, "a", &cfwire.JobReport{Results: []cfwire.JobOrderResult{{Task: run.Task, Run: run.Run}}})
 	}
+	f.workers["b"].state.Draining = false
+	f.report("b")
 	return f, a, run
 }
 
@@ -48,21 +52,23 @@
 			if !c.late {
 				clear(a.runs)
 			}
+			f.report("b")
 			if c.startsAtOnce {
-				f.report()
-				f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
+				f.Expect(f.runPlanner()).To(ConsistOf("j.0@b"))
 				return
 			}
-			f.Expect(f.runPlanner()).To(BeEmpty())
+			f.Expect(f.runPlanner()).To(BeEmpty(), "before the first run lists")
 			f.report()
 			if !c.startsAfterLists {
 				f.Expect(f.runPlanner()).To(BeEmpty())
 				f.Expect(a.stops).To(BeEmpty(), "the late run continues")
 				return
 			}
-			f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
-			for _, next := range a.runs {
-				f.Expect(next.Run).To(BeNumerically(">", run.Run))
+			f.Expect(f.runPlanner()).To(HaveLen(1))
+			for _, w := range f.workers {
+				for _, next := range w.runs {
+					f.Expect(next.Run).To(BeNumerically(">", run.Run))
+				}
 			}
 		})
 	}
