--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -203,3 +204,25 @@
 	g.Expect(registry{a.Agent}.Heartbeat(t.Context(), workerState(time.Now()))).To(BeTrue())
 	g.Expect(a.worker.Born).To(BeTemporally("~", time.Now(), time.Minute))
 }
+
+// Addresses from another entry that cannot be dialled must not end the process.
+func TestMalformedAddressesOfEntries(t *testing.T) {
+	for name, addr := range map[string]netip.AddrPort{
+		"none":     {},
+		"port 0":   netip.MustParseAddrPort("127.0.0.1:0"),
+		"no IP":    netip.AddrPortFrom(netip.Addr{}, 80),
+		"any IP":   netip.MustParseAddrPort("0.0.0.0:0"),
+		"any IPv6": netip.MustParseAddrPort("[::]:0"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := newTestControl()
+			ctx, cancel := context.WithCancel(t.Context())
+			a.handleEntries(ctx, &cfwire.JobEntries{Addresses: []netip.AddrPort{addr}})
+			g.Expect(a.runningDials).To(Equal(1))
+			g.Consistently(a.dialDone, "50ms").ShouldNot(Receive(), "the dial loop goes on")
+			cancel()
+			g.Eventually(a.dialDone).Should(Receive())
+		})
+	}
+}
