--- /dev/null
+++ b/pkg/cfdispatch/expiry_test.go
@@ -0,0 +1,118 @@
+package cfdispatch_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// A worker that cannot be reached can still run its tasks until all leases on it have
+// certainly expired.
+func TestTasksMoveOnlyAfterTheirLeaseHasExpired(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	checkpointing := newStep(1, 100)
+	checkpointing.Checkpointing = true
+	f.add("j", checkpointing)
+	agent := strings.TrimPrefix(f.runPlanner()[0], "j.0@")
+	f.report()
+	other := map[string]string{"a": "b", "b": "a"}[agent]
+	lastReport := f.now
+	for f.now.Sub(lastReport) < settings.LeaseExpiryTime() {
+		f.now = f.now.Add(200 * time.Millisecond)
+		f.report(other)
+		f.ExpireLeases(f.now, f.now)
+		if f.now.Sub(lastReport) <= settings.LeaseExpiryTime() {
+			f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", f.now.Sub(lastReport))
+		}
+	}
+	f.ExpireLeases(f.now, f.now)
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@" + other))
+	for _, s := range f.workers[other].runs {
+		f.Expect(s.Checkpoint).To(Equal("cp-j"))
+	}
+}
+
+// A newer planner can extend the leases on a worker that the superseded planner cannot reach.
+func TestSupersededPlannerDoesNotMoveWorkOfANewerOne(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", newStep(1, 100))
+	agent := strings.TrimPrefix(f.runPlanner()[0], "j.0@")
+	f.report()
+	other := map[string]string{"a": "b", "b": "a"}[agent]
+	expiry := f.now.Add(settings.LeaseExpiryTime())
+	supersededAt := expiry.Add(-time.Millisecond)
+	f.now = expiry.Add(time.Second)
+	f.report(other)
+	f.ExpireLeases(f.now, supersededAt)
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.now = f.now.Add(time.Second)
+	f.report(other)
+	f.ExpireLeases(f.now, expiry.Add(time.Millisecond))
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@" + other))
+}
+
+// An earlier planner may have started a task through an agent that has not reported yet. A
+// new planner must not start the task again before the agent's report or the end of the
+// wait for it.
+func TestNewPlannerWaitsForAgentsThatHaveNotReported(t *testing.T) {
+	p := cfdispatch.New(settings, []string{"a", "b"}, epochStart.Add(time.Minute))
+	f := newFleet(t, p, "a")
+	job := &cfjob.StoredJob{Job: &cfjob.Job{ID: "old", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}, Accepted: f.now}}
+	f.AddJob(f.now, job, queue, true)
+	f.add("new", newStep(1, 100))
+	f.Expect(f.runPlanner()).To(ConsistOf("new.0@a"), "the earlier planner cannot have started a job that was accepted later")
+	f.now = f.now.Add(time.Minute + time.Second)
+	f.report()
+	f.ExpireLeases(f.now, epochStart.Add(time.Minute))
+	f.Expect(f.runPlanner()).To(BeEmpty(), "a still newer planner could have reached the other agent")
+	f.now = f.now.Add(time.Second)
+	f.report()
+	f.ExpireLeases(f.now, f.now)
+	f.Expect(f.runPlanner()).To(ConsistOf("old.0@a"))
+}
+
+// The next planner must wait for this agent as well.
+func TestAgentWithoutRunListsStaysOnRecord(t *testing.T) {
+	f := newFleet(t, cfdispatch.New(settings, []string{"a", "b", "c"}, epochStart.Add(time.Second)), "a")
+	f.now = f.now.Add(2 * time.Second)
+	f.ApplyReport(f.now, "b", &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreachable{For: time.Second}})
+	f.Expect(f.ExpireLeases(f.now, f.now)).To(ConsistOf(cfdispatch.GoneAgent{Agent: "c"}))
+}
+
+// An agent that reports without run lists extends leases with the new planner's permission, so
+// that they outlast the wait for earlier planners.
+func TestNewPlannerWaitsForRunListsOfAnAgentThatReports(t *testing.T) {
+	f := newFleet(t, cfdispatch.New(settings, []string{"a", "b"}, epochStart.Add(time.Second)), "a")
+	f.AddJob(f.now, &cfjob.StoredJob{Job: &cfjob.Job{ID: "old", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}, Accepted: f.now}}, queue, true)
+	f.ApplyReport(f.now, "b", &cfwire.JobReport{})
+	lastContact := f.now
+	for f.now.Sub(lastContact) < settings.LeaseExpiryTime() {
+		f.report()
+		f.ExpireLeases(f.now, f.now)
+		f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", f.now.Sub(lastContact))
+		f.now = f.now.Add(200 * time.Millisecond)
+	}
+	f.report()
+	f.ExpireLeases(f.now, f.now)
+	f.Expect(f.runPlanner()).To(ConsistOf("old.0@a"))
+}
+
+func TestNewPlannerAdoptsRuns(t *testing.T) {
+	old := newFleet(t, newPlanner(), "a")
+	old.add("j", newStep(1, 100))
+	old.runPlanner()
+	f := newFleet(t, cfdispatch.New(settings, []string{"a"}, epochStart.Add(time.Minute)), "a")
+	f.AddJob(f.now, &cfjob.StoredJob{Job: &cfjob.Job{ID: "j", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}}}, queue, true)
+	f.workers = old.workers
+	f.report()
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.endRuns("j", cfcore.EndDone)
+	f.Expect(f.outcome("j")).To(Equal(cfjob.OutcomeCompleted))
+}
--- /dev/null
+++ b/pkg/cfdispatch/model_run_test.go
@@ -0,0 +1,150 @@
+package cfdispatch_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cranberryford/pkg/cfcore"
+)
+
+// timeline returns the part of the trace that concerns a task.
+func (m *model) timeline(n cfcore.TaskName) string {
+	var out []string
+	for _, l := range m.trace {
+		isOther := strings.Contains(l, " run ") || strings.Contains(l, "(run ") || strings.Contains(l, " of run ") || strings.Contains(l, "of job ") || strings.Contains(l, "are recorded")
+		if !isOther || strings.Contains(l, taskString(n)) || strings.Contains(l, "of job "+n.Job[12:]) {
+			out = append(out, l)
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+// TestMain limits the time for which rapid simplifies a failing history. A flag of the command
+// line has precedence.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.shrinktime", "2s"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+// checkModel simulates random histories. With MODEL_TRACE set, it logs the timeline of the
+// first task with a violation.
+func checkModel(t *testing.T, scope modelScope) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := runModel(t, scope, modelFaults{})
+		if len(m.violations) == 0 {
+			return
+		}
+		if os.Getenv("MODEL_TRACE") != "" {
+			t.Log("\n" + m.timeline(m.violations[0].task))
+		}
+		t.Fatal(m.violation())
+	})
+}
+
+func TestModelRunsNoTaskTwice(t *testing.T) { checkModel(t, takeovers) }
+
+func TestModelWithLateOrders(t *testing.T) { checkModel(t, lateOrders) }
+
+func TestModelWithWorkerRestarts(t *testing.T) { checkModel(t, workerRestarts) }
+
+func TestModelWithLateOrdersAndWorkerRestarts(t *testing.T) { checkModel(t, restartsAndLate) }
+
+func TestModelWithAgentRestarts(t *testing.T) { checkModel(t, agentRestarts) }
+
+func TestModelWithWorkerCuts(t *testing.T) { checkModel(t, workerCuts) }
+
+func TestModelWithStoreOutages(t *testing.T) { checkModel(t, storeOutages) }
+
+func TestModelWithAllDisruptions(t *testing.T) { checkModel(t, allDisruptions) }
+
+// Without this, a failure that rapid reports could not be reproduced from its seed.
+func TestModelIsReproducible(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range 30 {
+		trace := func() string { return strings.Join(modelHistory(seed, allDisruptions, modelFaults{}).trace, "\n") }
+		g.Expect(trace()).To(Equal(trace()), "seed %d", seed)
+	}
+}
+
+// modelHistory returns the history of a seed.
+func modelHistory(seed int, scope modelScope, faults modelFaults) *model {
+	return rapid.Custom(func(t *rapid.T) *model { return runModel(t, scope, faults) }).Example(seed)
+}
+
+// For each fault in modelFaults, the model finds a history with a violation. Without this
+// test, TestModelRunsNoTaskTwice could also pass because the model detects nothing.
+func TestModelFindsInjectedFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope  modelScope
+		faults modelFaults
+	}{
+		"planners ignore leases":                      {takeovers, modelFaults{ignoreLeases: true}},
+		"new planners don't wait for agents":          {takeovers, modelFaults{expectNoAgents: true}},
+		"workers accept earlier planners":             {lateStarts, modelFaults{skipFencing: true}},
+		"agents report unanswered starts as refused":  {lateStarts, modelFaults{reportUncertain: true}},
+		"agents report unanswered stops as done":      {lateOrders, modelFaults{trustStops: true}},
+		"agents forget unanswered starts":             {lateStarts, modelFaults{forgetUncertain: true}},
+		"late holds extend leases from their arrival": {lateOrders, modelFaults{relativeLeases: true}},
+		"planners forget starts on a restart":         {restartsAndLateStarts, modelFaults{hideSameID: true}},
+		"agents report leases as expired at once":     {workerCuts, modelFaults{expireUnreachable: true}},
+		"restarted agents count no leases":            {agentRestarts, modelFaults{expireUnreachable: true}},
+		"planners acknowledge unrecorded ends":        {storeOutages, modelFaults{ackUnrecorded: true}},
+		"planners count leases as expired too early":  {takeovers, modelFaults{presentExpiry: true}},
+		"agents keep their sessions":                  {restartsAndLate, modelFaults{keepSession: true}},
+		"planners start new jobs at once":             {takeovers, modelFaults{newJobsAtOnce: true}},
+		"planners skip unknown jobs":                  {takeovers, modelFaults{skipUnknownJobs: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The product has faults of its own. A history counts only if its seed gives no
+			// violation without the injected fault.
+			found := false
+			for seed := 1; seed <= 300 && !found; seed++ {
+				found = modelHistory(seed, c.scope, c.faults).violation() != "" && modelHistory(seed, c.scope, modelFaults{}).violation() == ""
+			}
+			NewWithT(t).Expect(found).To(BeTrue())
+		})
+	}
+}
+
+// TestModelSearch counts the violations in MODEL_SEEDS histories of the scope MODEL_SCOPE from
+// the seed MODEL_FIRST on. With MODEL_TRACE, it prints a timeline
+// for each history.
+func TestModelSearch(t *testing.T) {
+	n, _ := strconv.Atoi(os.Getenv("MODEL_SEEDS"))
+	first, _ := strconv.Atoi(os.Getenv("MODEL_FIRST"))
+	if n == 0 {
+		t.Skip("started by hand")
+	}
+	scope := map[string]modelScope{
+		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
+		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "workerCuts": workerCuts,
+		"storeOutages": storeOutages, "all": allDisruptions,
+	}[os.Getenv("MODEL_SCOPE")]
+	counts, seeds := map[string]int{}, map[string][]int{}
+	for seed := first; seed < first+n; seed++ {
+		m := modelHistory(seed, scope, modelFaults{})
+		for i, v := range m.violations {
+			counts[v.kind]++
+			if !slices.Contains(seeds[v.kind], seed) {
+				seeds[v.kind] = append(seeds[v.kind], seed)
+			}
+			if i == 0 && os.Getenv("MODEL_TRACE") != "" {
+				fmt.Printf("seed %d: %s\n%s\n", seed, v.text, m.timeline(v.task))
+			}
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Printf("%s: %d, in %d of %d histories, seeds %v\n", kind, counts[kind], len(seeds[kind]), n, seeds[kind][:min(8, len(seeds[kind]))])
+	}
+}
