Continue on another link to the planner

Cause: an agent had links to two addresses of the planner's entry. The one in use ended, since its address was no longer listed. The agent then had no planner and reported nothing, and a planner sends an agent nothing until it gets a report. The other link stayed up and silent.

Change: the agent remembers all links on which orders of the current epoch have arrived, and continues on another one.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -55,10 +55,12 @@
 	runningDials int
 
 	// epoch is the newest known epoch. planner is the connection to the planner of that
-	// epoch, or nil if there is none.
-	epoch   cfcore.Epoch
-	planner *link
-	fence   *fence
+	// epoch, or nil if there is none. plannerLinks are all connections on which orders of that
+	// epoch have arrived: an entry can have more than one address.
+	epoch        cfcore.Epoch
+	planner      *link
+	plannerLinks map[*link]bool
+	fence        *fence
 	// A grant request asks the planner for permission to extend leases. grantSeq is the
 	// number of the last grant request. pendingGrants holds the send time of each
 	// unanswered one, by its number.
@@ -123,7 +125,7 @@
 func newControl(a *Agent) *control {
 	c := &control{
 		Agent: a, bootClock: cfclock.System{}, dialCancels: map[netip.AddrPort]context.CancelFunc{},
-		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{},
+		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{}, plannerLinks: map[*link]bool{},
 	}
 	// An earlier incarnation of this agent possibly extended leases just before this one
 	// started. The time until leases have expired is therefore counted from now.
@@ -169,9 +171,7 @@
 		c.seeds = ev.addrs
 		c.dialAll(ctx)
 	case linkDown:
-		if c.planner == ev.link {
-			c.planner = nil
-		}
+		c.dropPlannerLink(ev.link)
 	case messageReceived:
 		c.handleMessage(ctx, ev.link, ev.message)
 	case holdReturned:
@@ -248,6 +248,7 @@
 	if o.Epoch > c.epoch || c.planner != l {
 		c.followPlanner(l, o.Epoch)
 	}
+	c.plannerLinks[l] = true
 	if at, ok := c.pendingGrants[o.Answer]; ok && (!c.hasGrant || at > c.grantedAt) {
 		c.grantedAt, c.hasGrant = at, true
 		delete(c.pendingGrants, o.Answer)
@@ -278,6 +279,7 @@
 	}
 	if e.Resigned && e.Epoch == c.epoch {
 		c.planner = nil
+		clear(c.plannerLinks)
 	}
 }
 
@@ -292,6 +294,7 @@
 		c.Log.Info().Uint64("Epoch", uint64(epoch)).Msg("following a newer planner")
 		c.hasLists, c.hasGrant = false, false
 		c.nextHoldAt = 0
+		clear(c.plannerLinks)
 	}
 	c.epoch, c.planner = epoch, l
 	clear(c.pendingGrants)
@@ -299,6 +302,21 @@
 	c.reportAll = true
 }
 
+// dropPlannerLink stops using a connection. If it was the one to the planner, the agent
+// continues on another connection to the same planner, if it has one: the planner sends an
+// agent nothing until it gets a report.
+func (c *control) dropPlannerLink(l *link) {
+	delete(c.plannerLinks, l)
+	if c.planner != l {
+		return
+	}
+	c.planner = nil
+	for other := range c.plannerLinks {
+		c.followPlanner(other, c.epoch)
+		return
+	}
+}
+
 // leaseUntil returns the time on the worker's clock until which the agent is now allowed
 // to extend leases, or 0 if it is not allowed to extend them. It does not extend the leases of
 // an unreachable worker, so that they certainly expire.
@@ -344,8 +362,8 @@
 		c.pendingGrants[c.grantSeq] = now
 	}
 	if err := c.planner.conn.Send(&cfwire.Message{JobReport: r}); err != nil {
-		c.Log.Debug().Err(err).Msg("report not sent; waiting for the next message of the planner")
-		c.planner = nil
+		c.Log.Debug().Err(err).Msg("report not sent on this connection to the planner")
+		c.dropPlannerLink(c.planner)
 	}
 }
 
