--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// A start after the record counts even if no end of the task has been acknowledged.
+func TestModelFindsStartsOrderedAfterTheRecord(t *testing.T) {
+	found := false
+	for seed := 1; seed <= 300 && !found; seed++ {
+		m := modelHistory(seed, takeovers, modelFaults{ignoreProgress: true})
+		found = slices.ContainsFunc(m.violations, func(v violation) bool { return v.kind == violationRecorded }) &&
+			modelHistory(seed, takeovers, modelFaults{}).violation() == ""
+	}
+	NewWithT(t).Expect(found).To(BeTrue())
+}
+
 // TestModelSearch counts the violations in MODEL_SEEDS histories of the scope MODEL_SCOPE from
 // the seed MODEL_FIRST on. With MODEL_TRACE, it prints a timeline
 // for each history.
