Model: agents follow the product after restarts and cuts; tell orphaned runs apart

The search tells apart violations with an orphaned run: one whose start the agent sent to an earlier incarnation of the worker. The trace has the planners' events. The checks are the same.

--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -37,10 +37,13 @@
 	dueAt time.Time
 }
 
-// lateOrder is an order that got no answer and is carried out at the time at.
+// lateOrder is an order that got no answer and is carried out at the time at. The agent sent it
+// to the incarnation of the worker that started at born.
 type lateOrder struct {
-	at  time.Time
-	run func()
+	at     time.Time
+	worker *modelWorker
+	born   time.Time
+	run    func()
 }
 
 // modelAgent follows the rules of internal/cfjobagent. A restart resets all fields but m, name
@@ -70,6 +73,7 @@
 	holdFailed    bool
 	holdToken     cfcore.FencingToken
 	answeredAt    time.Time
+	leaseFrom     time.Time
 	startedAt     time.Time
 	inFlight      map[modelOrderKey]bool
 	uncertain     map[modelOrderKey]bool
@@ -79,7 +83,7 @@
 
 func newModelAgent(m *model, w *modelWorker) *modelAgent {
 	return &modelAgent{
-		m: m, name: w.name, worker: w, session: m.sessionNow(), workerClockAt: m.now, answeredAt: m.now, startedAt: m.now,
+		m: m, name: w.name, worker: w, session: m.sessionNow(), workerClockAt: m.now, answeredAt: m.now, leaseFrom: m.now, startedAt: m.now,
 		inFlight: map[modelOrderKey]bool{}, uncertain: map[modelOrderKey]bool{},
 	}
 }
@@ -97,7 +101,7 @@
 	if late && rapid.Bool().Draw(a.m.t, kind) {
 		after := min(a.m.ticks(7, "late"), maxOrderDelay)
 		a.m.tracef("%s: %s is carried out after %s", a.name, kind, after)
-		a.m.lateOrders = append(a.m.lateOrders, lateOrder{at: a.m.now.Add(after), run: call})
+		a.m.lateOrders = append(a.m.lateOrders, lateOrder{at: a.m.now.Add(after), worker: a.worker, born: a.born, run: call})
 	}
 	return false
 }
@@ -118,9 +122,10 @@
 // leaseUntil returns the time on the worker's clock until which the agent may extend leases,
 // or 0.
 func (a *modelAgent) leaseUntil() time.Duration {
-	if !a.hasGrant || a.workerClock == 0 || a.m.now.Sub(a.grantedAt) > settings.GrantTime {
+	if !a.hasGrant || a.workerClock == 0 || a.m.now.Sub(a.grantedAt) > settings.GrantTime || a.m.now.Sub(a.answeredAt) > unreachableAfter {
 		return 0
 	}
+	a.leaseFrom = a.workerClockAt
 	return a.workerClock + settings.LeaseTime
 }
 
@@ -129,7 +134,7 @@
 	if a.m.faults.expireUnreachable {
 		return true
 	}
-	return a.m.now.Sub(a.workerClockAt) > time.Duration(float64(settings.LeaseTime)*(1+agentClockSlack))+agentExpiryMargin
+	return a.m.now.Sub(a.leaseFrom) > time.Duration(float64(settings.LeaseTime)*(1+agentClockSlack))+agentExpiryMargin
 }
 
 // advance handles a heartbeat, orders without an answer and the regular call for the run
@@ -146,7 +151,7 @@
 		switch {
 		case a.m.now.Before(c.dueAt):
 			a.calls = append(a.calls, c)
-		case c.key.stop || c.attempt >= startAttempts:
+		case c.key.stop || c.attempt >= startAttempts || !c.key.born.Equal(a.born):
 			a.endSession(c.token)
 			a.handleOrder(c.key, c.token, cfcore.ExecutorOutcomeUnknown)
 		default:
--- a/pkg/cfdispatch/model_check_test.go
+++ b/pkg/cfdispatch/model_check_test.go
@@ -18,8 +18,9 @@
 	// then doesn't count, even if it is acknowledged later.
 	lapsed bool
 	acked  bool
-	// restarted is set once the task has started again.
-	restarted bool
+	// restarted is set once the task has started again. isOrphaned is set if the run, or the one
+	// that started again, is orphaned.
+	restarted, isOrphaned bool
 }
 
 // The kinds of violations.
@@ -37,6 +38,8 @@
 	kind string
 	text string
 	task cfcore.TaskName
+	// isOrphaned is set if an orphaned run is involved, see modelRun.
+	isOrphaned bool
 }
 
 // tracef adds an event to the trace.
@@ -45,10 +48,10 @@
 }
 
 // violate records a violation.
-func (m *model) violate(kind string, n cfcore.TaskName, format string, args ...any) {
+func (m *model) violate(kind string, n cfcore.TaskName, isOrphaned bool, format string, args ...any) {
 	text := fmt.Sprintf("after %s: task %s: %s: ", m.now.Sub(epochStart), taskString(n), kind) + fmt.Sprintf(format, args...)
 	m.tracef("VIOLATION %s", text)
-	m.violations = append(m.violations, violation{kind: kind, text: text, task: n})
+	m.violations = append(m.violations, violation{kind: kind, text: text, task: n, isOrphaned: isOrphaned})
 }
 
 // violation returns the text of the first violation, or "".
@@ -60,8 +63,8 @@
 }
 
 // addEnd remembers a run that ended as done.
-func (m *model) addEnd(w *modelWorker, n cfcore.TaskName, number uint64) {
-	m.ends[n] = append(m.ends[n], &modelEnd{worker: w.name, born: w.born, number: number, run: w.highestRun[n]})
+func (m *model) addEnd(w *modelWorker, n cfcore.TaskName, number uint64, isOrphaned bool) {
+	m.ends[n] = append(m.ends[n], &modelEnd{worker: w.name, born: w.born, number: number, run: w.highestRun[n], isOrphaned: isOrphaned})
 }
 
 // findEnd returns the end with the number that a worker gave it, or nil if the run did not
@@ -93,20 +96,20 @@
 	x.acked = true
 	m.tracef("%s: end %d (run %x of %s) is acknowledged, lapsed before: %v", w.name, e.Number, e.Run, taskString(e.Task), x.lapsed)
 	if x.restarted && !x.lapsed {
-		m.violate(violationAcked, e.Task, "end of run %x on %s is acknowledged after the task started again", e.Run, w.name)
+		m.violate(violationAcked, e.Task, x.isOrphaned, "end of run %x on %s is acknowledged after the task started again", e.Run, w.name)
 	}
 }
 
 // checkStart checks that the task of a run that starts has not ended before.
 func (m *model) checkStart(w *modelWorker, n cfcore.TaskName, run uint64) {
 	for _, x := range m.ends[n] {
-		x.restarted = true
+		x.restarted, x.isOrphaned = true, x.isOrphaned || m.isOrphaned
 		if x.acked && !x.lapsed {
-			m.violate(violationAcked, n, "run %x starts on %s, run %x has ended on %s", run, w.name, x.run, x.worker)
+			m.violate(violationAcked, n, x.isOrphaned, "run %x starts on %s, run %x has ended on %s", run, w.name, x.run, x.worker)
 		}
 	}
 	if at, ok := m.recordedAt[n]; ok && m.orderedAt[run].After(at) {
-		m.violate(violationRecorded, n, "run %x starts on %s", run, w.name)
+		m.violate(violationRecorded, n, m.isOrphaned, "run %x starts on %s", run, w.name)
 	}
 }
 
@@ -128,7 +131,7 @@
 		for _, n := range w.runningTasks() {
 			if other := seen[n]; other != nil && !m.twoRuns[n] {
 				m.twoRuns[n] = true
-				m.violate(violationTwoRuns, n, "run %x on %s and run %x on %s", other.runs[n].id, other.name, w.runs[n].id, w.name)
+				m.violate(violationTwoRuns, n, other.runs[n].isOrphaned || w.runs[n].isOrphaned, "run %x on %s and run %x on %s", other.runs[n].id, other.name, w.runs[n].id, w.name)
 			}
 			seen[n] = w
 		}
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -146,9 +146,13 @@
 	for seed := first; seed < first+n; seed++ {
 		m := modelHistory(seed, scope, modelFaults{})
 		for i, v := range m.violations {
-			counts[v.kind]++
-			if !slices.Contains(seeds[v.kind], seed) {
-				seeds[v.kind] = append(seeds[v.kind], seed)
+			kind := v.kind
+			if v.isOrphaned {
+				kind += ", with an orphaned run"
+			}
+			counts[kind]++
+			if !slices.Contains(seeds[kind], seed) {
+				seeds[kind] = append(seeds[kind], seed)
 			}
 			if i == 0 && os.Getenv("MODEL_TRACE") != "" {
 				fmt.Printf("seed %d: %s\n%s\n", seed, v.text, m.timeline(v.task))
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -166,6 +166,9 @@
 	workers    []*modelWorker
 	links      map[string]*modelLink
 	lateOrders []lateOrder
+	// isOrphaned is set while a late order is carried out that was sent to an earlier
+	// incarnation of the worker.
+	isOrphaned bool
 	// jobs and recordedAgents are in the store. The store refuses records until
 	// storeDownUntil.
 	jobs map[string]*cfjob.StoredJob
@@ -287,7 +290,9 @@
 			remaining = append(remaining, o)
 			continue
 		}
+		m.isOrphaned = !o.born.Equal(o.worker.born)
 		o.run()
+		m.isOrphaned = false
 	}
 	m.lateOrders = remaining
 }
@@ -315,8 +320,7 @@
 			m.sendOrders(p, a, o)
 		}
 	}
-	// The planner keeps events until they are taken.
-	_ = p.TakeEvents()
+	m.traceEvents(p)
 }
 
 // expireLeases returns the agents whose records are dropped.
@@ -409,6 +413,19 @@
 	}
 }
 
+// traceEvents adds a planner's events to the trace.
+func (m *model) traceEvents(p *modelPlanner) {
+	events := p.TakeEvents()
+	slices.SortFunc(events, func(a, b cfdispatch.Event) int {
+		return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Agent, b.Agent))
+	})
+	for _, e := range events {
+		if e.Kind != cfdispatch.EventOutcome {
+			m.tracef("planner %d: %s: run %x of %s on %s %s", p.epoch, e.Kind, e.Run, taskString(e.Task), e.Agent, cmp.Or(string(e.Refusal), e.Reason))
+		}
+	}
+}
+
 // runModel simulates one random history.
 func runModel(t *rapid.T, scope modelScope, faults modelFaults) *model {
 	m := &model{
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -10,10 +10,12 @@
 	"cranberryford/pkg/cfcore"
 )
 
-// modelRun is a run on a worker. ticks is the number of ticks since the run's start.
+// modelRun is a run on a worker. ticks is the number of ticks since the run's start. isOrphaned
+// is set if the start was ordered to an earlier incarnation of the worker.
 type modelRun struct {
-	id    uint64
-	ticks int
+	id         uint64
+	ticks      int
+	isOrphaned bool
 }
 
 // modelWorker is a worker. A restart resets all fields but m and name.
@@ -101,7 +103,7 @@
 	w.ended = append(w.ended, cfcore.EndedTask{Number: w.endCount, Task: n, Run: r.id, How: how})
 	w.m.tracef("%s: run %x of %s ends as %s, end %d", w.name, r.id, taskString(n), how, w.endCount)
 	if how == cfcore.EndDone {
-		w.m.addEnd(w, n, w.endCount)
+		w.m.addEnd(w, n, w.endCount, r.isOrphaned)
 	}
 }
 
@@ -170,7 +172,7 @@
 	}
 	w.extend(until)
 	w.m.tracef("%s: run %x of %s starts, leases until %s on a clock at %s", w.name, run, taskString(n), w.leaseUntil, w.clock())
-	w.runs[n] = &modelRun{id: run}
+	w.runs[n] = &modelRun{id: run, isOrphaned: w.m.isOrphaned}
 	w.m.checkStart(w, n, run)
 	return ""
 }
