Agents count the longer leases of a restarted worker

Cause: late calls for a worker's earlier incarnation extend the leases of the next one, by the earlier clock, to at most 10 s. The planner that saw the restart counts that time (newbornUntil). A planner that was elected later does not, and the agent reported the leases as expired after 5.4 s.

Ruled out: a late start (the run had started in time), the takeover (planner 6 had the reports of all agents).

Change: the agent counts the time itself, from when it learns of an incarnation that is younger than 25 s and has the ID of the former one. An agent that has just started and does not know the former one counts it as well.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -109,6 +109,10 @@
 	workerClockAt time.Duration
 	// leaseFrom is the workerClockAt from which leases were last extended.
 	leaseFrom time.Duration
+	// longLeasesUntil is set when the worker has possibly just restarted with the same ID. Until
+	// then, leases can last longer than Lease.Lease: late calls for the earlier incarnation extend
+	// them by its clock.
+	longLeasesUntil time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
 	// uncertain holds the starts with an unanswered attempt that the worker can still
@@ -193,7 +197,7 @@
 	}
 	if !sameIncarnation {
 		c.Log.Info().Str("Worker", s.ID).Time("Born", s.Born).Str("Service", s.Service).Msg("worker registered")
-		c.resetWorker()
+		c.resetWorker(s.ID, s.Clock)
 	}
 	if sameIncarnation && s.Draining != c.worker.Draining {
 		c.Log.Info().Str("Worker", s.ID).Bool("Draining", s.Draining).Dur("Remaining", s.Remaining).Msg("worker has started or stopped draining")
@@ -215,9 +219,12 @@
 
 // resetWorker clears the state of the previous incarnation of the worker. The session in
 // which the agent learns of the new incarnation ends: until then, the agent possibly sent
-// the new incarnation orders for the previous one.
-func (c *control) resetWorker() {
+// the new incarnation orders for the previous one. id and clock belong to the new one.
+func (c *control) resetWorker(id string, clock time.Duration) {
 	c.fence.beginIncarnation()
+	if (!c.hasWorker || c.worker.ID == id) && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
+	}
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain = map[orderKey]bool{}, map[orderKey]bool{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
@@ -338,7 +345,13 @@
 
 // leasesExpired reports whether all leases on the worker have certainly expired.
 func (c *control) leasesExpired() bool {
-	return c.bootClock.Now()-c.leaseFrom > time.Duration(float64(c.cfg.Lease.Lease)*(1+clockSlack))+leaseExpiryMargin
+	now := c.bootClock.Now()
+	return now-c.leaseFrom > leaseExpiry(c.cfg.Lease.Lease) && now > c.longLeasesUntil
+}
+
+// leaseExpiry returns the time after which a lease of duration d has certainly expired.
+func leaseExpiry(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+clockSlack)) + leaseExpiryMargin
 }
 
 // sendReport sends changes to the planner. If a grant request is due, the report contains
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -79,7 +79,7 @@
 	}
 	if l.Born.After(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
-		c.resetWorker()
+		c.resetWorker(c.worker.ID, l.Clock)
 		c.worker.Born, c.worker.Clock, c.worker.Sequence = l.Born, l.Clock, 0
 	}
 	c.answeredAt = c.bootClock.Now()
--- a/internal/cfjobagent/restart_test.go
+++ b/internal/cfjobagent/restart_test.go
@@ -133,3 +133,40 @@
 	g.Expect(r.Lost).NotTo(BeNil())
 	g.Expect(r.Lost.LeasesExpired).To(BeTrue(), "no call answered for %s", r.Lost.For)
 }
+
+// fakeBootClock is a boot clock that tests set.
+type fakeBootClock time.Duration
+
+func (c *fakeBootClock) Now() time.Duration { return time.Duration(*c) }
+
+// Late calls for the earlier incarnation extend leases by its clock, beyond those of the agent.
+func TestLeasesOfARestartedWorkerExpireLater(t *testing.T) {
+	for name, c := range map[string]struct {
+		known  bool
+		id     string
+		clock  time.Duration
+		expiry time.Duration
+	}{
+		"restarted with the same ID":                   {known: true, id: "w", clock: time.Second, expiry: 10600 * time.Millisecond},
+		"another worker":                               {known: true, id: "x", clock: time.Second, expiry: 5400 * time.Millisecond},
+		"possibly restarted before the agent started":  {id: "w", clock: time.Second, expiry: 10600 * time.Millisecond},
+		"started long before the agent":                {id: "w", clock: time.Minute, expiry: 5400 * time.Millisecond},
+		"restarted, and found out after a long outage": {known: true, id: "w", clock: time.Minute, expiry: 5400 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := newTestControl()
+			clock := fakeBootClock(time.Hour)
+			a.bootClock = &clock
+			if c.known {
+				a.handleHeartbeat(workerState(born))
+			}
+			a.handleHeartbeat(cfcore.WorkerState{ID: c.id, Born: born.Add(time.Minute), Sequence: 1, Clock: c.clock})
+			a.leaseFrom, a.answeredAt = a.bootClock.Now(), a.bootClock.Now()
+			clock += fakeBootClock(c.expiry)
+			g.Expect(a.takeReport().Lost).To(HaveField("LeasesExpired", BeFalse()))
+			clock += fakeBootClock(10 * time.Millisecond)
+			g.Expect(a.takeReport().Lost).To(HaveField("LeasesExpired", BeTrue()))
+		})
+	}
+}
