Give orders to a restarted agent only once the leadership is confirmed

Cause: an agent and its worker restart within 2 s of a takeover, or the worker is unreachable when its agent restarts. The agent no longer knows the newer epoch, the worker no longer knows the newer token. A superseded planner that still has authority reaches the agent first, finds its runs gone, and starts their tasks again.

Ruled out: the wait of the newer planner for agents that report expired leases.

Change: a planner gives orders to a new instance of an agent only once its leadership is confirmed for a time after that instance connected. The newer planner cannot have been in force before, or the read would have shown its claim. Connections of an instance that this planner has given orders to before are not delayed. An entry without other entries on record gives such an agent no orders while the store does not answer.

Planted fault "planners order before they are confirmed" is found.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -168,6 +168,7 @@
 func (c *control) handlePeerEvent(ctx context.Context, ev event) {
 	switch ev := ev.(type) {
 	case linkUp:
+		ev.link.upAt = c.bootTime()
 		c.links[ev.link] = true
 		c.sendEntries(ev.link)
 	case linkDown:
@@ -300,7 +301,7 @@
 
 // sendEntries sends an agent or an entry the addresses of all recorded entries, the
 // newest claim and the version of the configuration in force. If this entry is the
-// planner and has authority, it also sends empty orders. From them, an agent learns that
+// planner and may give orders, it also sends empty orders. From them, an agent learns that
 // this is the connection to the planner.
 func (c *control) sendEntries(l *link) {
 	claim := c.newestClaim()
@@ -310,8 +311,8 @@
 	}
 	slices.SortFunc(m.Addresses, netip.AddrPort.Compare)
 	c.send(l, &cfwire.Message{JobEntries: m})
-	if c.plan != nil && c.hasAuthority() {
-		c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch}})
+	if c.plan != nil && c.hasAuthority() && c.mayOrder(l) {
+		c.sendEmptyOrders(l)
 	}
 }
 
--- a/internal/cfjobentry/links.go
+++ b/internal/cfjobentry/links.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,8 +17,13 @@
 // link is a connection that an agent or another entry has opened to this entry.
 type link struct {
 	conn *cfwire.Conn
-	// name is the name of the agent or the entry.
-	name string
+	// name is the name of the agent or the entry. instance is the incarnation of its process.
+	name     string
+	instance cfcore.InstanceID
+	// upAt is when the connection was registered, on the boot clock.
+	upAt time.Duration
+	// orderedEpoch is the epoch in which this entry last sent orders on the connection.
+	orderedEpoch cfcore.Epoch
 }
 
 // innerHandler accepts connections of agents and other entries.
@@ -38,7 +44,7 @@
 // serveConn passes the messages on a connection of an agent or another entry to the
 // control goroutine and the relay, until the connection or the context ends.
 func (e *Entry) serveConn(ctx context.Context, conn *cfwire.Conn) {
-	l := &link{conn: conn, name: conn.Peer().Name}
+	l := &link{conn: conn, name: conn.Peer().Name, instance: conn.Peer().Instance}
 	e.post(ctx, linkUp{link: l})
 	defer func() { e.post(context.WithoutCancel(ctx), linkDown{link: l}) }()
 	if conn.Peer().Role == cfwire.RolePeer {
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -27,6 +27,8 @@
 	// othersUntil is the time on the boot clock until which an earlier planner possibly gives
 	// orders.
 	othersUntil time.Duration
+	// instances holds the instance of each agent that the planner gave orders to last.
+	instances map[string]cfcore.InstanceID
 	// entrySeenAt holds, by name, when each entry was last connected, or when the planner
 	// first saw the entry's record.
 	entrySeenAt map[string]time.Time
@@ -92,12 +94,42 @@
 	return j.Queue
 }
 
+// mayOrder reports whether the planner may give orders on a connection to an agent. An agent
+// that has restarted no longer knows which planner it followed, which can be a newer one than
+// this. It gets orders only once the leadership is confirmed for a time after it connected.
+func (c *control) mayOrder(l *link) bool {
+	if instance, ok := c.plan.instances[l.name]; ok && instance == l.instance {
+		return true
+	}
+	if c.leadershipConfirmedAt() < l.upAt {
+		return false
+	}
+	c.plan.instances[l.name] = l.instance
+	return true
+}
+
+// sendEmptyOrders sends orders without contents.
+func (c *control) sendEmptyOrders(l *link) {
+	l.orderedEpoch = c.plan.epoch
+	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch}})
+}
+
+// openLinks sends empty orders on the connections on which the planner may give orders and has
+// not given any.
+func (c *control) openLinks() {
+	for l := range c.links {
+		if l.orderedEpoch != c.plan.epoch && c.mayOrder(l) {
+			c.sendEmptyOrders(l)
+		}
+	}
+}
+
 // handleReportReceived passes an agent's report to the planner. If the report asks for
 // permission to extend leases, handleReportReceived answers with that permission. It
-// ignores the report if this entry is not the planner, if it has no authority to give
-// orders, or if the agent knows a newer epoch.
+// ignores the report if this entry is not the planner, if it may not give orders to the
+// agent, or if the agent knows a newer epoch.
 func (c *control) handleReportReceived(ev reportReceived) {
-	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.hasAuthority() {
+	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.hasAuthority() || !c.mayOrder(ev.link) {
 		return
 	}
 	c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report)
@@ -113,6 +145,7 @@
 	if c.plan == nil || !c.hasAuthority() {
 		return
 	}
+	c.openLinks()
 	now := c.Clock.Now()
 	c.plan.MarkStoreRead(now.Add(c.confirmedAt - c.bootTime()))
 	confirmedAge := c.bootTime() - c.leadershipConfirmedAt()
@@ -130,7 +163,7 @@
 	c.requestAdvice(ctx)
 	orders := c.plan.TakeOrders(now)
 	for l := range c.links {
-		if o := orders[l.name]; o != nil {
+		if o := orders[l.name]; o != nil && c.mayOrder(l) {
 			c.sendOrders(l, o)
 		}
 	}
--- a/internal/cfjobentry/planning_test.go
+++ b/internal/cfjobentry/planning_test.go
@@ -86,3 +86,26 @@
 	c.handlePageRead(t.Context(), pageRead{from: 2, page: cfcore.StorePage{Next: 3, End: 3}, sentAt: c.bootTime()})
 	g.Expect(c.confirmedAt).To(Equal(time.Minute + 2*time.Second))
 }
+
+// A restarted agent possibly followed a newer planner before.
+func TestRestartedAgentGetsOrdersOnceTheLeadershipIsConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newTestControl(t)
+	c.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
+	first := &link{name: "a", instance: "1", upAt: c.bootTime()}
+	g.Expect(c.mayOrder(first)).To(BeTrue())
+	*clock += fakeBootClock(time.Second)
+	g.Expect(c.mayOrder(&link{name: "a", instance: "1", upAt: c.bootTime()})).To(BeTrue(), "the same instance has connected again")
+	restarted := &link{name: "a", instance: "2", upAt: c.bootTime()}
+	other := &link{name: "b", instance: "1", upAt: c.bootTime()}
+	g.Expect(c.mayOrder(restarted)).To(BeFalse())
+	g.Expect(c.mayOrder(other)).To(BeFalse())
+	c.confirmedAt = restarted.upAt - 1
+	g.Expect(c.mayOrder(restarted)).To(BeFalse(), "the read was sent before the agent connected")
+	c.confirmedAt = restarted.upAt
+	g.Expect(c.mayOrder(restarted)).To(BeTrue())
+	g.Expect(c.mayOrder(other)).To(BeTrue())
+	c.becomePlanner(cfjob.Claim{Epoch: 3, Instance: "i"})
+	*clock += fakeBootClock(time.Second)
+	g.Expect(c.mayOrder(&link{name: "a", instance: "2", upAt: c.bootTime()})).To(BeFalse(), "another planner possibly was in force meanwhile")
+}
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -62,6 +62,8 @@
 
 func TestModelWithAgentRestarts(t *testing.T) { checkModel(t, agentRestarts) }
 
+func TestModelWithAgentAndWorkerRestarts(t *testing.T) { checkModel(t, agentAndWorkerRestarts) }
+
 func TestModelWithWorkerCuts(t *testing.T) { checkModel(t, workerCuts) }
 
 func TestModelWithStoreOutages(t *testing.T) { checkModel(t, storeOutages) }
@@ -104,6 +106,7 @@
 		"agents keep their sessions":                  {restartsAndLate, modelFaults{keepSession: true}},
 		"planners start new jobs at once":             {takeovers, modelFaults{newJobsAtOnce: true}},
 		"planners skip unknown jobs":                  {takeovers, modelFaults{skipUnknownJobs: true}},
+		"planners order before they are confirmed":    {agentAndWorkerRestarts, modelFaults{orderUnconfirmed: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			// The product has faults of its own. A history counts only if its seed gives no
@@ -139,7 +142,7 @@
 	}
 	scope := map[string]modelScope{
 		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
-		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "workerCuts": workerCuts,
+		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "agentAndWorkerRestarts": agentAndWorkerRestarts, "workerCuts": workerCuts,
 		"storeOutages": storeOutages, "all": allDisruptions,
 	}[os.Getenv("MODEL_SCOPE")]
 	counts, seeds := map[string]int{}, map[string][]int{}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -53,16 +53,17 @@
 
 // The scopes of the tests.
 var (
-	takeovers             = modelScope{slowClocks: true}
-	lateStarts            = modelScope{slowClocks: true, lateStarts: true}
-	lateOrders            = modelScope{slowClocks: true, lateStarts: true, lateStops: true, lateHolds: true}
-	workerRestarts        = modelScope{slowClocks: true, workerRestarts: true}
-	restartsAndLateStarts = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true}
-	restartsAndLate       = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true}
-	agentRestarts         = modelScope{slowClocks: true, agentRestarts: true, lateStarts: true, workerCuts: true}
-	workerCuts            = modelScope{slowClocks: true, workerCuts: true}
-	storeOutages          = modelScope{slowClocks: true, storeOutages: true}
-	allDisruptions        = modelScope{
+	takeovers              = modelScope{slowClocks: true}
+	lateStarts             = modelScope{slowClocks: true, lateStarts: true}
+	lateOrders             = modelScope{slowClocks: true, lateStarts: true, lateStops: true, lateHolds: true}
+	workerRestarts         = modelScope{slowClocks: true, workerRestarts: true}
+	restartsAndLateStarts  = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true}
+	restartsAndLate        = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true}
+	agentRestarts          = modelScope{slowClocks: true, agentRestarts: true, lateStarts: true, workerCuts: true}
+	agentAndWorkerRestarts = modelScope{slowClocks: true, workerRestarts: true, agentRestarts: true}
+	workerCuts             = modelScope{slowClocks: true, workerCuts: true}
+	storeOutages           = modelScope{slowClocks: true, storeOutages: true}
+	allDisruptions         = modelScope{
 		lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
 	}
@@ -102,6 +103,9 @@
 	newJobsAtOnce bool
 	// skipUnknownJobs makes planners take jobs that they have not read yet for unknown ones.
 	skipUnknownJobs bool
+	// orderUnconfirmed makes planners give orders to agents that have restarted since their
+	// leadership was last confirmed.
+	orderUnconfirmed bool
 	// ignoreProgress makes a new planner ignore which tasks are recorded as done.
 	ignoreProgress bool
 }
@@ -300,7 +304,7 @@
 // runPlanner delivers the reports of the agents that a planner reaches, and sends its orders.
 func (m *model) runPlanner(p *modelPlanner) {
 	for _, a := range m.agents {
-		if m.isDisconnected(p, a) || a.epoch > p.epoch {
+		if m.isDisconnected(p, a) || a.epoch > p.epoch || p.confirmedAt.Before(a.startedAt) && !m.faults.orderUnconfirmed {
 			continue
 		}
 		a.follow(p.epoch)
