Do not use an unreachable worker because of its old run lists

Cause: a report of an agent's whole state contains the worker's last run lists even if the worker is unreachable. The planner applied the lists after the loss, took the worker for reachable, adopted runs whose leases had expired, and ordered starts there that the agent did not carry out. The next report dropped them again.

Change: the lists are applied before the loss, which is more recent.

Before: TestUnreachableWorkerWithOldRunListsGetsNoStarts fails (four of eight tasks start on the unreachable worker).

--- a/pkg/cfdispatch/expiry_test.go
+++ b/pkg/cfdispatch/expiry_test.go
@@ -79,6 +79,38 @@
 }
 
 // The next planner must wait for this agent as well.
+// A report of the whole state contains the last run lists even if they are old.
+func TestUnreachableWorkerWithOldRunListsGetsNoStarts(t *testing.T) {
+	for name, lost := range map[string]cfwire.JobWorkerUnreachable{
+		"leases are valid":    {For: time.Second},
+		"leases have expired": {For: 6 * time.Second, LeasesExpired: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "a", "b")
+			f.add("j", newStep(1, 100))
+			agent := strings.TrimPrefix(f.runPlanner()[0], "j.0@")
+			f.report()
+			f.now = f.now.Add(200 * time.Millisecond)
+			f.report()
+			w := f.workers[agent]
+			lists := &cfcore.RunLists{Born: w.state.Born, Clock: time.Hour}
+			for _, s := range w.runs {
+				lists.Running = append(lists.Running, cfcore.RunningTask{Task: s.Task, Run: s.Run})
+			}
+			f.ApplyReport(f.now, agent, &cfwire.JobReport{Worker: &w.state, Lists: lists, Lost: &lost})
+			f.add("k", newStep(8, 100))
+			started := f.runPlanner()
+			f.Expect(started).NotTo(BeEmpty())
+			f.Expect(started).NotTo(ContainElement(HaveSuffix("@" + agent)))
+			if lost.LeasesExpired {
+				f.Expect(started).To(ContainElement(HavePrefix("j.0@")), "the lists are older than the expiry")
+			} else {
+				f.Expect(started).NotTo(ContainElement(HavePrefix("j.0@")))
+			}
+		})
+	}
+}
+
 func TestAgentWithoutRunListsStaysOnRecord(t *testing.T) {
 	f := newFleet(t, cfdispatch.New(settings, []string{"a", "b", "c"}, epochStart.Add(time.Second)), "a")
 	f.now = f.now.Add(2 * time.Second)
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -98,7 +98,7 @@
 	s := m.scope
 	isLate := s.lateStarts || s.lateStops || s.lateHolds
 	disturbs := s.workerCuts || isLate
-	if !disturbs && !s.workerRestarts && !s.agentRestarts && !s.storeOutages {
+	if !disturbs && !s.workerRestarts && !s.agentRestarts && !s.storeOutages && !s.stalls {
 		return
 	}
 	if !m.oneIn(3, "disruption") {
@@ -127,5 +127,8 @@
 	case kind == 5 && s.storeOutages:
 		m.storeDownUntil = m.now.Add(m.ticks(6, "outage"))
 		m.tracef("store refuses records until %.1f", m.storeDownUntil.Sub(epochStart).Seconds())
+	case kind >= 6 && s.stalls:
+		w.stalledUntil = m.now.Add(m.ticks(6, "stalled"))
+		m.tracef("%s: runs make no progress until %.1f", w.name, w.stalledUntil.Sub(epochStart).Seconds())
 	}
 }
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -68,6 +68,8 @@
 
 func TestModelWithStoreOutages(t *testing.T) { checkModel(t, storeOutages) }
 
+func TestModelWithStalledRuns(t *testing.T) { checkModel(t, stalls) }
+
 func TestModelWithAllDisruptions(t *testing.T) { checkModel(t, allDisruptions) }
 
 // Without this, a failure that rapid reports could not be reproduced from its seed.
@@ -95,7 +97,7 @@
 		"new planners don't wait for agents":          {takeovers, modelFaults{expectNoAgents: true}},
 		"workers accept earlier planners":             {lateStarts, modelFaults{skipFencing: true}},
 		"agents report unanswered starts as refused":  {lateStarts, modelFaults{reportUncertain: true}},
-		"agents report unanswered stops as done":      {lateOrders, modelFaults{trustStops: true}},
+		"agents report unanswered stops as done":      {stalls, modelFaults{trustStops: true}},
 		"agents forget unanswered starts":             {lateStarts, modelFaults{forgetUncertain: true}},
 		"late holds extend leases from their arrival": {lateOrders, modelFaults{relativeLeases: true}},
 		"planners forget starts on a restart":         {restartsAndLateStarts, modelFaults{hideSameID: true}},
@@ -143,7 +145,7 @@
 	scope := map[string]modelScope{
 		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
 		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "agentAndWorkerRestarts": agentAndWorkerRestarts, "workerCuts": workerCuts,
-		"storeOutages": storeOutages, "all": allDisruptions,
+		"storeOutages": storeOutages, "stalls": stalls, "all": allDisruptions,
 	}[os.Getenv("MODEL_SCOPE")]
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -49,6 +49,8 @@
 	slowClocks bool
 	// storeOutages make the store refuse the records of the newest planner for a while.
 	storeOutages bool
+	// stalls stop the progress of all runs on a worker for a while.
+	stalls bool
 }
 
 // The scopes of the tests.
@@ -63,6 +65,7 @@
 	agentAndWorkerRestarts = modelScope{slowClocks: true, workerRestarts: true, agentRestarts: true}
 	workerCuts             = modelScope{slowClocks: true, workerCuts: true}
 	storeOutages           = modelScope{slowClocks: true, storeOutages: true}
+	stalls                 = modelScope{slowClocks: true, lateStarts: true, lateStops: true, stalls: true}
 	allDisruptions         = modelScope{
 		lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -37,6 +37,8 @@
 	// runs.
 	ended    []cfcore.EndedTask
 	endCount uint64
+	// stalledUntil is when the runs make progress again.
+	stalledUntil time.Time
 }
 
 // maxLease is the maximum duration of a lease. The worker shortens a longer one.
@@ -48,7 +50,7 @@
 func (w *modelWorker) restart() {
 	w.born, w.fencingToken, w.leaseUntil, w.lapsed = w.m.now, 0, 0, true
 	w.runs, w.highestRun = map[cfcore.TaskName]*modelRun{}, map[cfcore.TaskName]uint64{}
-	w.ended, w.endCount = nil, 0
+	w.ended, w.endCount, w.stalledUntil = nil, 0, time.Time{}
 	w.m.tracef("%s restarts", w.name)
 }
 
@@ -86,6 +88,9 @@
 			w.endRun(n, cfcore.EndLeaseExpired)
 			continue
 		}
+		if w.m.now.Before(w.stalledUntil) {
+			continue
+		}
 		if r.ticks++; r.ticks >= w.m.taskTicks[n.Job] {
 			w.endRun(n, cfcore.EndDone)
 		}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -23,6 +23,11 @@
 	if m.Worker != nil {
 		p.updateWorker(now, w, *m.Worker)
 	}
+	if m.Lists != nil {
+		p.applyLists(now, w, m.Lists, m.UncertainEnd)
+	}
+	// A report of the whole state of an unreachable worker contains the last lists, which are
+	// older than the loss of the contact.
 	w.isUnreachable = m.Lost != nil
 	if m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left) {
 		p.expireRuns(now, w)
@@ -32,9 +37,6 @@
 	if m.Lost != nil && m.Lost.Left {
 		p.markLeft(w)
 	}
-	if m.Lists != nil {
-		p.applyLists(now, w, m.Lists, m.UncertainEnd)
-	}
 	// Results are applied after the lists of the same report, which are as recent. If a run
 	// has both a result and an end, its end is therefore applied first. applyResult then
 	// ignores the result, because the planner no longer keeps the run.
@@ -138,7 +140,7 @@
 	if !w.hasListed {
 		w.tailsUnchecked = true
 	}
-	w.hasListed, w.isUnreachable = true, false
+	w.hasListed = true
 	// A row that is left out can name a run of an inherited task.
 	if p.expectedAgents[w.agent] && !l.Incomplete {
 		delete(p.expectedAgents, w.agent)
