Report long leases to planners that have not seen a restart

Cause: the longer leases were counted only by the planner that saw the restart and in the agent's report that leases have expired.

Change: reports say how long leases can still be longer. The agent counts them only if it has seen the former incarnation under the same ID, as planners do.

Remains: an agent that restarts after its worker does, both within 10 s.

Before: TestNewPlannerCountsLongLeasesOfARestartedWorker fails (start at 8 s). After: it passes.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -109,9 +109,9 @@
 	workerClockAt time.Duration
 	// leaseFrom is the workerClockAt from which leases were last extended.
 	leaseFrom time.Duration
-	// longLeasesUntil is set when the worker has possibly just restarted with the same ID. Until
-	// then, leases can last longer than Lease.Lease: late calls for the earlier incarnation extend
-	// them by its clock.
+	// longLeasesUntil is set when the worker has just restarted with the same ID. Until then,
+	// leases can last longer than Lease.Lease: late calls for the earlier incarnation extend them
+	// by its clock.
 	longLeasesUntil time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
@@ -222,7 +222,8 @@
 // the new incarnation orders for the previous one. id and clock belong to the new one.
 func (c *control) resetWorker(id string, clock time.Duration) {
 	c.fence.beginIncarnation()
-	if (!c.hasWorker || c.worker.ID == id) && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+	c.longLeasesUntil = 0
+	if c.hasWorker && c.worker.ID == id && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
 	}
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
@@ -383,7 +384,7 @@
 // takeReport returns a report of the results since the last one, with the worker's whole
 // state if reportAll is set. It clears the results and reportAll.
 func (c *control) takeReport() *cfwire.JobReport {
-	r := &cfwire.JobReport{Epoch: c.epoch, Results: c.results}
+	r := &cfwire.JobReport{Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-c.bootClock.Now())}
 	c.results = nil
 	if c.reportAll && c.hasWorker {
 		w := c.worker
--- a/pkg/cfdispatch/expiry_test.go
+++ b/pkg/cfdispatch/expiry_test.go
@@ -78,7 +78,6 @@
 	f.Expect(f.runPlanner()).To(ConsistOf("old.0@a"))
 }
 
-// The next planner must wait for this agent as well.
 // A report of the whole state contains the last run lists even if they are old.
 func TestUnreachableWorkerWithOldRunListsGetsNoStarts(t *testing.T) {
 	for name, lost := range map[string]cfwire.JobWorkerUnreachable{
@@ -111,6 +110,28 @@
 	}
 }
 
+// Late calls for the worker's earlier incarnation have extended its leases. Only the agent has
+// seen the restart.
+func TestNewPlannerCountsLongLeasesOfARestartedWorker(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", newStep(1, 100))
+	agent := strings.TrimPrefix(f.runPlanner()[0], "j.0@")
+	f.report()
+	other := map[string]string{"a": "b", "b": "a"}[agent]
+	f.ApplyReport(f.now, agent, &cfwire.JobReport{LongLeases: 10 * time.Second})
+	for _, at := range []time.Duration{8 * time.Second, 10 * time.Second} {
+		f.now = epochStart.Add(at)
+		f.report(other)
+		f.ExpireLeases(f.now, f.now)
+		f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", at)
+	}
+	f.now = f.now.Add(time.Second)
+	f.report(other)
+	f.ExpireLeases(f.now, f.now)
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@" + other))
+}
+
+// The next planner must wait for this agent as well.
 func TestAgentWithoutRunListsStaysOnRecord(t *testing.T) {
 	f := newFleet(t, cfdispatch.New(settings, []string{"a", "b", "c"}, epochStart.Add(time.Second)), "a")
 	f.now = f.now.Add(2 * time.Second)
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -38,6 +38,8 @@
 	// leaseExpiryMargin is added to each wait for a lease to expire. It covers the time from a
 	// check of the clock to the sending of the message that depends on this check.
 	leaseExpiryMargin = 300 * time.Millisecond
+	// longLeaseExpiry is the time after which the longest lease has certainly expired.
+	longLeaseExpiry = cfcore.MaxLease*(100+100*clockSlack)/100 + leaseExpiryMargin
 	// startedDelay is how long the planner delays the record of a job's start. If other
 	// progress of the job must be recorded within this time, one record holds both. The
 	// delay is limited because the job counts as waiting until its start is on record, and
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -23,6 +23,9 @@
 	if m.Worker != nil {
 		p.updateWorker(now, w, *m.Worker)
 	}
+	if until := now.Add(min(m.LongLeases, longLeaseExpiry)); m.LongLeases > 0 && until.After(w.newbornUntil) {
+		w.newbornUntil = until
+	}
 	if m.Lists != nil {
 		p.applyLists(now, w, m.Lists, m.UncertainEnd)
 	}
@@ -66,7 +69,7 @@
 		case s.ID != w.state.ID:
 			p.expireRuns(now, w)
 		case s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease:
-			w.newbornUntil = now.Add(time.Duration(float64(cfcore.MaxLease)*(1+clockSlack)) + leaseExpiryMargin)
+			w.newbornUntil = now.Add(longLeaseExpiry)
 		}
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
 		w.hasListed, w.lastEnd, w.recordedEnd, w.ackedEnd = false, 0, 0, 0
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -20,6 +20,9 @@
 	// UncertainEnd is the Number of the last end since which the leases on the worker possibly
 	// expired; 0 if there is none.
 	UncertainEnd uint64 `cbor:",omitempty"`
+	// LongLeases is set for a worker that has just restarted with the same ID. For that time,
+	// leases on it can last longer than the agent has allowed.
+	LongLeases time.Duration `cbor:",omitempty"`
 	// Results are the results of orders since the previous report.
 	Results []JobOrderResult `cbor:",omitempty"`
 	// Lost is set if the worker does not respond or has left, or if the agent has just
