Keep the link to the planner while it is up

Cause: an agent switched to each link of its planner on which orders arrived, and dropped its unanswered requests for permission to extend leases. The planner sends orders on all links of an agent.

Change: the agent switches for a newer epoch, or if it has no link to the planner.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -253,7 +253,7 @@
 	if o.Epoch < c.epoch {
 		return
 	}
-	if o.Epoch > c.epoch || c.planner != l {
+	if o.Epoch > c.epoch || c.planner == nil {
 		c.followPlanner(l, o.Epoch)
 	}
 	c.plannerLinks[l] = true
