Do not set a task back to the checkpoint of old run lists

Cause: a report with expired leases and the last run lists adopted the expired runs, dropped them again, and thereby wrote their checkpoint over a newer one of the task.

Change: of such a report only the ends are applied, not the running runs.

Before: TestOldRunListsDoNotReplaceANewerCheckpoint resumes from 40 instead of 80. After: it passes.

--- a/pkg/cfdispatch/expiry_test.go
+++ b/pkg/cfdispatch/expiry_test.go
@@ -110,6 +110,33 @@
 	}
 }
 
+func TestOldRunListsDoNotReplaceANewerCheckpoint(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	step := newStep(1, 100)
+	step.Checkpointing = true
+	f.add("j", step)
+	f.Expect(f.runPlanner()).To(HaveLen(1))
+	w := f.workers["a"]
+	lists := func(checkpoint string) *cfcore.RunLists {
+		l := &cfcore.RunLists{Born: w.state.Born, Clock: time.Hour}
+		for _, s := range w.runs {
+			l.Running = append(l.Running, cfcore.RunningTask{Task: s.Task, Run: s.Run, Checkpoint: checkpoint})
+		}
+		return l
+	}
+	old := lists("40")
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &w.state, Lists: lists("80")})
+	lost := &cfwire.JobWorkerUnreachable{For: 6 * time.Second, LeasesExpired: true}
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Lost: lost})
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &w.state, Lists: old, Lost: lost})
+	clear(w.runs)
+	f.report()
+	f.Expect(f.runPlanner()).To(HaveLen(1))
+	for _, s := range w.runs {
+		f.Expect(s.Checkpoint).To(Equal("80"))
+	}
+}
+
 // Late calls for the worker's earlier incarnation have extended its leases. Only the agent has
 // seen the restart.
 func TestNewPlannerCountsLongLeasesOfARestartedWorker(t *testing.T) {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -26,13 +26,18 @@
 	if until := now.Add(min(m.LongLeases, longLeaseExpiry)); m.LongLeases > 0 && until.After(w.newbornUntil) {
 		w.newbornUntil = until
 	}
-	if m.Lists != nil {
-		p.applyLists(now, w, m.Lists, m.UncertainEnd)
-	}
 	// A report of the whole state of an unreachable worker contains the last lists, which are
 	// older than the loss of the contact.
+	isExpired := m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left)
+	if m.Lists != nil {
+		l := *m.Lists
+		if isExpired {
+			l.Running = nil
+		}
+		p.applyLists(now, w, &l, m.UncertainEnd)
+	}
 	w.isUnreachable = m.Lost != nil
-	if m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left) {
+	if isExpired {
 		p.expireRuns(now, w)
 		w.hasListed = false
 		delete(p.expectedAgents, agent)
