Give no orders on a link of an agent's earlier instance

Cause: a link of an earlier instance that is still registered (a killed VM, up to 0.8 s) took the place of the newer instance. Another connection of the newer one then had to wait for a confirmation again.

Change: a link that is older than the one of the known instance gets no orders.

Before: TestRestartedAgentGetsOrdersOnceTheLeadershipIsConfirmed fails with the added case. After: it passes.

--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -27,8 +27,9 @@
 	// othersUntil is the time on the boot clock until which an earlier planner possibly gives
 	// orders.
 	othersUntil time.Duration
-	// instances holds the instance of each agent that the planner gave orders to last.
-	instances map[string]cfcore.InstanceID
+	// orderedLinks holds, by agent, a connection of the newest instance that the planner gives
+	// orders to.
+	orderedLinks map[string]*link
 	// entrySeenAt holds, by name, when each entry was last connected, or when the planner
 	// first saw the entry's record.
 	entrySeenAt map[string]time.Time
@@ -98,13 +99,14 @@
 // that has restarted no longer knows which planner it followed, which can be a newer one than
 // this. It gets orders only once the leadership is confirmed for a time after it connected.
 func (c *control) mayOrder(l *link) bool {
-	if instance, ok := c.plan.instances[l.name]; ok && instance == l.instance {
+	newest := c.plan.orderedLinks[l.name]
+	if newest != nil && newest.instance == l.instance {
 		return true
 	}
-	if c.leadershipConfirmedAt() < l.upAt {
+	if c.leadershipConfirmedAt() < l.upAt || newest != nil && l.upAt < newest.upAt {
 		return false
 	}
-	c.plan.instances[l.name] = l.instance
+	c.plan.orderedLinks[l.name] = l
 	return true
 }
 
--- a/internal/cfjobentry/planning_test.go
+++ b/internal/cfjobentry/planning_test.go
@@ -105,6 +105,9 @@
 	c.confirmedAt = restarted.upAt
 	g.Expect(c.mayOrder(restarted)).To(BeTrue())
 	g.Expect(c.mayOrder(other)).To(BeTrue())
+	*clock += fakeBootClock(time.Second)
+	g.Expect(c.mayOrder(first)).To(BeFalse(), "the earlier instance has ended")
+	g.Expect(c.mayOrder(&link{name: "a", instance: "2", upAt: c.bootTime()})).To(BeTrue(), "the instance has had orders")
 	c.becomePlanner(cfjob.Claim{Epoch: 3, Instance: "i"})
 	*clock += fakeBootClock(time.Second)
 	g.Expect(c.mayOrder(&link{name: "a", instance: "2", upAt: c.bootTime()})).To(BeFalse(), "another planner possibly was in force meanwhile")
