Repeat the acknowledgement of ends on a new link

Cause: TakeOrders hands out an acknowledgement once.

Change: the planner repeats the acknowledgement when it opens a link.

TestAcknowledgementIsRepeated covers the planner. That the entry calls it was read, not tested.

--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -110,9 +110,11 @@
 	return true
 }
 
-// sendEmptyOrders sends orders without contents.
+// sendEmptyOrders sends orders without contents. The agent possibly has not received earlier
+// orders.
 func (c *control) sendEmptyOrders(l *link) {
 	l.orderedEpoch = c.plan.epoch
+	c.plan.RepeatAcknowledgement(l.name)
 	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch}})
 }
 
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// RepeatAcknowledgement makes the next call of TakeOrders pass on again which ends of an agent's
+// worker are recorded.
+func (p *Planner) RepeatAcknowledgement(agent string) {
+	if w := p.workers[agent]; w != nil {
+		w.ackedEnd = 0
+		p.ackPending[w] = true
+	}
+}
+
 // progress returns the part of a job's state that must outlive the planner.
 func (j *job) progress() *cfjob.Progress {
 	pr := &cfjob.Progress{Started: j.started, Outcome: j.outcome, EndedAt: j.endedAt}
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -415,3 +415,19 @@
 	f.report("a")
 	f.Expect(f.UnrecordedAgents()).To(ConsistOf("a"), "another incarnation")
 }
+
+// Orders that an agent does not receive are not repeated as such. Without its acknowledgement, the
+// worker lists an end again and again.
+func TestAcknowledgementIsRepeated(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	f.add("j", newStep(1, 100))
+	f.runPlanner()
+	f.endRuns("j", cfcore.EndDone)
+	f.Expect(f.outcome("j")).To(Equal(cfjob.OutcomeCompleted))
+	f.Expect(f.TakeOrders(f.now)["a"].RecordedEnd).To(BeEquivalentTo(1))
+	f.report()
+	f.Expect(f.TakeOrders(f.now)["a"]).To(BeNil())
+	f.RepeatAcknowledgement("a")
+	f.Expect(f.TakeOrders(f.now)["a"].RecordedEnd).To(BeEquivalentTo(1))
+	f.RepeatAcknowledgement("unknown")
+}
