--- a/internal/cfjobentry/planning_test.go
+++ b/internal/cfjobentry/planning_test.go
@@ -1,6 +1,10 @@
 package cfjobentry
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfconfig"
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfrecord"
 	"cranberryford/pkg/cfwire"
@@ -112,3 +117,56 @@
 	*clock += fakeBootClock(time.Second)
 	g.Expect(c.mayOrder(&link{name: "a", instance: "2", upAt: c.bootTime()})).To(BeFalse(), "another planner possibly was in force meanwhile")
 }
+
+// newAgentLink returns a connection to a stand-in for an agent, and the orders that the agent
+// receives.
+func newAgentLink(t *testing.T, c *control, instance cfcore.InstanceID) (*link, <-chan *cfwire.JobOrders) {
+	opts := cfwire.Options{Codec: c.Codec, Clock: clockwork.NewRealClock(), Self: cfwire.Peer{Role: cfwire.RoleJobs, Name: "a", Instance: instance}}
+	orders := make(chan *cfwire.JobOrders, 16)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, closeConn, err := cfwire.Accept(context.Background(), w, r, opts)
+		if err != nil {
+			return
+		}
+		defer closeConn()
+		for {
+			m, err := conn.Receive(context.Background())
+			if err != nil {
+				return
+			}
+			if m.JobOrders != nil {
+				orders <- m.JobOrders
+			}
+		}
+	}))
+	t.Cleanup(s.Close)
+	conn, closeConn, err := cfwire.Dial(context.Background(), netip.MustParseAddrPort(s.Listener.Addr().String()), opts)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(closeConn)
+	return &link{conn: conn, name: "a", instance: instance}, orders
+}
+
+func TestNoOrdersToARestartedAgentBeforeTheLeadershipIsConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newTestControl(t)
+	c.stored.Agents = map[string]time.Time{"a": {}}
+	c.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
+	now := c.Clock.Now()
+	c.plan.ApplyReport(now, "a", &cfwire.JobReport{Worker: &cfcore.WorkerState{ID: "w", Born: now}, Lists: &cfcore.RunLists{Born: now}})
+	c.plan.MarkAgentRecorded("a")
+	// No batch is due.
+	c.plan.lastBatchAt = now
+	c.plan.MarkEndsRecorded([]cfdispatch.EndedRunsPosition{{Agent: "a", Born: now, Number: 1}})
+	*clock += fakeBootClock(time.Second)
+	l, orders := newAgentLink(t, c, "2")
+	c.handleEvent(t.Context(), linkUp{link: l})
+	c.handleEvent(t.Context(), reportReceived{link: l, report: &cfwire.JobReport{Ask: 1}})
+	c.runPlanningRound(t.Context())
+	g.Consistently(orders, "50ms").ShouldNot(Receive())
+	c.confirmedAt = c.bootTime()
+	c.runPlanningRound(t.Context())
+	g.Eventually(orders).Should(Receive(HaveField("Epoch", BeEquivalentTo(2))))
+	g.Eventually(orders).Should(Receive(HaveField("RecordedEnd", BeEquivalentTo(1))), "the acknowledgement of the first round was not sent")
+	c.handleEvent(t.Context(), reportReceived{link: l, report: &cfwire.JobReport{Ask: 2}})
+	g.Eventually(orders).Should(Receive(HaveField("Answer", BeEquivalentTo(2))))
+}
