Do not execute a refused start when its order is repeated

An agent forgot a refused start. If the planner's order was repeated before the refusal arrived (after 600 ms, or on another link of the agent), the agent executed it after all.

Before: TestRefusedStartIsNotExecutedWhenTheOrderIsRepeated fails. After: it passes.

--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -226,3 +226,26 @@
 		})
 	}
 }
+
+// The planner repeats an order until it has the result. The repeated order can cross the refusal,
+// after which the planner starts the task elsewhere.
+func TestRefusedStartIsNotExecutedWhenTheOrderIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	a.bootClock, a.grantedAt, a.startedAt, a.answeredAt = &clock, time.Hour, 0, time.Hour
+	a.handleHeartbeat(workerState(born))
+	order := cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7}
+	w.refusal = cfcore.ExecutorNoCapacity
+	a.startRun(t.Context(), order)
+	a.handleEvent(t.Context(), <-a.events)
+	refusal := cfwire.JobOrderResult{Task: order.Task, Run: 7, Refusal: cfcore.ExecutorNoCapacity}
+	g.Expect(a.takeReport().Results).To(ConsistOf(refusal))
+	w.refusal = ""
+	a.startRun(t.Context(), order)
+	g.Consistently(w.started, "20ms").ShouldNot(Receive())
+	g.Expect(a.takeReport().Results).To(ConsistOf(refusal), "the planner possibly has not received the first one")
+	order.Run++
+	a.startRun(t.Context(), order)
+	g.Eventually(w.started).Should(Receive(HaveField("Run", BeEquivalentTo(8))))
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"cranberryford/pkg/cfcommon"
@@ -116,6 +117,11 @@
 	if c.inFlight[key] {
 		return
 	}
+	if r, ok := c.refused[key]; ok {
+		// The planner possibly has the refusal already, and starts the task elsewhere.
+		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: r.kind})
+		return
+	}
 	until := c.leaseUntil()
 	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.hasLeft || until == 0 || c.worker.Draining {
 		// An earlier attempt, of this or an earlier incarnation of the agent, has possibly
@@ -216,12 +222,26 @@
 		return
 	default:
 		res.Refusal = refusalOf(ev.err)
+		c.recordRefusal(ev.key, res.Refusal)
 	}
 	delete(c.uncertain, ev.key)
 	c.logOrder(ev)
 	c.results = append(c.results, res)
 }
 
+// refusal is a start that the worker refused. at is on the boot clock.
+type refusal struct {
+	kind cfcore.ExecutorKind
+	at   time.Duration
+}
+
+// recordRefusal remembers a refused start, and forgets those that are older than refusalMemory.
+func (c *control) recordRefusal(key orderKey, kind cfcore.ExecutorKind) {
+	now := c.bootClock.Now()
+	maps.DeleteFunc(c.refused, func(_ orderKey, r refusal) bool { return now-r.at > refusalMemory })
+	c.refused[key] = refusal{kind: kind, at: now}
+}
+
 // logOrder logs the outcome of an order, also if the order failed.
 func (c *control) logOrder(ev orderReturned) {
 	l := c.Log.Info()
