Record the cancellation of an unknown job

The submission had got 504: the store had not answered the append, and executed it later.

Cause: Entry.Cancel stored nothing if the entry had not read a record of the job. It concluded from not seeing the job that there is none.

Ruled out: that a cancellation which precedes its job is lost on the way. StoreState and the planner apply both in any order; the specs pass with nothing but the record.

The record is now appended for unknown jobs too, before the answer, which stays 410. A cancellation that the store rejected is answered 503, since it has no effect, instead of 504.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"syscall"
@@ -139,6 +141,47 @@
 		}
 		Expect(f.runs()).To(HaveLen(4))
 	})
+
+	// A job ran although its cancellation was answered: the store added its record afterwards.
+	DescribeTable("does not start a cancelled job whose record the store adds late", func(meanwhile func(*fleet)) {
+		f := newFleet(3, 2)
+		f.store.SetLateBy(3 * time.Second)
+		f.store.SetFault(func(r *http.Request) standin.Fault {
+			data, _ := io.ReadAll(r.Body)
+			r.Body = io.NopCloser(bytes.NewReader(data))
+			if r.URL.Path == "/log-append" && bytes.Contains(data, []byte("job/"+jobID(1))) {
+				return standin.Late
+			}
+			return standin.Healthy
+		})
+		status, _ := f.call(0, http.MethodPost, queuePrefix+jobID(1), oneStep(4, untilCancelled))
+		Expect(status).To(Equal(http.StatusGatewayTimeout))
+		status, _ = f.call(1, http.MethodDelete, queuePrefix+jobID(1), "")
+		Expect(status).To(Equal(http.StatusGone))
+		meanwhile(f)
+		for e := range f.entries {
+			Eventually(func() string { return f.jobState(e, 1) }, 5*time.Second, 50*time.Millisecond).Should(Equal("cancelled"))
+		}
+		Consistently(f.runs, time.Second).Should(BeEmpty())
+	},
+		Entry("and all processes go on", func(*fleet) {}),
+		Entry("and the planner is killed meanwhile", func(f *fleet) {
+			p := f.entries[f.awaitPlanner()]
+			p.kill()
+			p.restart()
+		}),
+	)
+
+	It("does not start a job that was cancelled before its submission arrived", func() {
+		f := newFleet(2, 1)
+		status, _ := f.call(0, http.MethodDelete, queuePrefix+jobID(1), "")
+		Expect(status).To(Equal(http.StatusGone))
+		Expect(f.submit(1, oneStep(1, untilCancelled))).To(BeTrue())
+		for e := range f.entries {
+			Eventually(func() string { return f.jobState(e, 1) }, stateAgeBound, 10*time.Millisecond).Should(Equal("cancelled"))
+		}
+		Consistently(f.runs, time.Second).Should(BeEmpty())
+	})
 })
 
 var _ = DescribeTable("accepted jobs are completed once when",
--- a/internal/cfjobentry/service.go
+++ b/internal/cfjobentry/service.go
@@ -75,18 +75,29 @@
 	return s == cfjob.StateCancelled || s == cfjob.StateCompleted || s == cfjob.StateFailed
 }
 
-// Cancel implements cfjob.Service.
+// Cancel implements cfjob.Service. It also records the cancellation of an unknown job: after
+// a submission with an unknown outcome, the store can still add the job.
 func (e *Entry) Cancel(ctx context.Context, id string) cfjob.Reply {
-	if r := e.State(ctx, id); r.Verdict != cfjob.VerdictDone || isFinal(r.State) {
+	if !cfjob.ValidID(id) {
+		return cfjob.Reply{Verdict: cfjob.VerdictNoJob}
+	}
+	r := e.State(ctx, id)
+	if r.Verdict == cfjob.VerdictRefused || isFinal(r.State) {
 		return r
 	}
-	r, err := e.codec.Cancel(id, e.Clock.Now())
+	record, err := e.codec.Cancel(id, e.Clock.Now())
 	if err == nil {
-		err = e.submissions.add(ctx, r)
+		err = e.submissions.add(ctx, record)
 	}
-	if err != nil {
+	switch {
+	case cferror.Is(err, cfcore.StoreRejected):
+		return cfjob.Reply{Verdict: cfjob.VerdictRefused, RetryAfter: outageRetryAfter}
+	case err != nil:
 		e.Log.Warn().Str("Job", id).Err(err).Msg("cancellation of a job failed, or its outcome is unknown")
 		return cfjob.Reply{Verdict: cfjob.VerdictUnknown}
+	case r.Verdict == cfjob.VerdictNoJob:
+		e.Log.Info().Str("Job", id).Msg("cancellation of an unknown job recorded")
+		return r
 	}
 	e.Log.Info().Str("Job", id).Msg("job cancelled")
 	return cfjob.Reply{State: cfjob.StateCancelled}
