Create tasks when they are due, and bound the memory of jobs

Callers' twelve scheduled jobs were accepted, and from then on every entry in turn became the planner, exceeded its memory and was killed, without end.

Cause: the planner created all tasks of all occurrences when a job was added, and nothing added jobs up before one was accepted.

The planner now creates an occurrence when it is due and a task when it is placed, and keeps what is done as bits. Entries refuse a job at once with 503 and Retry-After if the jobs on record would need more than a quarter of the smallest entry's memory with it.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -302,6 +302,17 @@
 	return out
 }
 
+// runningCount returns the number of runs of job n that have not ended.
+func (f *fleet) runningCount(n int) int {
+	count := 0
+	for _, r := range f.runs() {
+		if strings.HasPrefix(r.Task, jobID(n)) && r.EndedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // expectNoOverlap fails the spec if two runs of a task overlap, or if a task ran again
 // after a run that was acknowledged as done.
 func (f *fleet) expectNoOverlap() {
--- a/internal/cfapp/jobs.go
+++ b/internal/cfapp/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"cranberryford/internal/cfjobagent"
 	"cranberryford/internal/cfjobentry"
@@ -12,6 +13,10 @@
 	"cranberryford/platform"
 )
 
+// heapPercent is the share of an entry's memory limit from which the runtime collects garbage
+// more often.
+const heapPercent = 80
+
 // NewJobEntry returns an entry that serves jobs on the users' platform. The entry
 // already listens on its addresses.
 func NewJobEntry(ctx context.Context, d Deps, cfg cfconfig.JobEntry) (*Role, error) {
@@ -19,6 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * heapPercent / 100)
 	store, closeStore := platform.NewStore(cfg.Store, cfnet.Transport(cfg.Inner.Addr()), cfg.StoreTimeout.Call)
 	advisor, closeAdvisor := newAdvisor(cfg)
 	e, closeEntry, err := cfjobentry.New(ctx, common, cfg, cfjobentry.Deps{
--- a/internal/cfjobentry/cleanup.go
+++ b/internal/cfjobentry/cleanup.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"maps"
+	"slices"
 	"time"
 
 	"cranberryford/pkg/cfjob"
@@ -87,7 +89,7 @@
 			continue
 		}
 		c.Log.Info().Str("Job", id).Msg("job ended long ago; dropping its records")
-		c.plan.extraRecords = append(c.plan.extraRecords, c.codec.DropJob(id)...)
+		c.plan.extraRecords = append(c.plan.extraRecords, c.codec.DropJob(id, slices.Collect(maps.Keys(e.Parts))...)...)
 		n++
 	}
 }
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -197,7 +197,7 @@
 // handleLookup answers a request for the state of a job.
 func (c *control) handleLookup(ev lookup) {
 	e, known := c.stored.Lookup(ev.id)
-	result := lookupResult{known: known, next: c.stored.Next}
+	result := lookupResult{known: known, next: c.stored.Next, freeMemory: c.jobMemoryLimit() - c.stored.Memory}
 	if known {
 		result.state = e.State()
 	}
@@ -338,7 +338,7 @@
 
 // recordAddress writes this entry's address to the store, where other entries look it up.
 func (c *control) recordAddress(ctx context.Context) {
-	r, err := c.codec.Entry(c.cfg.Name, &cfjob.EntryInfo{Instance: c.instance, Address: c.cfg.Inner, RecordedAt: c.Clock.Now()})
+	r, err := c.codec.Entry(c.cfg.Name, &cfjob.EntryInfo{Instance: c.instance, Address: c.cfg.Inner, RecordedAt: c.Clock.Now(), MemoryMB: c.cfg.MemoryMB})
 	if err != nil {
 		c.Log.Error().Err(err).Msg("address of this entry cannot be encoded; not recording it")
 		return
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -132,4 +132,6 @@
 	state cfjob.State
 	// next is the offset of the next record to read.
 	next int64
+	// freeMemory is how much memory is left for further jobs, in bytes.
+	freeMemory int
 }
--- a/internal/cfjobentry/plannerbatch.go
+++ b/internal/cfjobentry/plannerbatch.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -17,12 +19,15 @@
 // the end.
 const batchInterval = 40 * time.Millisecond
 
+// maxRecordBytes bounds the value of a record. The platform allows 256 KiB for a record.
+const maxRecordBytes = 250 << 10
+
 // plannerBatch is one append of the planner's records. It is repeated unchanged until its
 // outcome is known.
 type plannerBatch struct {
 	records []cfcore.KeyedRecord
-	// progress are the progress records among records. They are also sent to the other
-	// entries.
+	// progress are the records of part 0 of jobs' progress among records. They are also sent to
+	// the other entries, which need no other parts while this entry is the planner.
 	progress []cfcore.KeyedRecord
 	// Each worker numbers its ended runs. ends holds, for workers, the number up to which
 	// the ended runs are recorded once the batch is in the store. agents are the agents
@@ -118,14 +123,13 @@
 	records := c.plan.extraRecords
 	c.plan.extraRecords = nil
 	var progress []cfcore.KeyedRecord
-	for _, job := range jobs {
-		job.Progress.Stamp = c.plan.stamp()
-		r, err := c.codec.Progress(job.ID, job.Progress)
-		if err != nil {
-			c.Log.Error().Err(err).Str("Job", job.ID).Msg("job progress cannot be encoded; leaving it out of the batch")
-			continue
+	for _, u := range jobs {
+		for _, part := range slices.Sorted(maps.Keys(u.Parts)) {
+			records = c.appendProgress(records, u.ID, part, u.Parts[part])
+		}
+		if u.Progress != nil {
+			progress = c.appendProgress(progress, u.ID, 0, u.Progress)
 		}
-		progress = append(progress, r)
 	}
 	records = append(records, progress...)
 	if len(records) == 0 {
@@ -138,6 +142,25 @@
 	return b
 }
 
+// appendProgress appends the record of a part of a job's progress to records.
+func (c *control) appendProgress(records []cfcore.KeyedRecord, id string, part int, p *cfjob.Progress) []cfcore.KeyedRecord {
+	p.Stamp = c.plan.stamp()
+	r, err := c.codec.ProgressPart(id, part, p)
+	if err == nil && len(r.Value) > maxRecordBytes {
+		c.Log.Warn().Str("Job", id).Int("Part", part).Int("Bytes", len(r.Value)).Msg("job progress exceeds the limit of a record; recording it without checkpoints")
+		for position, t := range p.Tasks {
+			t.Checkpoint = ""
+			p.Tasks[position] = t
+		}
+		r, err = c.codec.ProgressPart(id, part, p)
+	}
+	if err != nil {
+		c.Log.Error().Err(err).Str("Job", id).Msg("job progress cannot be encoded; leaving it out of the batch")
+		return records
+	}
+	return append(records, r)
+}
+
 // handleBatchAppended handles the outcome of an append of the planner's records.
 func (c *control) handleBatchAppended(ctx context.Context, ev batchAppended) {
 	if c.plan == nil || c.plan.epoch != ev.epoch || c.plan.pendingBatch == nil {
--- a/internal/cfjobentry/service.go
+++ b/internal/cfjobentry/service.go
@@ -31,10 +31,21 @@
 		e.Log.Info().Str("Job", j.ID).Str("State", string(result.state)).Msg("duplicate submission: the job exists; replying with its state")
 		return cfjob.Reply{Verdict: cfjob.VerdictDone, State: result.state}
 	}
+	if err != nil {
+		return e.refuse(j, "the request has timed out", outageRetryAfter)
+	}
+	releaseMemory, ok := e.reserveMemory(j, result.freeMemory)
+	if !ok {
+		return e.refuse(j, "the entries have no memory for the job", memoryRetryAfter)
+	}
+	defer releaseMemory()
 	j.Accepted = start
 	r, err := e.codec.Job(j)
+	if err == nil && len(r.Value) > maxRecordBytes {
+		err = cferror.New("encode job", cfcore.StoreRejected, "the record has %d bytes", len(r.Value))
+	}
 	if err != nil {
-		return e.refuse(j, err.Error())
+		return e.refuse(j, err.Error(), outageRetryAfter)
 	}
 	err = e.submissions.add(ctx, r)
 	took := e.Clock.Since(start)
@@ -44,7 +55,7 @@
 		e.Scope.Counter("jobs_accepted").Inc(1)
 		return cfjob.Reply{Verdict: cfjob.VerdictDone, State: cfjob.StatePending}
 	case cferror.Is(err, cfcore.StoreRejected):
-		return e.refuse(j, err.Error())
+		return e.refuse(j, err.Error(), outageRetryAfter)
 	}
 	e.Log.Warn().Str("Job", j.ID).Err(err).Dur("Took", took).Msg("job may have been accepted; outcome unknown")
 	e.Scope.Counter("jobs_unknown").Inc(1)
@@ -52,10 +63,10 @@
 }
 
 // refuse logs and counts a refused submission, and returns the reply to it.
-func (e *Entry) refuse(j *cfjob.Job, reason string) cfjob.Reply {
+func (e *Entry) refuse(j *cfjob.Job, reason string, retryAfter time.Duration) cfjob.Reply {
 	e.Log.Warn().Str("Job", j.ID).Str("Queue", j.Queue.Name).Str("Reason", reason).Msg("job refused")
 	e.Scope.Counter("jobs_refused").Inc(1)
-	return cfjob.Reply{Verdict: cfjob.VerdictRefused, RetryAfter: outageRetryAfter}
+	return cfjob.Reply{Verdict: cfjob.VerdictRefused, RetryAfter: retryAfter}
 }
 
 // State implements cfjob.Service.
--- a/pkg/cfconfig/jobs.go
+++ b/pkg/cfconfig/jobs.go
@@ -18,6 +18,7 @@
 	Advice    netip.AddrPort `doc:"address of the policy service that decides which workers may run a step; empty: none"`
 	Topic     string         `doc:"store topic that holds the jobs"`
 	Operators string         `doc:"store topic that operators write to"`
+	MemoryMB  int            `validate:"min=64,max=1048576" doc:"memory limit of the process in MB; jobs that the entries together have no memory for are rejected"`
 
 	Lease        JobLease      `doc:"periods that the safety of leases depends on; must be the same in all processes"`
 	Planning     JobPlanning   `doc:"periods of the planner"`
@@ -54,7 +55,7 @@
 // DefaultJobEntry returns the default settings of an entry that serves jobs.
 func DefaultJobEntry() JobEntry {
 	return JobEntry{
-		Topic: "keyed.jobs", Operators: "keyed.op", Lease: DefaultJobLease(),
+		Topic: "keyed.jobs", Operators: "keyed.op", MemoryMB: 160, Lease: DefaultJobLease(),
 		Planning: JobPlanning{
 			Tick: 50 * time.Millisecond, Silence: time.Second, Resend: 600 * time.Millisecond, Keep: 150 * time.Second,
 		},
--- a/pkg/cfdispatch/advice.go
+++ b/pkg/cfdispatch/advice.go
@@ -77,16 +77,16 @@
 func (p *Planner) NextAdvice(now time.Time) *AdviceRequest {
 	var prefetch *AdviceRequest
 	for _, j := range p.startableJobs(now, func(j *job) bool { return j.queue.Advice != nil }) {
-		for k := range j.steps {
-			if now.Before(j.Due(k)) {
+		for _, o := range j.occurrences {
+			if now.Before(j.Due(o.index)) {
 				continue
 			}
-			for s := range j.steps[k] {
-				ready := p.stepReady(j, k, s)
+			for s := range o.steps {
+				ready := j.stepReady(o, s)
 				if !ready && prefetch != nil {
 					continue
 				}
-				request := p.adviceFor(now, j, k, s, ready)
+				request := p.adviceFor(now, j, o, s, ready)
 				switch {
 				case request == nil:
 				case ready:
@@ -100,15 +100,14 @@
 	return prefetch
 }
 
-// adviceFor returns the request that step s of occurrence k needs now, or nil. ready is
+// adviceFor returns the request that step s of an occurrence needs now, or nil. ready is
 // the result of stepReady. A step that is not ready gets no request once it has tickets.
-func (p *Planner) adviceFor(now time.Time, j *job, k, s int, ready bool) *AdviceRequest {
-	st := &j.steps[k][s]
-	i := slices.IndexFunc(st.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 })
-	if i < 0 || !ready && len(st.advice.tickets) > 0 {
+func (p *Planner) adviceFor(now time.Time, j *job, o *occurrence, s int, ready bool) *AdviceRequest {
+	st := &o.steps[s]
+	t := j.firstIdleTask(o, s)
+	if t == nil || !ready && len(st.advice.tickets) > 0 {
 		return nil
 	}
-	t := st.tasks[i]
 	if ready && p.chooseWorker(now, t) != nil {
 		return nil
 	}
@@ -124,7 +123,19 @@
 	slices.SortFunc(candidates, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(p.score(now, t, b), p.score(now, t, a)), cmp.Compare(a.agent, b.agent))
 	})
-	return newAdviceRequest(j.queue.Advice, cfcore.StepName{Job: j.ID, Occurrence: k, Step: s}, candidates[:min(len(candidates), maxAdviceWorkers)])
+	return newAdviceRequest(j.queue.Advice, cfcore.StepName{Job: j.ID, Occurrence: o.index, Step: s}, candidates[:min(len(candidates), maxAdviceWorkers)])
+}
+
+// firstIdleTask returns the first task of step s in an occurrence that is not done and has no
+// run, or nil.
+func (j *job) firstIdleTask(o *occurrence, s int) *task {
+	st := &o.steps[s]
+	for i := st.firstOpen; i < j.Steps[s].Count; i++ {
+		if t := st.taskInMemory(i); !j.done.Has(st.firstPosition+i) && (t == nil || len(t.runs) == 0) {
+			return j.task(o, s, i)
+		}
+	}
+	return nil
 }
 
 // newAdviceRequest returns a request for tickets to run a step on the given workers.
@@ -141,18 +152,22 @@
 // worker ID. Their validity counts from now. A worker that is named in the request and got
 // no ticket must not run the step.
 func (p *Planner) RecordAdvice(now time.Time, request *AdviceRequest, tickets map[string]string) {
-	t := p.lookupTask(cfcore.TaskName{Job: request.Step.Job, Occurrence: request.Step.Occurrence, Step: request.Step.Step})
-	if t == nil || t.j.queue.Advice == nil {
+	j := p.jobs[request.Step.Job]
+	if j == nil || j.queue.Advice == nil {
+		return
+	}
+	o, _ := j.findOccurrence(request.Step.Occurrence)
+	if o == nil {
 		return
 	}
 	p.changed = true
-	a := &t.state().advice
+	a := &o.steps[request.Step.Step].advice
 	if a.tickets == nil {
 		a.tickets, a.denied = map[string]ticket{}, map[string]bool{}
 	}
 	for _, id := range request.Workers {
 		if value, ok := tickets[id]; ok {
-			a.tickets[id] = ticket{value: value, born: request.born[id], expiresAt: now.Add(t.j.queue.Advice.Validity)}
+			a.tickets[id] = ticket{value: value, born: request.born[id], expiresAt: now.Add(j.queue.Advice.Validity)}
 		} else {
 			a.denied[id] = true
 		}
--- a/pkg/cfdispatch/availability.go
+++ b/pkg/cfdispatch/availability.go
@@ -10,10 +10,10 @@
 	if limit == 0 {
 		return true
 	}
-	unavailable := 0
+	unavailable := r.task.step.Count - 1
 	for _, t := range r.task.state().tasks {
-		if t != r.task && !t.isAvailable() {
-			unavailable++
+		if t != nil && t != r.task && t.isAvailable() {
+			unavailable--
 		}
 	}
 	return unavailable < limit
--- a/pkg/cfdispatch/gang.go
+++ b/pkg/cfdispatch/gang.go
@@ -9,24 +9,23 @@
 // startGang starts all members of a gang with the same run number, or none of them. Some
 // gangs are slower if they are spread over several racks (see cfjob.Step.SameRack). Such a
 // gang goes to a single rack if one has the capacity for all members.
-func (p *Planner) startGang(now time.Time, st *stepState) {
-	for _, t := range st.tasks {
-		if t.done || len(t.runs) > 0 {
-			return
-		}
+func (p *Planner) startGang(now time.Time, j *job, o *occurrence, s int) {
+	st := &o.steps[s]
+	if st.remaining < j.Steps[s].Count || slices.ContainsFunc(st.tasks, func(t *task) bool { return t != nil && len(t.runs) > 0 }) {
+		return
 	}
 	id := p.newRunNumber()
 	var placed []*run
-	if st.tasks[0].step.SameRack {
+	if j.Steps[s].SameRack {
 		for _, rack := range p.racks() {
-			placed = p.placeGang(now, st, id, func(w *worker) bool { return w.state.Rack() == rack })
+			placed = p.placeGang(now, j, o, s, id, func(w *worker) bool { return w.state.Rack() == rack })
 			if placed != nil {
 				break
 			}
 		}
 	}
 	if placed == nil {
-		placed = p.placeGang(now, st, id, func(*worker) bool { return true })
+		placed = p.placeGang(now, j, o, s, id, func(*worker) bool { return true })
 	}
 	for _, r := range placed {
 		p.orderStart(now, r)
@@ -35,10 +34,11 @@
 
 // placeGang places all members of a gang on workers for which match returns true. If this
 // is not possible, it places none and returns nil. id is the run number of all members.
-func (p *Planner) placeGang(now time.Time, st *stepState, id uint64, match func(*worker) bool) []*run {
-	checkpoint := newestCheckpoint(st)
+func (p *Planner) placeGang(now time.Time, j *job, o *occurrence, s int, id uint64, match func(*worker) bool) []*run {
+	checkpoint := newestCheckpoint(&o.steps[s])
 	var placed []*run
-	for _, t := range st.tasks {
+	for i := range j.Steps[s].Count {
+		t := j.task(o, s, i)
 		w := p.chooseMatchingWorker(now, t, match)
 		if w == nil {
 			for _, r := range placed {
@@ -47,6 +47,7 @@
 			return nil
 		}
 		t.checkpoint = checkpoint
+		j.save(t)
 		placed = append(placed, t.place(now, w, id))
 	}
 	return placed
@@ -65,11 +66,11 @@
 // checkpoint. Of the members with a checkpoint, it chooses the one with the highest
 // lastRun, which is the number of the member's newest ended run.
 func newestCheckpoint(st *stepState) string {
-	best := st.tasks[0]
+	checkpoint, newest := "", uint64(0)
 	for _, t := range st.tasks {
-		if t.checkpoint != "" && (best.checkpoint == "" || t.lastRun > best.lastRun) {
-			best = t
+		if t != nil && t.checkpoint != "" && (checkpoint == "" || t.lastRun > newest) {
+			checkpoint, newest = t.checkpoint, t.lastRun
 		}
 	}
-	return best.checkpoint
+	return checkpoint
 }
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -40,12 +39,18 @@
 func (t *task) place(now time.Time, w *worker, id uint64) *run {
 	r := &run{task: t, id: id, w: w, phase: starting, born: w.state.Born, startedAt: now, checkpoint: t.checkpoint, speedPercent: fullPercent, speedSentAt: now}
 	r.ticket, _ = t.ticketOn(now, w)
-	t.runs = append(t.runs, r)
-	t.j.liveRuns++
+	t.addRun(r)
 	w.addRun(r)
 	return r
 }
 
+// addRun adds a run to the task.
+func (t *task) addRun(r *run) {
+	t.runs = append(t.runs, r)
+	t.o.liveRuns++
+	t.j.liveRuns++
+}
+
 // orderStart orders the start of a run and marks its job as started.
 func (p *Planner) orderStart(now time.Time, r *run) {
 	p.sendStart(now, r)
@@ -141,61 +146,6 @@
 	return out
 }
 
-// JobProgress is progress of a job that must be recorded.
-type JobProgress struct {
-	ID       string
-	Progress *cfjob.Progress
-}
-
-// EndedRunsPosition says which ended runs of an agent's worker the planner has applied. These
-// are the runs whose cfcore.EndedTask.Number is at most the field Number. The progress that
-// TakeUnrecordedProgress returns together with an EndedRunsPosition accounts for these runs.
-// Born identifies the incarnation of the worker, since each incarnation numbers its ended
-// runs from 1.
-type EndedRunsPosition struct {
-	Agent  string
-	Born   time.Time
-	Number uint64
-}
-
-// TakeUnrecordedProgress returns the progress to record now. Once this progress is recorded,
-// the second result must be passed to MarkEndsRecorded. If force is set, the progress
-// includes starts that could be recorded later, see startedDelay.
-func (p *Planner) TakeUnrecordedProgress(now time.Time, force bool) ([]JobProgress, []EndedRunsPosition) {
-	var progress []JobProgress
-	p.hasUnrecordedOutcome = false
-	for id, j := range p.unrecordedJobs {
-		if !j.dirty && !force && now.Sub(j.startUnrecordedSince) < startedDelay {
-			continue
-		}
-		delete(p.unrecordedJobs, id)
-		j.dirty = false
-		progress = append(progress, JobProgress{ID: id, Progress: j.progress()})
-	}
-	var ends []EndedRunsPosition
-	for _, w := range p.workers {
-		if w.lastEnd > w.recordedEnd {
-			ends = append(ends, EndedRunsPosition{Agent: w.agent, Born: w.state.Born, Number: w.lastEnd})
-		}
-	}
-	return progress, ends
-}
-
-// HasUnrecordedOutcome reports whether a job has ended since the last call of
-// TakeUnrecordedProgress. The job's caller waits until the outcome is recorded.
-func (p *Planner) HasUnrecordedOutcome() bool { return p.hasUnrecordedOutcome }
-
-// MarkEndsRecorded marks the ends of runs as recorded. The next call of TakeOrders passes
-// this on to the agents, in Orders.RecordedEnd.
-func (p *Planner) MarkEndsRecorded(ends []EndedRunsPosition) {
-	for _, e := range ends {
-		if w := p.workers[e.Agent]; w != nil && w.state.Born.Equal(e.Born) {
-			w.recordedEnd = max(w.recordedEnd, e.Number)
-			p.ackPending[w] = true
-		}
-	}
-}
-
 // RepeatAcknowledgement makes the next call of TakeOrders pass on again which ends of an agent's
 // worker are recorded.
 func (p *Planner) RepeatAcknowledgement(agent string) {
@@ -205,26 +155,6 @@
 	}
 }
 
-// progress returns the part of a job's state that must outlive the planner.
-func (j *job) progress() *cfjob.Progress {
-	pr := &cfjob.Progress{Started: j.started, Outcome: j.outcome, EndedAt: j.endedAt}
-	for _, steps := range j.steps {
-		for s := range steps {
-			for _, t := range steps[s].tasks {
-				if t.done {
-					pr.SetDone(t.pos)
-				} else if len(t.failedRuns) > 0 || t.checkpoint != "" {
-					if pr.Tasks == nil {
-						pr.Tasks = map[int]cfjob.TaskProgress{}
-					}
-					pr.Tasks[t.pos] = cfjob.TaskProgress{Failed: t.failedRuns, Checkpoint: t.checkpoint, Run: t.lastRun}
-				}
-			}
-		}
-	}
-	return pr
-}
-
 // MarkAnswered records that the agent was sent a response that lets it extend leases.
 func (p *Planner) MarkAnswered(agent string, now time.Time) {
 	if w := p.workers[agent]; w != nil {
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -29,6 +29,7 @@
 		w.reserved = cfcore.Resources{}
 	}
 	p.noFit = map[placementKey][]cfcore.Resources{}
+	p.buildAllDueOccurrences(now)
 	if scanDue {
 		p.lastScan = now
 		p.evacuateDrainingWorkers(now)
@@ -38,27 +39,36 @@
 	// of such a job may exist that the planner does not know of.
 	reportsMissing := len(p.expectedAgents) > 0
 	for _, j := range p.startableJobs(now, func(j *job) bool { return !reportsMissing || !j.inherited }) {
-		for k := range j.steps {
-			if now.Before(j.Due(k)) {
+		for _, o := range j.occurrences {
+			if now.Before(j.Due(o.index)) {
 				continue
 			}
-			for s := range j.steps[k] {
-				if p.stepReady(j, k, s) {
-					p.startStep(now, j, &j.steps[k][s])
+			for s := range o.steps {
+				if j.stepReady(o, s) {
+					p.startStep(now, j, o, s)
 				}
 			}
 		}
 	}
 }
 
-// stepReady reports whether step s of occurrence k has unfinished tasks and all its
+// buildAllDueOccurrences creates the occurrences of all open jobs that are due.
+func (p *Planner) buildAllDueOccurrences(now time.Time) {
+	for _, j := range p.open {
+		if j.nextOccurrence < j.Occurrences() {
+			p.buildDueOccurrences(now, j)
+		}
+	}
+}
+
+// stepReady reports whether step s of an occurrence has unfinished tasks and all its
 // predecessors are complete.
-func (p *Planner) stepReady(j *job, k, s int) bool {
-	if j.steps[k][s].remaining == 0 {
+func (j *job) stepReady(o *occurrence, s int) bool {
+	if o.steps[s].remaining == 0 {
 		return false
 	}
 	for _, a := range j.Steps[s].After {
-		if j.steps[k][a].remaining > 0 {
+		if o.steps[a].remaining > 0 {
 			return false
 		}
 	}
@@ -102,20 +112,28 @@
 	return !j.LongRunning() && now.Sub(j.Accepted) > 3*j.objective.Sub(j.Accepted)
 }
 
-// startStep starts the tasks of a step that can start now, and second runs of slow tasks.
+// startStep starts the tasks of step s in an occurrence that can start now, and second runs of slow tasks.
 // If no worker can start a task, startStep reserves capacity for the task. For a task that
 // waits for free CPU (see waitsForFreeCPU), it marks the job as starving instead. For a
 // gang, startStep only calls startGang, which reserves no capacity.
-func (p *Planner) startStep(now time.Time, j *job, st *stepState) {
-	if j.Steps[st.tasks[0].name.Step].Gang {
-		p.startGang(now, st)
+func (p *Planner) startStep(now time.Time, j *job, o *occurrence, s int) {
+	if j.Steps[s].Gang {
+		p.startGang(now, j, o, s)
 		return
 	}
-	for _, t := range st.tasks {
-		if !t.done && p.needsCopy(now, t) {
+	st := &o.steps[s]
+	for i := st.firstOpen; i < j.Steps[s].Count; i++ {
+		if j.done.Has(st.firstPosition + i) {
+			if i == st.firstOpen {
+				st.firstOpen++
+			}
+			continue
+		}
+		t := j.task(o, s, i)
+		if p.needsCopy(now, t) {
 			p.startCopy(now, t)
 		}
-		if t.done || len(t.runs) > 0 {
+		if len(t.runs) > 0 {
 			continue
 		}
 		w := p.chooseWorker(now, t)
@@ -245,11 +263,9 @@
 // the same occurrence. It also counts runs whose start or end is not confirmed yet.
 func (p *Planner) countStepRuns(t *task, w *worker) int {
 	n := 0
-	for _, o := range t.state().tasks {
-		for _, r := range o.runs {
-			if r.w == w {
-				n++
-			}
+	for r := range w.runs {
+		if r.task.o == t.o && r.task.step == t.step {
+			n++
 		}
 	}
 	return n
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -111,6 +111,7 @@
 // task is the planner's state of one task of a job.
 type task struct {
 	j    *job
+	o    *occurrence
 	name cfcore.TaskName
 	// pos is the task's position in the job, see cfjob.Job.Position.
 	pos  int
@@ -131,14 +132,6 @@
 	avoidAgent string
 }
 
-// stepState is the state of a step in one occurrence of a job.
-type stepState struct {
-	tasks []*task
-	// remaining is the number of tasks that are not done.
-	remaining int
-	advice    advice
-}
-
 // job is the planner's state of a job. A job that has ended is kept until it is removed by
 // Forget.
 type job struct {
@@ -150,10 +143,21 @@
 	outcome   cfjob.Outcome
 	endedAt   time.Time
 	started   bool
-	// steps are indexed by occurrence and step.
-	steps [][]stepState
-	// remaining is the number of tasks of all steps that are not done.
+	// occurrences are the occurrences in memory, by index. Those before nextOccurrence that are
+	// not in memory are done.
+	occurrences    []*occurrence
+	nextOccurrence int
+	// tasksPerOccurrence is zero for a job that had ended when it was added.
+	tasksPerOccurrence int
+	// done holds the positions of the tasks that are done. remaining is the number of tasks of
+	// the occurrences in memory that are not done.
+	done      cfjob.Positions
 	remaining int
+	// saved holds the tasks whose state must be recorded, by part of the progress and position
+	// (see cfjob.PartOf). unrecordedParts are the parts that have changed since they were
+	// last recorded.
+	saved           map[int]map[int]*task
+	unrecordedParts map[int]bool
 	// objective is when the job should be complete.
 	objective time.Time
 	// dirty is set if progress must be recorded without delay. If a job in
@@ -260,7 +264,10 @@
 	if p.jobs[e.Job.ID] != nil || e.Ended() && !inherited {
 		return
 	}
-	j := &job{Job: e.Job, queue: q, cancelled: e.Cancellation != nil, inherited: inherited}
+	j := &job{
+		Job: e.Job, queue: q, cancelled: e.Cancellation != nil, inherited: inherited,
+		saved: map[int]map[int]*task{}, unrecordedParts: map[int]bool{},
+	}
 	if pr := e.Progress; pr != nil {
 		j.outcome, j.endedAt, j.started = pr.Outcome, pr.EndedAt, pr.Started
 	}
@@ -269,52 +276,16 @@
 		return
 	}
 	p.open[j.ID], p.changed = j, true
-	j.buildTasks(e.Progress)
+	j.restoreProgress(e)
 	j.objective = now.Add(time.Duration(float64(p.criticalPath(j))*max(q.Stretch, 1)) + q.Latency)
 	if j.Accepted.Before(now) && inherited {
 		j.objective = j.objective.Add(j.Accepted.Sub(now))
 	}
+	p.buildDueOccurrences(now, j)
 	p.adoptListedRuns(now, j.ID)
 	p.applyPostponedEnds(now)
 }
 
-// buildTasks creates the tasks of a job and restores their recorded progress.
-func (j *job) buildTasks(pr *cfjob.Progress) {
-	pos := 0
-	for k := range j.Occurrences() {
-		steps := make([]stepState, len(j.Steps))
-		for s := range j.Steps {
-			st := &steps[s]
-			for i := range j.Steps[s].Count {
-				t := &task{j: j, pos: pos, step: &j.Steps[s], name: cfcore.TaskName{Job: j.ID, Occurrence: k, Step: s, Index: i}}
-				t.restoreProgress(pr)
-				j.duplicable = j.duplicable || t.step.Duplicable
-				if !t.done {
-					st.remaining++
-					j.remaining++
-				}
-				st.tasks = append(st.tasks, t)
-				pos++
-			}
-		}
-		j.steps = append(j.steps, steps)
-	}
-}
-
-// state returns the state of the task's step in the task's occurrence.
-func (t *task) state() *stepState { return &t.j.steps[t.name.Occurrence][t.name.Step] }
-
-// restoreProgress restores the recorded progress of a task.
-func (t *task) restoreProgress(pr *cfjob.Progress) {
-	if pr == nil {
-		return
-	}
-	t.done = pr.IsDone(t.pos)
-	if tp, ok := pr.Tasks[t.pos]; ok {
-		t.failedRuns, t.checkpoint, t.lastRun = tp.Failed, tp.Checkpoint, tp.Run
-	}
-}
-
 // Cancel ends a job: its tasks no longer start, and its runs are stopped.
 func (p *Planner) Cancel(id string) {
 	j := p.jobs[id]
@@ -324,33 +295,17 @@
 	j.cancelled = true
 	delete(p.open, id)
 	p.stopAllRuns(j)
+	j.dropTasksIfOver()
 }
 
 // stopAllRuns stops the runs of all tasks of a job. It does not check canBeStopped, so more
 // tasks of a step than its MaxUnavailable can become unavailable.
 func (p *Planner) stopAllRuns(j *job) {
-	for _, steps := range j.steps {
-		for s := range steps {
-			for _, t := range steps[s].tasks {
-				for _, r := range t.runs {
-					p.stopRun(r)
-				}
-			}
+	j.allTasks(func(t *task) {
+		for _, r := range t.runs {
+			p.stopRun(r)
 		}
-	}
-}
-
-// lookupTask returns the task with the given name, or nil.
-func (p *Planner) lookupTask(n cfcore.TaskName) *task {
-	j := p.jobs[n.Job]
-	if j == nil || n.Occurrence < 0 || n.Occurrence >= len(j.steps) || n.Step < 0 || n.Step >= len(j.steps[n.Occurrence]) {
-		return nil
-	}
-	tasks := j.steps[n.Occurrence][n.Step].tasks
-	if n.Index < 0 || n.Index >= len(tasks) {
-		return nil
-	}
-	return tasks[n.Index]
+	})
 }
 
 // newRunNumber returns a run number that is higher than all earlier ones of this planner
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -116,7 +116,7 @@
 
 // findRun returns the run of task n on worker w with the run number id, or nil.
 func (p *Planner) findRun(w *worker, n cfcore.TaskName, id uint64) *run {
-	t := p.lookupTask(n)
+	t := p.findTask(n)
 	if t == nil {
 		return nil
 	}
@@ -135,7 +135,10 @@
 	r.w.removeRun(r)
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
+		r.task.o.liveRuns--
 		r.task.j.liveRuns--
+		r.task.dropIfDone()
+		r.task.j.dropTasksIfOver()
 	}
 }
 
@@ -182,8 +185,7 @@
 	}
 	if r == nil {
 		r = &run{task: t, id: row.Run, w: w, phase: running, startedAt: now, speedPercent: unknownPercent}
-		t.runs = append(t.runs, r)
-		t.j.liveRuns++
+		t.addRun(r)
 		w.addRun(r)
 		p.markStarted(now, t.j)
 		p.addRunEvent(EventAdopted, r, now)
@@ -208,6 +210,10 @@
 	if t == nil {
 		return
 	}
+	defer func() {
+		t.dropIfDone()
+		t.j.dropTasksIfOver()
+	}()
 	r := p.findRun(w, e.Task, e.Run)
 	var took time.Duration
 	if r != nil {
@@ -239,44 +245,59 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Checkpoint != "" && e.Checkpoint != t.checkpoint {
 		t.checkpoint = e.Checkpoint
-		p.markDirty(t.j)
+		p.markDirty(t)
 	}
 }
 
-// markDirty marks a job whose progress must be recorded without delay.
-func (p *Planner) markDirty(j *job) {
-	j.dirty = true
-	p.unrecordedJobs[j.ID] = j
+// markDirty marks a task whose progress must be recorded without delay.
+func (p *Planner) markDirty(t *task) {
+	t.j.save(t)
+	t.j.dirty = true
+	p.unrecordedJobs[t.j.ID] = t.j
 }
 
 // completeTask marks a task as done. If the task is a member of a gang, the whole gang is
 // done.
 func (p *Planner) completeTask(now time.Time, t *task) {
 	st := t.state()
-	members := []*task{t}
-	if t.step.Gang {
-		members = st.tasks
+	if !t.step.Gang {
+		p.completeMember(t.j, t.o, t.name.Step, t.name.Index)
 	}
-	for _, m := range members {
-		if m.done {
-			continue
+	for i := 0; t.step.Gang && i < t.step.Count; i++ {
+		if !t.j.done.Has(st.firstPosition + i) {
+			p.completeMember(t.j, t.o, t.name.Step, i)
 		}
-		m.done = true
-		st.remaining--
-		t.j.remaining--
-		for _, r := range m.runs {
-			if r.phase != stopping && !m.step.Duplicable && !m.step.Gang {
-				p.addEvent(Event{Kind: EventOtherRun, Agent: r.w.agent, Task: m.name, Run: r.id, Born: r.w.state.Born})
-			}
-			p.stopRun(r)
+	}
+	p.markDirty(t)
+	p.completeJob(now, t.j)
+}
+
+// completeMember marks task i of step s in an occurrence as done, and stops its other runs.
+func (p *Planner) completeMember(j *job, o *occurrence, s, i int) {
+	j.markDone(o, s, i)
+	t := o.steps[s].taskInMemory(i)
+	if t == nil {
+		return
+	}
+	for _, r := range t.runs {
+		if r.phase != stopping && !t.step.Duplicable && !t.step.Gang {
+			p.addEvent(Event{Kind: EventOtherRun, Agent: r.w.agent, Task: t.name, Run: r.id, Born: r.w.state.Born})
 		}
+		p.stopRun(r)
 	}
-	p.markDirty(t.j)
-	if t.j.remaining == 0 && !t.j.isOver() {
-		t.j.outcome, t.j.endedAt = cfjob.OutcomeCompleted, now
-		delete(p.open, t.j.ID)
-		p.addOutcomeEvent(now, t.j)
+	t.dropIfDone()
+}
+
+// completeJob marks a job as completed if all its tasks are done.
+func (p *Planner) completeJob(now time.Time, j *job) {
+	if j.remaining > 0 || j.nextOccurrence < j.Occurrences() || j.isOver() {
+		return
 	}
+	j.outcome, j.endedAt = cfjob.OutcomeCompleted, now
+	j.dirty = true
+	p.unrecordedJobs[j.ID] = j
+	delete(p.open, j.ID)
+	p.addOutcomeEvent(now, j)
 }
 
 // recordFailure records that a run of a task failed on a worker. If this was the last
@@ -290,12 +311,13 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, e.Run)
-	p.markDirty(t.j)
+	p.markDirty(t)
 	if len(t.failedRuns) >= t.j.queue.MaxAttempts && !t.j.isOver() {
 		t.j.outcome, t.j.endedAt = cfjob.OutcomeFailed, now
 		delete(p.open, t.j.ID)
 		p.addOutcomeEvent(now, t.j)
 		p.stopAllRuns(t.j)
+		t.j.dropTasksIfOver()
 	}
 }
 
@@ -334,8 +356,9 @@
 // keepCheckpoint makes the task resume from the last checkpoint of a lost run.
 func (r *run) keepCheckpoint() {
 	t := r.task
-	if t.step.Checkpointing && r.checkpoint != "" {
+	if t.step.Checkpointing && r.checkpoint != "" && !t.j.isOver() {
 		t.checkpoint = r.checkpoint
+		t.j.save(t)
 	}
 }
 
--- a/pkg/cfjob/check.go
+++ b/pkg/cfjob/check.go
@@ -14,10 +14,12 @@
 	// MaxSpecBytes is the maximum length of a job's Spec in bytes. The platform's interface
 	// sets this limit.
 	MaxSpecBytes = 4000
-	// MaxSteps is the maximum number of steps. MaxTasks is the maximum number of tasks, over
-	// all steps and occurrences. Both limit the memory that the planner needs for one job.
+	// MaxSteps is the maximum number of steps. MaxTasks is the maximum number of tasks of one
+	// occurrence. Both limit the memory that the planner needs for one job.
 	MaxSteps = 1000
 	MaxTasks = 100_000
+	// MaxOccurrences is the maximum number of occurrences. Positions of tasks do not overflow.
+	MaxOccurrences = 1_000_000_000
 	// maxAmount is the maximum amount of one resource that a task asks for. Sums over all
 	// tasks of a job do not overflow.
 	maxAmount = 1 << 40
@@ -51,9 +53,8 @@
 			return err
 		}
 	}
-	// The product of both numbers can overflow.
-	if n := j.TasksPerOccurrence(); n > MaxTasks || j.Occurrences() > MaxTasks/n {
-		return newInvalidError("%d occurrences of %d tasks; at most %d tasks are allowed", j.Occurrences(), n, MaxTasks)
+	if n := j.TasksPerOccurrence(); n > MaxTasks {
+		return newInvalidError("%d tasks; at most %d are allowed", n, MaxTasks)
 	}
 	return nil
 }
@@ -64,7 +65,7 @@
 
 func (s *Schedule) check() error {
 	switch {
-	case s.Count < 1 || s.Period < 0 || s.Period > math.MaxInt64/time.Duration(s.Count):
+	case s.Count < 1 || s.Count > MaxOccurrences || s.Period < 0 || s.Period > math.MaxInt64/time.Duration(s.Count):
 		return newInvalidError("schedule of %d runs each %s", s.Count, s.Period)
 	case !s.FirstRun.IsZero() && s.FirstRun.Before(time.Unix(0, 0)) || s.FirstRun.After(latestFirstRun):
 		return newInvalidError("schedule that starts in the year %d", s.FirstRun.Year())
--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,24 +58,41 @@
 	Outcome Outcome `cbor:",omitempty"`
 	// EndedAt is when the job got its outcome. It is zero without an outcome.
 	EndedAt time.Time `cbor:"Ended,omitzero"`
-	// Done is a bitmap of the tasks that are done, indexed by Job.Position.
-	Done []byte `cbor:",omitempty"`
+	// Done is a bitmap of the tasks that are done, indexed by Job.Position minus DoneBelow.
+	// All tasks before are done.
+	DoneBelow int    `cbor:",omitempty"`
+	Done      []byte `cbor:",omitempty"`
 	// Tasks holds the state of tasks that are not done, indexed by Job.Position. A task is
-	// left out if it has neither a failed run nor a checkpoint.
+	// left out if it has neither a failed run nor a checkpoint, or if it belongs to another
+	// part (see PartOf).
 	Tasks map[int]TaskProgress `cbor:",omitempty"`
 }
 
+// partPositions is the number of positions in one part of a job's progress. Each part has a
+// record of its own, since the platform limits the size of a record. The record of part 0
+// holds all of Progress. The others hold only Stamp and Tasks.
+const partPositions = 500
+
+// PartOf returns the part of the progress that the task at a position belongs to.
+func PartOf(position int) int { return position / partPositions }
+
+// DonePositions returns the positions of the tasks that are done.
+func (p *Progress) DonePositions() Positions { return NewPositions(p.DoneBelow, p.Done) }
+
+// SetDonePositions replaces the positions of the tasks that are done.
+func (p *Progress) SetDonePositions(done *Positions) { p.DoneBelow, p.Done = done.Bitmap() }
+
 // IsDone reports whether the task at a position is done.
 func (p *Progress) IsDone(position int) bool {
-	return position/8 < len(p.Done) && p.Done[position/8]&(1<<(position%8)) != 0
+	done := p.DonePositions()
+	return done.Has(position)
 }
 
 // SetDone marks the task at a position as done and removes it from Tasks.
 func (p *Progress) SetDone(position int) {
-	for position/8 >= len(p.Done) {
-		p.Done = append(p.Done, 0)
-	}
-	p.Done[position/8] |= 1 << (position % 8)
+	done := p.DonePositions()
+	done.Add(position)
+	p.SetDonePositions(&done)
 	delete(p.Tasks, position)
 }
 
@@ -98,11 +116,12 @@
 }
 
 // EntryInfo holds the current incarnation of an entry and its address. RecordedAt is when
-// the record was created.
+// the record was created. MemoryMB is the memory limit of the entry, or 0 if it is unknown.
 type EntryInfo struct {
 	Instance   string
 	Address    netip.AddrPort
 	RecordedAt time.Time `cbor:"Started"`
+	MemoryMB   int       `cbor:",omitempty"`
 }
 
 // Cancellation is a caller's request to cancel a job.
@@ -124,9 +143,36 @@
 	return c.record(prefixCancel+id, &Cancellation{At: at})
 }
 
-// Progress returns the record of a job's progress.
+// Progress returns the record of part 0 of a job's progress.
 func (c Codec) Progress(id string, p *Progress) (cfcore.KeyedRecord, error) {
-	return c.record(prefixProgress+id, p)
+	return c.record(progressKey(id, 0), p)
+}
+
+// ProgressPart returns the record of a part of a job's progress.
+func (c Codec) ProgressPart(id string, part int, p *Progress) (cfcore.KeyedRecord, error) {
+	return c.record(progressKey(id, part), p)
+}
+
+// progressKey returns the key of a part of a job's progress. The number of a part other than 0
+// follows the job's ID.
+func progressKey(id string, part int) string {
+	if part == 0 {
+		return prefixProgress + id
+	}
+	return prefixProgress + id + "/" + strconv.Itoa(part)
+}
+
+// splitProgressName splits the name in a key of progress into job ID and part.
+func splitProgressName(name string) (id string, part int, err error) {
+	id, number, ok := strings.Cut(name, "/")
+	if !ok {
+		return id, 0, nil
+	}
+	part, err = strconv.Atoi(number)
+	if err != nil || part < 1 {
+		return "", 0, newRecordError("progress %q has no valid number of a part", name)
+	}
+	return id, part, nil
 }
 
 // Claim returns the record of an entry's claim to be the planner.
@@ -156,11 +202,15 @@
 	return cfcore.KeyedRecord{Key: prefixEntry + name}
 }
 
-// DropJob returns the records that delete everything stored about a job. The record of the
-// job itself is deleted last. It thus outlives the others if only some of the deletions
-// are appended.
-func (c Codec) DropJob(id string) []cfcore.KeyedRecord {
-	return []cfcore.KeyedRecord{{Key: prefixCancel + id}, {Key: prefixProgress + id}, {Key: prefixJob + id}}
+// DropJob returns the records that delete everything stored about a job. parts are the parts
+// of its progress other than 0. The record of the job itself is deleted last. It thus
+// outlives the others if only some of the deletions are appended.
+func (c Codec) DropJob(id string, parts ...int) []cfcore.KeyedRecord {
+	var records []cfcore.KeyedRecord
+	for _, part := range parts {
+		records = append(records, cfcore.KeyedRecord{Key: progressKey(id, part)})
+	}
+	return append(records, cfcore.KeyedRecord{Key: prefixCancel + id}, cfcore.KeyedRecord{Key: progressKey(id, 0)}, cfcore.KeyedRecord{Key: prefixJob + id})
 }
 
 // record returns the record with the given key and the encoded value v.
--- a/pkg/cfjob/storestate.go
+++ b/pkg/cfjob/storestate.go
@@ -1,6 +1,7 @@
 package cfjob
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -14,6 +15,33 @@
 	Job          *Job
 	Cancellation *Cancellation
 	Progress     *Progress
+	// Parts holds the parts of the progress other than 0, see PartOf.
+	Parts map[int]*Progress
+	// memory is what the job counts in StoreState.Memory.
+	memory int
+}
+
+// isEmpty reports whether the store has no record of the job.
+func (j *StoredJob) isEmpty() bool {
+	return j.Job == nil && j.Cancellation == nil && j.Progress == nil && len(j.Parts) == 0
+}
+
+// TaskProgress returns the stored state of the tasks that are not done, by Job.Position. A
+// record of part 0 by an earlier build can hold tasks of other parts. It is older than
+// the record of such a part.
+func (j *StoredJob) TaskProgress() map[int]TaskProgress {
+	tasks := map[int]TaskProgress{}
+	if j.Progress != nil {
+		for position, t := range j.Progress.Tasks {
+			if part := PartOf(position); part == 0 || j.Parts[part] == nil {
+				tasks[position] = t
+			}
+		}
+	}
+	for _, p := range j.Parts {
+		maps.Copy(tasks, p.Tasks)
+	}
+	return tasks
 }
 
 // Ended reports whether the job is cancelled or has an outcome. An ended job starts no
@@ -36,6 +64,8 @@
 	Planner Claim
 	// Learned is the encoded data that planners have learned about tasks.
 	Learned []byte
+	// Memory estimates the memory that a planner needs for Jobs, in bytes.
+	Memory int
 	// Next is the store offset of the next record to apply. Apply does not change Next; its
 	// caller does.
 	Next int64
@@ -64,8 +94,19 @@
 func (s *StoreState) Apply(r cfcore.KeyedRecord) (Change, error) {
 	kind, name := splitKey(r.Key)
 	switch kind {
-	case prefixJob, prefixCancel, prefixProgress:
-		return Change{JobID: name}, s.applyJob(kind, name, r.Value)
+	case prefixJob, prefixCancel:
+		return Change{JobID: name}, s.applyJob(name, func(j *StoredJob) error {
+			if kind == prefixJob {
+				return s.applySubmission(j, name, r.Value)
+			}
+			return decodeInto(s.codec, &j.Cancellation, r.Value)
+		})
+	case prefixProgress:
+		id, part, err := splitProgressName(name)
+		if err != nil {
+			return Change{}, err
+		}
+		return Change{JobID: id}, s.applyJob(id, func(j *StoredJob) error { return s.applyProgress(j, part, r.Value) })
 	case prefixEntry:
 		return Change{Entries: true}, s.applyEntry(name, r.Value)
 	case prefixWorker:
@@ -79,32 +120,30 @@
 	return Change{}, cferror.New("apply record", KindRecord, "unknown key %q", r.Key)
 }
 
-// applyJob applies a record of a job. kind is the prefix of the record's key. A job is
-// dropped when the last of its records is deleted.
-func (s *StoreState) applyJob(kind, id string, value []byte) error {
+// applyJob applies a record of a job with apply. A job is dropped when the last of its records
+// is deleted.
+func (s *StoreState) applyJob(id string, apply func(*StoredJob) error) error {
 	j := s.Jobs[id]
 	if j == nil {
 		j = &StoredJob{}
 		s.Jobs[id] = j
 	}
-	defer func() {
-		if j.Job == nil && j.Cancellation == nil && j.Progress == nil {
-			delete(s.Jobs, id)
-		}
-	}()
-	switch kind {
-	case prefixJob:
-		return s.applySubmission(j, id, value)
-	case prefixCancel:
-		return decodeInto(s.codec, &j.Cancellation, value)
+	err := apply(j)
+	s.Memory -= j.memory
+	j.memory = 0
+	if j.isEmpty() {
+		delete(s.Jobs, id)
+		return err
 	}
-	return s.applyProgress(j, value)
+	j.memory = j.estimateMemory()
+	s.Memory += j.memory
+	return err
 }
 
 // applyProgress keeps the newest progress of a job, and ignores older progress. An entry can
 // get progress from the planner before the entry reads the same record from the store. Until
 // then, the entry may still read older records of the job's progress from the store.
-func (s *StoreState) applyProgress(j *StoredJob, value []byte) error {
+func (s *StoreState) applyProgress(j *StoredJob, part int, value []byte) error {
 	var p *Progress
 	if err := decodeInto(s.codec, &p, value); err != nil {
 		return err
@@ -112,10 +151,22 @@
 	if err := p.check(); err != nil {
 		return err
 	}
-	if p != nil && j.Progress != nil && p.Stamp < j.Progress.Stamp {
-		return nil
+	old := j.Progress
+	if part > 0 {
+		old = j.Parts[part]
+	}
+	switch {
+	case p != nil && old != nil && p.Stamp < old.Stamp:
+	case part == 0:
+		j.Progress = p
+	case p == nil:
+		delete(j.Parts, part)
+	default:
+		if j.Parts == nil {
+			j.Parts = map[int]*Progress{}
+		}
+		j.Parts[part] = p
 	}
-	j.Progress = p
 	return nil
 }
 
@@ -153,6 +204,8 @@
 	case p == nil:
 	case p.Stamp > maxStamp:
 		return newRecordError("stamp %d is out of range", p.Stamp)
+	case p.DoneBelow < 0 || p.DoneBelow%bitsPerByte != 0:
+		return newRecordError("%d done tasks before the bitmap", p.DoneBelow)
 	case p.Outcome != OutcomeNone && p.Outcome != OutcomeCompleted && p.Outcome != OutcomeFailed:
 		return newRecordError("unknown outcome %q", p.Outcome)
 	}
