Bound the size of shared appends and of learned data

Callers whose large jobs arrived at one entry at the same moment were all refused (503): up to 64 submissions share an append, whatever their size, and the store rejects a call beyond 2 MiB.

Learned data grows with pairs of images, up to 20,000.

A shared append now ends at about 1 MiB. Learned data leaves out the effects that differ least from the default.

Evidence: the spec "large jobs are accepted at the same time" and TestSubmissionsShareACallUpToItsLimit fail without the change of appends.go, and pass with it.

--- a/integration/jobs/memory_test.go
+++ b/integration/jobs/memory_test.go
@@ -65,6 +65,31 @@
 	Entry("wide jobs that have to wait", strings.Replace(oneStep(100_000, "50ms"), `"cpu":100`, `"cpu":100,"requirements":"none"`, 1), 12),
 )
 
+// All jobs that share an append were refused if they exceeded the limit of a call together.
+var _ = Describe("large jobs", func() {
+	It("are accepted at the same time", func() {
+		f := newFleet(2, 1)
+		var steps, earlier []string
+		for i := range 300 {
+			steps = append(steps, fmt.Sprintf(`{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10,"after":[%s]}`, strings.Join(earlier, ",")))
+			earlier = append(earlier, strconv.Itoa(i))
+		}
+		body := `{"spec":"10ms","steps":[` + strings.Join(steps, ",") + `]}`
+		replies := make(chan int)
+		const jobs = 60
+		for n := range jobs {
+			go func() {
+				defer GinkgoRecover()
+				status, _ := f.call(0, http.MethodPost, queuePrefix+jobID(n+1), body)
+				replies <- status
+			}()
+		}
+		for range jobs {
+			Expect(<-replies).To(Equal(http.StatusOK))
+		}
+	})
+})
+
 // schedule returns the body of a job that is due count times from first on.
 func schedule(first time.Time, count int, period time.Duration) string {
 	return fmt.Sprintf(`{"spec":"50ms","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":50}],"repeat_count":%d,"first_run_ms":%d,"period_ms":%d}`,
--- a/internal/cfjobentry/appends.go
+++ b/internal/cfjobentry/appends.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxBatchRecords bounds the number of records in one append. Their total size stays
-	// far below the platform's limit for a call.
+	// maxBatchRecords bounds the number of records in one append. No record follows once the
+	// batch has maxBatchBytes. With a further record, it stays below the platform's limit for
+	// a call, 2 MiB.
 	maxBatchRecords = 64
+	maxBatchBytes   = 1 << 20
 	// concurrentAppends is the number of appends of callers' records that can be in
 	// flight at the same time.
 	concurrentAppends = 2
@@ -79,13 +81,15 @@
 	}
 }
 
-// collectBatch returns first and the records queued behind it, up to maxBatchRecords.
+// collectBatch returns first and the records queued behind it, up to maxBatchRecords and about
+// maxBatchBytes.
 func (a *appender) collectBatch(first submission) []submission {
-	batch := []submission{first}
-	for len(batch) < maxBatchRecords {
+	batch, size := []submission{first}, len(first.record.Value)
+	for len(batch) < maxBatchRecords && size < maxBatchBytes {
 		select {
 		case s := <-a.queue:
 			batch = append(batch, s)
+			size += len(s.record.Value)
 		default:
 			return batch
 		}
--- a/internal/cfjobentry/cleanup.go
+++ b/internal/cfjobentry/cleanup.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cfjob"
 )
 
@@ -44,7 +46,7 @@
 		return
 	}
 	c.plan.learnedCheckedAt = now
-	r, err := c.codec.Learned(c.plan.Learned())
+	r, err := c.encodeLearned(c.plan.Learned())
 	if err != nil {
 		c.Log.Error().Err(err).Msg("learned data cannot be encoded; not recording it")
 		return
@@ -56,6 +58,17 @@
 	c.plan.extraRecords = append(c.plan.extraRecords, r)
 }
 
+// encodeLearned returns the record of learned data. If it exceeds maxRecordBytes, it leaves out
+// the effects that matter least.
+func (c *control) encodeLearned(l *cfdispatch.Learned) (cfcore.KeyedRecord, error) {
+	r, err := c.codec.Learned(l)
+	for err == nil && len(r.Value) > maxRecordBytes && len(l.Effects.Pairs) > 0 {
+		l.Effects.KeepStrongest(len(l.Effects.Pairs) / 2)
+		r, err = c.codec.Learned(l)
+	}
+	return r, err
+}
+
 // dropEntries drops the record of each other entry that has been disconnected for
 // entryGoneAfter.
 func (c *control) dropEntries(now time.Time) {
--- a/internal/cfjobentry/memory_test.go
+++ b/internal/cfjobentry/memory_test.go
@@ -139,3 +139,25 @@
 		})
 	}
 }
+
+// Submissions of large jobs at the same time must not exceed the platform's limit of a call,
+// since all of them would be refused.
+func TestSubmissionsShareACallUpToItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	ctl, _ := newTestControl(t)
+	a := newAppender(ctl.Entry)
+	const records = 40
+	for range records {
+		a.queue <- submission{record: cfcore.KeyedRecord{Key: "k", Value: make([]byte, recordBytes-100)}}
+	}
+	taken := 0
+	for taken < records {
+		size := 0
+		batch := a.collectBatch(<-a.queue)
+		for _, s := range batch {
+			size += len(s.record.Value)
+		}
+		g.Expect(size).To(BeNumerically("<", callBytes))
+		taken += len(batch)
+	}
+}
--- a/pkg/cfinterference/headroom.go
+++ b/pkg/cfinterference/headroom.go
@@ -184,6 +184,29 @@
 	return out
 }
 
+// KeepStrongest leaves out all but the n effects that differ most from the effect of an unknown
+// pair.
+func (l *LearnedEffects) KeepStrongest(n int) {
+	strength := func(e LearnedEffect) float64 { return math.Abs(float64(e.Effect) - priorEffect*effectUnit) }
+	kept := slices.Clone(l.Pairs)
+	slices.SortStableFunc(kept, func(a, b LearnedEffect) int { return cmp.Compare(strength(b), strength(a)) })
+	kept = kept[:min(n, len(kept))]
+	indexes, images := map[int]int{}, []string(nil)
+	index := func(old int) int {
+		i, ok := indexes[old]
+		if !ok {
+			i = len(images)
+			indexes[old] = i
+			images = append(images, l.Images[old])
+		}
+		return i
+	}
+	for i, e := range kept {
+		kept[i].Service, kept[i].Filler = index(e.Service), index(e.Filler)
+	}
+	l.Pairs, l.Images = kept, images
+}
+
 // Restore loads the effects that an earlier HeadroomModel has learned. It skips pairs with
 // invalid indexes, clamps effects that are out of range, and stops at maxPairs.
 func (m *HeadroomModel) Restore(l *LearnedEffects) {
--- a/pkg/cfinterference/headroom_test.go
+++ b/pkg/cfinterference/headroom_test.go
@@ -128,3 +128,20 @@
 	g.Expect(atPeak).To(BeNumerically("<", peakToPeak/8))
 	g.Expect(m.AboveRecentLow("other")).To(BeZero())
 }
+
+// Learned data beyond the platform's limit of a record was rejected for ever. The effects that
+// are left out must be those that differ least from the effect of an unknown pair.
+func TestKeepStrongest(t *testing.T) {
+	g := NewWithT(t)
+	l := &cfinterference.LearnedEffects{
+		Images: []string{"a", "b", "c", "d"},
+		Pairs:  []cfinterference.LearnedEffect{{Service: 0, Filler: 1, Effect: 600}, {Service: 2, Filler: 3, Effect: 1900}, {Service: 2, Filler: 1, Effect: 100}},
+	}
+	l.KeepStrongest(2)
+	g.Expect(l.Images).To(Equal([]string{"c", "d", "b"}))
+	m := cfinterference.NewHeadroomModel()
+	m.Restore(l)
+	g.Expect(m.Effect("c", "d")).To(Equal(1.9))
+	g.Expect(m.Effect("c", "b")).To(Equal(0.1))
+	g.Expect(m.Effect("a", "b")).To(Equal(0.5))
+}
