Drop all idle connections when a request times out

Cause: a burst of starts leaves many idle connections. Each later call took the next silent one and waited for its timeout; agents make one call for run lists at a time, so that twelve of them outlast a lease.

Ruled out: the limit of connections to a host, and the sessions of fencing tokens.

cfnet.ConnPool closes its idle connections when a request times out, also in the middle of an answer, but not when a caller cancels it.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -84,6 +84,11 @@
 	stopWorker []func()
 	cleanups   []func()
 	servers    []*http.Server
+	// silencers are those of the servers, by address. storeAddr and workerAddrs are some of
+	// these addresses.
+	silencers   map[netip.AddrPort]*silencer
+	storeAddr   netip.AddrPort
+	workerAddrs []netip.AddrPort
 	// proxies is nil if agents and entries connect to entries directly.
 	proxies *proxies
 }
@@ -106,8 +111,10 @@
 func (f *fleet) listen(a netip.AddrPort, h http.Handler) {
 	l, err := net.Listen("tcp", a.String())
 	Expect(err).NotTo(HaveOccurred())
+	silencer := &silencer{Listener: l}
+	f.silencers[a] = silencer
 	s := &http.Server{Handler: h}
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(silencer) }()
 	f.servers = append(f.servers, s)
 }
 
@@ -116,8 +123,9 @@
 
 // startFleet is newFleet with proxies in front of the entries unless p is nil.
 func startFleet(entries, agents int, p *proxies) *fleet {
-	f := &fleet{proxies: p, dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{DecisionTime: 20 * time.Millisecond}}
+	f := &fleet{proxies: p, silencers: map[netip.AddrPort]*silencer{}, dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{DecisionTime: 20 * time.Millisecond}}
 	storeAddr := f.freeAddr(250)
+	f.storeAddr = storeAddr
 	if p != nil {
 		f.listen(storeAddr, p.rewriteAddrs(f.store))
 	} else {
@@ -151,6 +159,7 @@
 		w := standin.NewWorker(ctx, fmt.Sprintf("w-%d", i), service, heartbeatAddr, 1-float64(i%2)*maxClockLag)
 		f.workers = append(f.workers, w)
 		f.listen(workerAddr, w)
+		f.workerAddrs = append(f.workerAddrs, workerAddr)
 	}
 	DeferCleanup(f.close)
 	for i := range f.entries {
--- a/integration/jobs/proxy_test.go
+++ b/integration/jobs/proxy_test.go
@@ -17,6 +17,8 @@
 type proxies struct {
 	mu  sync.Mutex
 	cut map[proxiedLink]bool
+	// silentBefore is when the connections that were open then became silent.
+	silentBefore time.Time
 	// rewrites holds pairs of an entry's own address and its proxy's address, as encoded in
 	// records of the store.
 	rewrites [][2][]byte
@@ -42,6 +44,19 @@
 	return p.cut[l]
 }
 
+// silence makes all open connections silent. They stay open, and new ones work.
+func (p *proxies) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentBefore = time.Now()
+}
+
+func (p *proxies) isSilent(openedAt time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return openedAt.Before(p.silentBefore)
+}
+
 // addProxy starts a proxy of an entry and returns its address. The encoded addresses of the
 // entry and the proxy have the same length.
 func (f *fleet) addProxy(entry int, inner netip.AddrPort) netip.AddrPort {
@@ -78,18 +93,23 @@
 	}
 	defer func() { _ = target.Close() }()
 	done := make(chan struct{}, 2)
-	go func() { p.transfer(target, conn, l); done <- struct{}{} }()
-	go func() { p.transfer(conn, target, l); done <- struct{}{} }()
+	now := time.Now()
+	go func() { p.transfer(target, conn, l, now); done <- struct{}{} }()
+	go func() { p.transfer(conn, target, l, now); done <- struct{}{} }()
 	<-done
 }
 
-func (p *proxies) transfer(to, from net.Conn, l proxiedLink) {
+// transfer forwards the data of one direction of a connection.
+func (p *proxies) transfer(to, from net.Conn, l proxiedLink, openedAt time.Time) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
 			return
 		}
+		if p.isSilent(openedAt) {
+			continue
+		}
 		if p.isCut(l) {
 			for p.isCut(l) {
 				time.Sleep(10 * time.Millisecond)
--- a/pkg/cfcore/cfvm/client.go
+++ b/pkg/cfcore/cfvm/client.go
@@ -12,6 +12,7 @@
 
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfnet"
 )
 
 // Kind says why a request to the worker failed.
@@ -56,7 +57,7 @@
 // New returns a client for the worker at addr. Each request times out after timeout. The
 // cleanup function closes the client's idle connections.
 func New(addr netip.AddrPort, timeout time.Duration) (*Client, func()) {
-	t := &http.Transport{MaxIdleConnsPerHost: 2}
+	t := cfnet.NewConnPool(&http.Transport{MaxIdleConnsPerHost: 2})
 	c := &Client{http: &http.Client{Transport: t}, baseURL: "http://" + addr.String(), timeout: timeout}
 	return c, t.CloseIdleConnections
 }
--- a/pkg/cfnet/transport.go
+++ b/pkg/cfnet/transport.go
@@ -17,12 +17,12 @@
 // further ones. Half of the 64 are left to the worker's other clients.
 const maxConnsPerHost = 32
 
-// Transport returns an HTTP transport that connects from the address source; the zero
-// value lets the system choose.
-func Transport(source netip.Addr) *http.Transport {
+// Transport returns a pool of connections from the address source; the zero value lets the
+// system choose.
+func Transport(source netip.Addr) *ConnPool {
 	d := &net.Dialer{Timeout: dialTimeout}
 	if source.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
 	}
-	return &http.Transport{DialContext: d.DialContext, MaxConnsPerHost: maxConnsPerHost, MaxIdleConnsPerHost: maxConnsPerHost}
+	return NewConnPool(&http.Transport{DialContext: d.DialContext, MaxConnsPerHost: maxConnsPerHost, MaxIdleConnsPerHost: maxConnsPerHost})
 }
