Do not take a worker's first 500 ends for all of them

Cause: a worker lists 500 ends at a time. Agent and planner concluded from a run in neither list that it does not exist and will never start: the planner stopped it as stalled, the agent reported it as stale, and its task started elsewhere.

Ruled out: that the planner gives the runs up by its own timeouts.

--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -451,3 +451,38 @@
 	f.agents[0].restart()
 	f.expectNoOverlap()
 })
+
+// A worker lists 500 ends at a time. Runs with ends beyond them were stopped as stalled and taken
+// for never started while the store was down, and their tasks started again.
+var _ = DescribeTable("tasks run once although workers have more unrecorded ends than they list, while", func(fault standin.Fault, kill bool) {
+	f := newFleet(3, 2)
+	const tasks, jobs = 700, 8
+	for n := range jobs {
+		Expect(f.submit(n+1, oneStep(tasks, "200ms"))).To(BeTrue())
+	}
+	Eventually(f.runs, 5*time.Second, 10*time.Millisecond).ShouldNot(BeEmpty())
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if kill && r.URL.Path != "/log-append" {
+			return standin.Healthy
+		}
+		return fault
+	})
+	time.Sleep(5 * time.Second)
+	if kill {
+		p := f.entries[f.awaitPlanner()]
+		p.kill()
+		p.restart()
+	}
+	f.store.SetFault(alwaysHealthy)
+	for n := range jobs {
+		f.expectCompleted(n+1, 25*time.Second)
+	}
+	f.expectNoOverlap()
+	for _, w := range f.workers {
+		Expect(w.MostUnrecordedEnds()).To(BeNumerically(">", 500))
+	}
+},
+	Entry("the store is down", standin.Down, false),
+	Entry("the store does not answer", standin.Silent, false),
+	Entry("the store takes no records, and then the planner is killed", standin.Down, true),
+)
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -96,6 +96,9 @@
 	// over: the leases possibly expired since the end.
 	leasedUntil  time.Duration
 	uncertainEnd uint64
+	// moreUncertainEnds is set if the lists with uncertainEnd left out ends, which are uncertain
+	// as well.
+	moreUncertainEnds bool
 	// holdInFlight is set while the regular call for the run lists is in flight. The next
 	// call is due at nextHoldAt.
 	holdInFlight bool
@@ -234,7 +237,7 @@
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain, c.refused = map[orderKey]bool{}, map[orderKey]bool{}, map[orderKey]refusal{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
-	c.leasedUntil, c.uncertainEnd = 0, 0
+	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
 }
 
 // handleWorkerLeft records that the worker with the given ID is gone or is about to shut
--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -31,8 +31,10 @@
 	holds chan cfcore.HoldOptions
 	// refusal is the kind of error that starts return; if empty, starts succeed.
 	refusal cfcore.ExecutorKind
-	// incomplete is set if the run lists have a row that cannot be decoded.
+	// incomplete is set if the run lists have a row that cannot be decoded, moreEnds if they
+	// leave out ends.
 	incomplete bool
+	moreEnds   bool
 }
 
 func (w *worker) Start(_ context.Context, _ cfcore.Order, s cfcore.RunStart) error {
@@ -52,7 +54,7 @@
 	if w.holds != nil {
 		w.holds <- h
 	}
-	return cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: w.incomplete}, nil
+	return cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: w.incomplete, MoreEnds: w.moreEnds}, nil
 }
 
 // newTestControl returns the control of an agent that has just started and is allowed to
@@ -144,20 +146,23 @@
 	}
 }
 
-// A run that is missing from run lists possibly is in a row that cannot be decoded. The agent
-// must not report that the run does not exist.
+// A run that is missing from run lists possibly is in a row that cannot be decoded, or has ended
+// and is beyond the ends that a worker lists at a time. The agent must not report that the run
+// does not exist.
 func TestNoResultFromIncompleteRunLists(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		incomplete bool
+		moreEnds   bool
 		results    int
 	}{
-		{"complete", false, 1},
-		{"incomplete", true, 0},
+		{"complete", false, false, 1},
+		{"incomplete", true, false, 0},
+		{"more ends", false, true, 0},
 	} {
 		t.Run(c.name+", stop", func(t *testing.T) {
 			a, w := newTestControl()
-			w.incomplete = c.incomplete
+			w.incomplete, w.moreEnds = c.incomplete, c.moreEnds
 			a.handleHeartbeat(workerState(born))
 			a.stopRun(t.Context(), cfwire.JobStop{Task: cfcore.TaskName{Job: "j"}, Run: 7})
 			a.handleEvent(t.Context(), <-a.events)
@@ -165,7 +170,7 @@
 		})
 		t.Run(c.name+", start", func(t *testing.T) {
 			a, w := newTestControl()
-			w.incomplete, w.refusal = c.incomplete, cfcore.ExecutorStale
+			w.incomplete, w.moreEnds, w.refusal = c.incomplete, c.moreEnds, cfcore.ExecutorStale
 			a.handleHeartbeat(workerState(born))
 			a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7})
 			a.handleEvent(t.Context(), <-a.events)
@@ -185,6 +190,26 @@
 	g.Expect(a.lists.Incomplete).To(BeTrue())
 }
 
+// The ends that lists leave out when the leases have possibly expired are uncertain like the
+// listed ones.
+func TestEndsThatAreLeftOutAreUncertain(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	apply := func(clock time.Duration, last uint64, moreEnds bool) {
+		l := cfcore.RunLists{Born: born, Clock: clock, Ended: []cfcore.EndedTask{{Number: last}}, MoreEnds: moreEnds}
+		a.applyLists(l, a.fence.token(a.epoch))
+	}
+	apply(2*time.Minute, 500, true)
+	a.leasedUntil = time.Hour
+	apply(3*time.Minute, 1000, true)
+	g.Expect(a.uncertainEnd).To(BeEquivalentTo(1000))
+	apply(4*time.Minute, 1200, false)
+	g.Expect(a.uncertainEnd).To(BeEquivalentTo(1200))
+	apply(5*time.Minute, 1300, false)
+	g.Expect(a.uncertainEnd).To(BeEquivalentTo(1200), "ends after the leases were extended")
+}
+
 // A heartbeat of an incarnation that starts in the future would make the agent ignore its
 // worker until then.
 func TestHeartbeatFromTheFutureIsRejected(t *testing.T) {
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -89,12 +89,16 @@
 	}
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
+	if l.MoreEnds && !c.lists.MoreEnds {
+		c.Log.Warn().Str("Worker", c.worker.ID).Int("Listed", len(l.Ended)).Msg("worker has more unrecorded ends than it lists")
+		c.Scope.Counter("run_lists_with_more_ends").Inc(1)
+	}
 	c.lists, c.hasLists = l, true
 	for _, e := range l.Ended {
 		c.lastListed = max(c.lastListed, e.Number)
 	}
-	if l.Clock >= c.leasedUntil {
-		c.uncertainEnd = c.lastListed
+	if l.Clock >= c.leasedUntil || c.moreUncertainEnds {
+		c.uncertainEnd, c.moreUncertainEnds = c.lastListed, l.MoreEnds
 	}
 	c.reportAll = true
 }
@@ -264,9 +268,9 @@
 }
 
 // mayBeListed reports whether the run of an order is in the run lists, or possibly in a row
-// that is left out because it cannot be decoded.
+// that they leave out.
 func mayBeListed(l *cfcore.RunLists, key orderKey) bool {
-	return l.Incomplete || inLists(l, key)
+	return l.MayLackRuns() || inLists(l, key)
 }
 
 // inLists reports whether the run of an order is in the run lists.
--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -121,11 +121,18 @@
 	// Incomplete is set if rows are left out because they cannot be decoded. A run that is
 	// missing from the lists then possibly exists.
 	Incomplete bool `cbor:",omitempty"`
+	// MoreEnds is set if Ended possibly leaves out the newest ends. The worker lists them once
+	// older ones are acknowledged.
+	MoreEnds bool `cbor:",omitempty"`
 	// Malformed is the error of the first row that is left out, or that has a field which
 	// cannot be decoded. It is nil if there is no such row.
 	Malformed error `cbor:"-"`
 }
 
+// MayLackRuns reports whether a run that is missing from the lists possibly exists, or has
+// possibly ended in any way.
+func (l *RunLists) MayLackRuns() bool { return l.Incomplete || l.MoreEnds }
+
 // HoldOptions are the options of Executor.Hold.
 type HoldOptions struct {
 	// Until is the time on the worker's clock until which the leases of all runs are
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -95,6 +95,8 @@
 	// percent is the last reported progress. A long-running task reports 100 while it is
 	// working.
 	percent int
+	// listedAt is when the worker last listed the run as running.
+	listedAt time.Time
 	// progressedAt is when percent was first reported or last rose; zero before the first report.
 	progressedAt time.Time
 	// gauge is the last reported gauge. A latency-critical run reports its tail latency in
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -77,7 +77,7 @@
 			w.newbornUntil = now.Add(longLeaseExpiry)
 		}
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
-		w.hasListed, w.lastEnd, w.recordedEnd, w.ackedEnd = false, 0, 0, 0
+		w.hasListed, w.hasMoreEnds, w.lastEnd, w.recordedEnd, w.ackedEnd = false, false, 0, 0, 0
 		w.failures = failureStreak{}
 		if w.hasLeft {
 			w.hasLeft = false
@@ -151,9 +151,9 @@
 	if !w.hasListed {
 		w.tailsUnchecked = true
 	}
-	w.hasListed = true
+	w.hasListed, w.hasMoreEnds, w.listedAt = true, l.MoreEnds, now
 	// A row that is left out can name a run of an inherited task.
-	if p.expectedAgents[w.agent] && !l.Incomplete {
+	if p.expectedAgents[w.agent] && !l.MayLackRuns() {
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
 	}
@@ -194,6 +194,7 @@
 		r.phase = running
 	}
 	r.born = w.state.Born
+	r.listedAt = now
 	r.updateProgress(now, row.Percent)
 	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
@@ -326,7 +327,7 @@
 // execute a late start of its earlier incarnation until it has returned its first lists, see
 // cfjobagent. Until then, the runs count as existing.
 func (p *Planner) expireMissingRuns(now time.Time, w *worker, l *cfcore.RunLists) {
-	if l.Incomplete {
+	if l.MayLackRuns() {
 		return
 	}
 	for r := range w.runs {
@@ -402,8 +403,9 @@
 	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
 		for a := range p.expectedAgents {
 			w := p.workers[a]
-			if w != nil && !w.hasListed {
-				// The agent has extended leases with this planner's permission.
+			if w != nil && (!w.hasListed || w.hasMoreEnds) {
+				// The agent has extended leases with this planner's permission, or the worker will
+				// list more ends, possibly of tasks that are done.
 				continue
 			}
 			if w == nil {
--- a/pkg/cfdispatch/stragglers.go
+++ b/pkg/cfdispatch/stragglers.go
@@ -66,6 +66,10 @@
 	if r.task.stallMoves >= maxMoves || r.phase != running || s.LongRunning || s.BestEffort || s.Gang || r.percent >= fullPercent || r.progressedAt.IsZero() {
 		return false
 	}
+	if r.w.hasMoreEnds && r.listedAt.Before(r.w.listedAt) {
+		// The run has ended, and its end is among those that are left out.
+		return false
+	}
 	expected := p.durationRatios.expectedDuration(r.task.j.queue.Name, s.Estimate)
 	timeout := stallTimeout + time.Duration(stallShare*float64(expected))
 	return now.Sub(r.progressedAt) > timeout<<r.task.stallMoves
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -19,6 +19,10 @@
 	// hasListed is set once the worker has listed its runs to this planner. It is reset
 	// when the worker restarts or leaves, or when its leases expire.
 	hasListed bool
+	// hasMoreEnds is set if the last lists left out ends, see cfcore.RunLists. listedAt is when
+	// they arrived.
+	hasMoreEnds bool
+	listedAt    time.Time
 	// isUnreachable is set while the agent reports that the worker does not respond.
 	isUnreachable bool
 	// isRecorded is set once the agent is on record in the store. The agent gets no starts
