Repeat the result of a start that succeeded

Cause: if the result of a successful start is lost with its connection, the planner repeats the order. A worker that has become unhealthy meanwhile refuses it with 429 or 503, the agent reports the refusal, and the planner drops the run, which exists, and starts the task elsewhere.

The agent remembered refusals only. It now remembers all results of starts and answers a repeated order with the first one.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -34,9 +34,9 @@
 	// restartWait is how long a worker normally takes to restart. After that time without an
 	// answer, the delay is holdRetryDelay.
 	restartWait = 3 * time.Second
-	// refusalMemory is how long the agent remembers a refused start. An order that the planner
-	// repeated before it received the refusal arrives much earlier.
-	refusalMemory = time.Minute
+	// resultMemory is how long the agent remembers the result of a start. An order that the planner
+	// repeated before it received the result arrives much earlier.
+	resultMemory = time.Minute
 	// maxPendingGrants bounds the number of grant requests that wait for answers. If there
 	// are more, the agent discards all of them and ignores their answers.
 	maxPendingGrants = 64
@@ -124,8 +124,9 @@
 	// uncertain holds the starts with an unanswered attempt that the worker can still
 	// carry out.
 	uncertain map[orderKey]bool
-	// refused holds the starts that the worker refused within about the last refusalMemory.
-	refused map[orderKey]refusal
+	// startResults holds the results of starts within about the last resultMemory.
+	startResults       map[orderKey]startResult
+	resultsForgottenAt time.Duration
 	// startedAt is when this incarnation of the agent started.
 	startedAt time.Duration
 	// reportAll is set when the next report must contain the worker's whole state. results
@@ -137,7 +138,7 @@
 func newControl(a *Agent) *control {
 	c := &control{
 		Agent: a, bootClock: cfclock.System{}, dialCancels: map[netip.AddrPort]context.CancelFunc{},
-		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{}, plannerLinks: map[*link]bool{}, refused: map[orderKey]refusal{},
+		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{}, plannerLinks: map[*link]bool{}, startResults: map[orderKey]startResult{},
 	}
 	// An earlier incarnation of this agent possibly extended leases just before this one
 	// started. The time until leases have expired is therefore counted from now.
@@ -235,7 +236,7 @@
 		c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
 	}
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
-	c.inFlight, c.uncertain, c.refused = map[orderKey]bool{}, map[orderKey]bool{}, map[orderKey]refusal{}
+	c.inFlight, c.uncertain, c.startResults = map[orderKey]bool{}, map[orderKey]bool{}, map[orderKey]startResult{}
 	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
 	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
 }
--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -252,6 +252,24 @@
 	}
 }
 
+// The planner repeats an order if the result of a start was lost with its connection. A worker that
+// has become unhealthy refuses it, although the run exists. The planner then started the task
+// elsewhere as well.
+func TestStartIsNotRefusedWhenTheOrderIsRepeatedAfterASuccess(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	order := cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7}
+	a.startRun(t.Context(), order)
+	a.handleEvent(t.Context(), <-a.events)
+	g.Expect(w.started).To(Receive())
+	a.takeReport()
+	w.refusal = cfcore.ExecutorUnhealthy
+	a.startRun(t.Context(), order)
+	g.Expect(a.inFlight).To(BeEmpty(), "the worker is not called again")
+	g.Expect(a.takeReport().Results).To(Equal([]cfwire.JobOrderResult{{Task: order.Task, Run: 7}}))
+}
+
 // The planner repeats an order until it has the result. The repeated order can cross the refusal,
 // after which the planner starts the task elsewhere.
 func TestRefusedStartIsNotExecutedWhenTheOrderIsRepeated(t *testing.T) {
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -121,9 +121,10 @@
 	if c.inFlight[key] {
 		return
 	}
-	if r, ok := c.refused[key]; ok {
-		// The planner possibly has the refusal already, and starts the task elsewhere.
-		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: r.kind})
+	if r, ok := c.startResults[key]; ok {
+		// The planner possibly has this result already and acts on it. A worker that has started
+		// the run can refuse another attempt.
+		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: r.refusal})
 		return
 	}
 	until := c.leaseUntil()
@@ -206,6 +207,7 @@
 		}
 		res.Refusal = cfcore.ExecutorStale
 	case ev.err == nil:
+		c.recordStartResult(ev.key, "")
 	case cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown):
 		c.uncertain[ev.key] = true
 		c.logOrder(ev)
@@ -226,24 +228,28 @@
 		return
 	default:
 		res.Refusal = refusalOf(ev.err)
-		c.recordRefusal(ev.key, res.Refusal)
+		c.recordStartResult(ev.key, res.Refusal)
 	}
 	delete(c.uncertain, ev.key)
 	c.logOrder(ev)
 	c.results = append(c.results, res)
 }
 
-// refusal is a start that the worker refused. at is on the boot clock.
-type refusal struct {
-	kind cfcore.ExecutorKind
-	at   time.Duration
+// startResult is the result of a start. refusal is empty if the run has started. at is on the boot
+// clock.
+type startResult struct {
+	refusal cfcore.ExecutorKind
+	at      time.Duration
 }
 
-// recordRefusal remembers a refused start, and forgets those that are older than refusalMemory.
-func (c *control) recordRefusal(key orderKey, kind cfcore.ExecutorKind) {
+// recordStartResult remembers the result of a start, and forgets older ones at times.
+func (c *control) recordStartResult(key orderKey, refusal cfcore.ExecutorKind) {
 	now := c.bootClock.Now()
-	maps.DeleteFunc(c.refused, func(_ orderKey, r refusal) bool { return now-r.at > refusalMemory })
-	c.refused[key] = refusal{kind: kind, at: now}
+	if now-c.resultsForgottenAt > resultMemory {
+		maps.DeleteFunc(c.startResults, func(_ orderKey, r startResult) bool { return now-r.at > resultMemory })
+		c.resultsForgottenAt = now
+	}
+	c.startResults[key] = startResult{refusal: refusal, at: now}
 }
 
 // logOrder logs the outcome of an order, also if the order failed.
