Ignore starts from before a report that all leases have expired

Cause: an agent reports that all leases on its worker have expired, and the planner starts the tasks elsewhere. An order that was given before, and that another connection of the agent holds back meanwhile (a freeze of the agent, a slow link), was still executed once leases could be extended again.

Reports now have a sequence number and orders name the newest one that the planner had applied. An agent ignores starts that precede its last report of expired leases; the planner repeats those that it still wants. Entries of earlier builds name no report, and their starts are executed as before.

Evidence: TestStartFromBeforeTheLeasesExpiredIsIgnored fails without the check in handleMessage; TestOrdersSayWhichReportTheyFollow.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -133,6 +133,9 @@
 	// are the results of orders since the last report.
 	reportAll bool
 	results   []cfwire.JobOrderResult
+	// expiredReport is the sequence number of the last report that all leases have expired. The
+	// planner then starts the tasks elsewhere. An order of before can be delayed on a connection.
+	expiredReport uint64
 }
 
 func newControl(a *Agent) *control {
@@ -274,6 +277,10 @@
 		c.lastRecorded = o.RecordedEnd
 		c.nextHoldAt = 0
 	}
+	if o.AfterReport > 0 && o.AfterReport < c.expiredReport {
+		c.Log.Warn().Int("Starts", len(o.Starts)).Msg("starts ignored: the planner gave them before it learned that all leases have expired")
+		o.Starts = nil
+	}
 	for _, s := range o.Starts {
 		c.startRun(ctx, s)
 	}
@@ -393,7 +400,7 @@
 // takeReport returns a report of the results since the last one, with the worker's whole
 // state if reportAll is set. It clears the results and reportAll.
 func (c *control) takeReport() *cfwire.JobReport {
-	r := &cfwire.JobReport{Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-c.bootClock.Now())}
+	r := &cfwire.JobReport{Seq: uint64(c.bootClock.Now()), Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-c.bootClock.Now())}
 	c.results = nil
 	if c.reportAll && c.hasWorker {
 		w := c.worker
@@ -408,6 +415,9 @@
 	if d, unreachable := c.unansweredFor(); c.hasLeft || unreachable || !c.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: c.leasesExpired(), Left: c.hasLeft}
 	}
+	if r.Lost != nil && r.Lost.LeasesExpired {
+		c.expiredReport = r.Seq
+	}
 	c.reportAll = false
 	return r
 }
--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -252,6 +252,44 @@
 	}
 }
 
+// An order that a connection held back arrived after the report that all leases have expired, upon
+// which the planner had started the task elsewhere.
+func TestStartFromBeforeTheLeasesExpiredIsIgnored(t *testing.T) {
+	for name, c := range map[string]struct {
+		// after is added to the sequence number of the report that the leases have expired.
+		after  int
+		known  bool
+		starts bool
+	}{
+		"ordered before the report":         {after: -1, known: true},
+		"ordered after the report":          {known: true, starts: true},
+		"ordered after a later report":      {after: 1, known: true, starts: true},
+		"ordered by an entry of old builds": {starts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, w := newTestControl()
+			clock := fakeBootClock(time.Hour)
+			a.bootClock, a.grantedAt, a.answeredAt, a.leaseFrom = &clock, time.Hour, time.Hour-10*time.Second, time.Hour-10*time.Second
+			a.worker, a.hasWorker, a.workerClock = workerState(born), true, time.Minute
+			r := a.takeReport()
+			g.Expect(r.Lost.LeasesExpired).To(BeTrue())
+			a.answeredAt = time.Hour
+			o := &cfwire.JobOrders{Epoch: a.epoch, Starts: []cfwire.JobStart{{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7}}}
+			if c.known {
+				o.AfterReport = uint64(int(r.Seq) + c.after)
+			}
+			a.handleMessage(t.Context(), &link{}, &cfwire.Message{JobOrders: o})
+			if c.starts {
+				g.Eventually(w.started).Should(Receive())
+				return
+			}
+			g.Consistently(w.started, "20ms").ShouldNot(Receive())
+			g.Expect(a.takeReport().Results).To(BeEmpty(), "the planner repeats the order if it still wants the run")
+		})
+	}
+}
+
 // The planner repeats an order if the result of a start was lost with its connection. A worker that
 // has become unhealthy refuses it, although the run exists. The planner then started the task
 // elsewhere as well.
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -30,6 +30,8 @@
 	// orderedLinks holds, by agent, a connection of the newest instance that the planner gives
 	// orders to.
 	orderedLinks map[string]*link
+	// appliedReports holds, by agent, the newest report of the agent's newest instance.
+	appliedReports map[string]appliedReport
 	// entrySeenAt holds, by name, when each entry was last connected, or when the planner
 	// first saw the entry's record.
 	entrySeenAt map[string]time.Time
@@ -48,6 +50,27 @@
 	extraRecords []cfcore.KeyedRecord
 }
 
+// appliedReport identifies a report that the planner has applied.
+type appliedReport struct {
+	instance cfcore.InstanceID
+	seq      uint64
+}
+
+// markReportApplied remembers that a report was applied.
+func (p *planning) markReportApplied(l *link, seq uint64) {
+	if old := p.appliedReports[l.name]; old.instance != l.instance || old.seq < seq {
+		p.appliedReports[l.name] = appliedReport{instance: l.instance, seq: seq}
+	}
+}
+
+// lastReport returns the sequence number of the newest applied report of an agent's instance, or 0.
+func (p *planning) lastReport(l *link) uint64 {
+	if r := p.appliedReports[l.name]; r.instance == l.instance {
+		return r.seq
+	}
+	return 0
+}
+
 // restoreLearned restores the learned data of the previous planner.
 func (c *control) restoreLearned() {
 	if len(c.stored.Learned) == 0 {
@@ -137,6 +160,7 @@
 		return
 	}
 	c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report)
+	c.plan.markReportApplied(ev.link, ev.report.Seq)
 	if ev.report.Ask > 0 {
 		c.send(ev.link, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch, Answer: ev.report.Ask}})
 		c.plan.MarkAnswered(ev.link.name, c.Clock.Now())
@@ -221,6 +245,6 @@
 	}
 	c.Scope.Counter("starts_ordered").Inc(int64(len(o.Starts)))
 	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{
-		Epoch: c.plan.epoch, Starts: o.Starts, Stops: o.Stops, Throttles: o.Throttles, RecordedEnd: o.RecordedEnd, Born: o.Born,
+		Epoch: c.plan.epoch, AfterReport: c.plan.lastReport(l), Starts: o.Starts, Stops: o.Stops, Throttles: o.Throttles, RecordedEnd: o.RecordedEnd, Born: o.Born,
 	}})
 }
--- a/internal/cfjobentry/planning_test.go
+++ b/internal/cfjobentry/planning_test.go
@@ -170,3 +170,20 @@
 	c.handleEvent(t.Context(), reportReceived{link: l, report: &cfwire.JobReport{Ask: 2}})
 	g.Eventually(orders).Should(Receive(HaveField("Answer", BeEquivalentTo(2))))
 }
+
+// An agent ignores starts that were ordered before the planner had its report that all leases have
+// expired. It must know which of its reports an order follows.
+func TestOrdersSayWhichReportTheyFollow(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newTestControl(t)
+	c.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
+	former, formerOrders := newAgentLink(t, c, "1")
+	l, orders := newAgentLink(t, c, "2")
+	c.handleEvent(t.Context(), reportReceived{link: former, report: &cfwire.JobReport{Seq: 90}})
+	c.handleEvent(t.Context(), reportReceived{link: l, report: &cfwire.JobReport{Seq: 8}})
+	c.handleEvent(t.Context(), reportReceived{link: l, report: &cfwire.JobReport{Seq: 7}})
+	c.sendOrders(l, &cfdispatch.Orders{})
+	g.Eventually(orders).Should(Receive(HaveField("AfterReport", BeEquivalentTo(8))))
+	c.sendOrders(former, &cfdispatch.Orders{})
+	g.Eventually(formerOrders).Should(Receive(HaveField("AfterReport", BeZero())), "the report of another instance")
+}
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -10,6 +10,8 @@
 // JobReport is an agent's report to the planner about its worker and the tasks there. Worker
 // and Lists are nil if they are unchanged since the previous report on this connection.
 type JobReport struct {
+	// Seq is the sequence number of the report. It rises across restarts of the agent.
+	Seq uint64 `cbor:",omitempty"`
 	// Ask is the sequence number of the agent's request for permission to extend leases; 0 if
 	// the report contains no such request.
 	Ask uint64
@@ -55,8 +57,11 @@
 	Epoch cfcore.Epoch
 	// Answer is the sequence number of the agent's newest request (JobReport.Ask).
 	Answer uint64
-	Starts []JobStart `cbor:",omitempty"`
-	Stops  []JobStop  `cbor:",omitempty"`
+	// AfterReport is the highest JobReport.Seq that the planner had applied before it gave the
+	// orders; 0 if it is not known.
+	AfterReport uint64     `cbor:",omitempty"`
+	Starts      []JobStart `cbor:",omitempty"`
+	Stops       []JobStop  `cbor:",omitempty"`
 	// Throttles are the orders to throttle runs.
 	Throttles []JobThrottle `cbor:"Paces,omitempty"`
 	// RecordedEnd is the Number of the last EndedTask that is recorded in the store. It applies
