Read a settings file again when it changes without a signal

Cause: settings were read again only at SIGHUP. The platform may change the file without a signal.

Processes now check the file's time and size once a second.

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -62,6 +62,8 @@
 	session   *gexec.Session
 	callers   netip.AddrPort
 	readiness netip.AddrPort
+	// settingsFile is the path of the process's settings.
+	settingsFile string
 }
 
 func (p *process) kill()              { p.session.Kill().Wait(5 * time.Second) }
@@ -194,6 +196,7 @@
 	file := filepath.Join(f.dir, name+".jsonc")
 	text := fmt.Sprintf(`{"Name": %q, "DataCentre": "north", %s}`, name, settings)
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	p.settingsFile = file
 	p.start = func() *gexec.Session {
 		out, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/cfcmd/role.go
+++ b/internal/cfcmd/role.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
@@ -67,11 +68,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	loaded := versionOf(c.settings)
 	role, err := c.newRole(ctx)
 	if err != nil {
 		return c.fail(err)
 	}
-	stopReloads := c.reloadOnSignal(ctx, role)
+	stopReloads := c.reloadOnChange(ctx, role, loaded)
 	defer stopReloads()
 	if err := role.Run(ctx, leaveOnSignal(ctx, cancel)); err != nil {
 		return c.fail(err)
@@ -147,10 +149,29 @@
 	return leave
 }
 
-// reloadOnSignal reloads the settings file at each SIGHUP. A file with faults changes
+// settingsCheckInterval is how often a process checks whether its settings file has changed.
+const settingsCheckInterval = time.Second
+
+// fileVersion identifies the contents of a settings file.
+type fileVersion struct {
+	modifiedAt time.Time
+	size       int64
+}
+
+// versionOf returns the version of a file, or the zero value if it cannot be read.
+func versionOf(path string) fileVersion {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileVersion{}
+	}
+	return fileVersion{modifiedAt: info.ModTime(), size: info.Size()}
+}
+
+// reloadOnChange reloads the settings file at each SIGHUP, and when it has changed without a
+// signal. loaded is the version that the role was created from. A file with faults changes
 // nothing. The returned function stops the reloads and waits until a reload in progress has
 // ended.
-func (c *roleCmd) reloadOnSignal(ctx context.Context, role *cfapp.Role) func() {
+func (c *roleCmd) reloadOnChange(ctx context.Context, role *cfapp.Role, loaded fileVersion) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
@@ -158,14 +179,21 @@
 	go func() {
 		defer close(done)
 		defer signal.Stop(signals)
+		check := time.NewTicker(settingsCheckInterval)
+		defer check.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-signals:
-				cfg, err := loadSettings(c.role, c.settings)
-				role.Reload(cfg, err)
+			case <-check.C:
+				if versionOf(c.settings) == loaded {
+					continue
+				}
 			}
+			loaded = versionOf(c.settings)
+			cfg, err := loadSettings(c.role, c.settings)
+			role.Reload(cfg, err)
 		}
 	}()
 	return func() { cancel(); <-done }
