Do not quarantine a worker for failures of long-running tasks at work

Jobs whose tasks last needed a label that one worker has.

Cause: only an end as done resets the streak of failures, and tasks that last have none.

The failure of a long-running run that was at work no longer counts, and a long-running run that reaches its work resets the streak once. A run that goes on does not hide failures of others.

Evidence: TestFailuresOfLongRunningTasksAtWorkDoNotQuarantine failed before; TestLongRunningTaskDoesNotHideFailuresOfOthers.

--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -195,6 +195,10 @@
 	}
 	r.born = w.state.Born
 	r.listedAt = now
+	if t.step.LongRunning && r.percent < fullPercent && row.Percent >= fullPercent {
+		// The start of a long-running task has succeeded; the task itself does not end.
+		w.failures.reset()
+	}
 	r.updateProgress(now, row.Percent)
 	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
@@ -237,7 +241,7 @@
 		}
 		p.completeTask(now, t)
 	case cfcore.EndFailed:
-		p.recordFailure(now, w, t, e)
+		p.recordFailure(now, w, t, e, r != nil && t.step.LongRunning && r.percent >= fullPercent)
 	case cfcore.EndStopped, cfcore.EndLeaseExpired, cfcore.EndGangBroken, cfcore.EndGangTimeout:
 	}
 	if t.done || t.j.isOver() {
@@ -302,12 +306,16 @@
 }
 
 // recordFailure records that a run of a task failed on a worker. If this was the last
-// allowed attempt, the job fails. Long-running tasks have no limit of attempts.
-func (p *Planner) recordFailure(now time.Time, w *worker, t *task, e cfcore.EndedTask) {
-	if w.failures.addFailure(now, t.j.ID) {
+// allowed attempt, the job fails. Long-running tasks have no limit of attempts. wasAtWork is set
+// for the run of such a task that had served its users: it may fail at any time, which says
+// nothing about the worker.
+func (p *Planner) recordFailure(now time.Time, w *worker, t *task, e cfcore.EndedTask, wasAtWork bool) {
+	if !wasAtWork && w.failures.addFailure(now, t.j.ID) {
 		p.addEvent(Event{Kind: EventQuarantined, Agent: w.agent, Task: t.name, Run: e.Run})
 	}
-	t.avoidAgent = w.agent
+	if !wasAtWork {
+		t.avoidAgent = w.agent
+	}
 	if t.step.LongRunning || slices.Contains(t.failedRuns, e.Run) {
 		return
 	}
