Give up starts that reach an agent whose worker is draining

The agent now stops the run. The answer and the lists show that it does not exist and will not start, so that the planner starts it elsewhere.

Evidence: TestStartForADrainingWorkerIsGivenUp failed before.

--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// A start that arrived just after its worker had begun to drain got no result, and the task waited
+// until the worker had left.
+func TestStartForADrainingWorkerIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	s := workerState(born)
+	s.Draining = true
+	a.handleHeartbeat(s)
+	order := cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7}
+	a.startRun(t.Context(), order)
+	g.Eventually(w.stopped).Should(Receive(BeEquivalentTo(7)))
+	a.handleEvent(t.Context(), <-a.events)
+	g.Expect(a.takeReport().Results).To(Equal([]cfwire.JobOrderResult{{Task: order.Task, Run: 7, Refusal: cfcore.ExecutorStale}}))
+	g.Expect(w.started).NotTo(Receive())
+}
+
 // A run that is missing from run lists possibly is in a row that cannot be decoded, or has ended
 // and is beyond the ends that a worker lists at a time. The agent must not report that the run
 // does not exist.
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -127,8 +127,14 @@
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: r.refusal})
 		return
 	}
+	if c.hasWorker && s.Born.Equal(c.worker.Born) && !c.hasLeft && c.worker.Draining {
+		// The worker gets no more starts. Once it has answered the stop, the planner can start
+		// the task elsewhere.
+		c.stopRun(ctx, cfwire.JobStop{Task: s.Task, Run: s.Run})
+		return
+	}
 	until := c.leaseUntil()
-	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.hasLeft || until == 0 || c.worker.Draining {
+	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.hasLeft || until == 0 {
 		// An earlier attempt, of this or an earlier incarnation of the agent, has possibly
 		// started the run already. The run can also still start in another incarnation of
 		// the worker. The agent cannot determine whether the run exists, so it returns no
