--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -270,6 +270,15 @@
 		}
 		return func() {}
 	}, time.Millisecond},
+	{"the open connections to the store become silent", func(s *soak) func() { s.silenceStore(); return func() {} }, time.Millisecond},
+	{"the open connections to the workers become silent", func(s *soak) func() { s.silenceWorkers(); return func() {} }, time.Millisecond},
+	{"the open connections between the processes become silent", func(s *soak) func() {
+		if s.proxies == nil {
+			return nil
+		}
+		s.proxies.silence()
+		return func() {}
+	}, time.Millisecond},
 	{"the configuration changes", func(s *soak) func() { s.version++; s.configure(s.version); return func() {} }, time.Millisecond},
 }
 
