--- a/integration/jobs/memory_test.go
+++ b/integration/jobs/memory_test.go
@@ -65,27 +65,48 @@
 	Entry("wide jobs that have to wait", strings.Replace(oneStep(100_000, "50ms"), `"cpu":100`, `"cpu":100,"requirements":"none"`, 1), 12),
 )
 
-// All jobs that share an append were refused if they exceeded the limit of a call together.
-var _ = Describe("large jobs", func() {
-	It("are accepted at the same time", func() {
+// chainedJob returns the body of a job with n steps, each of which waits for all earlier ones.
+func chainedJob(n int) string {
+	var steps, earlier []string
+	for i := range n {
+		steps = append(steps, fmt.Sprintf(`{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10,"after":[%s]}`, strings.Join(earlier, ",")))
+		earlier = append(earlier, strconv.Itoa(i))
+	}
+	return `{"spec":"10ms","steps":[` + strings.Join(steps, ",") + `]}`
+}
+
+// submitTogether submits n jobs with the same body at the same time, and returns the statuses of the
+// answers.
+func (f *fleet) submitTogether(n int, body string) []int {
+	replies := make(chan int)
+	for i := range n {
+		go func() {
+			defer GinkgoRecover()
+			status, _ := f.call(0, http.MethodPost, queuePrefix+jobID(i+1), body)
+			replies <- status
+		}()
+	}
+	var statuses []int
+	for range n {
+		statuses = append(statuses, <-replies)
+	}
+	return statuses
+}
+
+var _ = Describe("large jobs at the same time", func() {
+	// All jobs that share an append were refused if they exceeded the limit of a call together.
+	It("are accepted", func() {
 		f := newFleet(2, 1)
-		var steps, earlier []string
-		for i := range 300 {
-			steps = append(steps, fmt.Sprintf(`{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10,"after":[%s]}`, strings.Join(earlier, ",")))
-			earlier = append(earlier, strconv.Itoa(i))
-		}
-		body := `{"spec":"10ms","steps":[` + strings.Join(steps, ",") + `]}`
-		replies := make(chan int)
-		const jobs = 60
-		for n := range jobs {
-			go func() {
-				defer GinkgoRecover()
-				status, _ := f.call(0, http.MethodPost, queuePrefix+jobID(n+1), body)
-				replies <- status
-			}()
-		}
-		for range jobs {
-			Expect(<-replies).To(Equal(http.StatusOK))
+		Expect(f.submitTogether(60, chainedJob(300))).To(HaveEach(http.StatusOK))
+	})
+
+	// Requests are read and decoded at the same time, and the memory for a job is compared with a sum
+	// from before other jobs were added.
+	It("keep entries within their memory", func() {
+		f := newFleet(2, 1)
+		f.submitTogether(300, chainedJob(340))
+		for _, e := range f.entries {
+			Expect(e.peakMemoryKB()).To(BeNumerically("<", memoryLimitKB))
 		}
 	})
 })
