--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"cranberryford/internal/cfstandin"
 	"cranberryford/platform/standin"
 )
 
@@ -88,7 +89,7 @@
 	servers    []*http.Server
 	// silencers are those of the servers, by address. storeAddr and workerAddrs are some of
 	// these addresses.
-	silencers   map[netip.AddrPort]*silencer
+	silencers   map[netip.AddrPort]*cfstandin.Silencer
 	storeAddr   netip.AddrPort
 	workerAddrs []netip.AddrPort
 	// proxies is nil if agents and entries connect to entries directly.
@@ -113,7 +114,7 @@
 func (f *fleet) listen(a netip.AddrPort, h http.Handler) {
 	l, err := net.Listen("tcp", a.String())
 	Expect(err).NotTo(HaveOccurred())
-	silencer := &silencer{Listener: l}
+	silencer := &cfstandin.Silencer{Listener: l}
 	f.silencers[a] = silencer
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(silencer) }()
@@ -125,7 +126,7 @@
 
 // startFleet is newFleet with proxies in front of the entries unless p is nil.
 func startFleet(entries, agents int, p *proxies) *fleet {
-	f := &fleet{proxies: p, silencers: map[netip.AddrPort]*silencer{}, dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{DecisionTime: 20 * time.Millisecond}}
+	f := &fleet{proxies: p, silencers: map[netip.AddrPort]*cfstandin.Silencer{}, dir: GinkgoT().TempDir(), store: standin.NewStore(), advisor: &standin.Advisor{DecisionTime: 20 * time.Millisecond}}
 	storeAddr := f.freeAddr(250)
 	f.storeAddr = storeAddr
 	if p != nil {
--- a/integration/jobs/silent_test.go
+++ b/integration/jobs/silent_test.go
@@ -1,10 +1,8 @@
 package jobs
 
 import (
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,61 +10,11 @@
 	. "github.com/onsi/gomega"
 )
 
-// silencer is a listener that can make its open connections silent.
-type silencer struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []*silentConn
-}
-
-func (s *silencer) Accept() (net.Conn, error) {
-	c, err := s.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	conn := &silentConn{Conn: c}
-	s.conns = append(s.conns, conn)
-	return conn, nil
-}
-
-// silence makes all open connections silent. They stay open, and new ones work.
-func (s *silencer) silence() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		c.silent.Store(true)
-	}
-}
-
-// silentConn sends nothing and receives nothing once it is silent.
-type silentConn struct {
-	net.Conn
-	silent atomic.Bool
-}
-
-func (c *silentConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silent.Load() {
-			return n, err
-		}
-	}
-}
-
-func (c *silentConn) Write(b []byte) (int, error) {
-	if c.silent.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-func (f *fleet) silenceStore() { f.silencers[f.storeAddr].silence() }
+func (f *fleet) silenceStore() { f.silencers[f.storeAddr].Silence() }
 
 func (f *fleet) silenceWorkers() {
 	for _, a := range f.workerAddrs {
-		f.silencers[a].silence()
+		f.silencers[a].Silence()
 	}
 }
 
--- a/pkg/cfnet/connpool_test.go
+++ b/pkg/cfnet/connpool_test.go
@@ -3,71 +3,19 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"cranberryford/internal/cfstandin"
 	"cranberryford/pkg/cfnet"
 )
 
-// silentListener can make the connections that it has accepted silent.
-type silentListener struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []*silentConn
-}
-
-func (l *silentListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := &silentConn{Conn: c}
-	l.conns = append(l.conns, s)
-	return s, nil
-}
-
-// silence makes all connections that are open silent, and returns how many were accepted so far.
-func (l *silentListener) silence() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.conns {
-		c.silent.Store(true)
-	}
-	return len(l.conns)
-}
-
-// silentConn sends nothing and receives nothing once it is silent, and stays open.
-type silentConn struct {
-	net.Conn
-	silent atomic.Bool
-}
-
-func (c *silentConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silent.Load() {
-			return n, err
-		}
-	}
-}
-
-func (c *silentConn) Write(b []byte) (int, error) {
-	if c.silent.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
 const (
 	silentConns    = 20
 	requestTimeout = 200 * time.Millisecond
@@ -90,7 +38,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			l := &silentListener{}
+			l := &cfstandin.Silencer{}
 			var arrived sync.WaitGroup
 			arrived.Add(silentConns)
 			s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -101,7 +49,7 @@
 				case "/half":
 					_, _ = io.WriteString(w, "half")
 					w.(http.Flusher).Flush()
-					l.silence()
+					l.Silence()
 				}
 				_, _ = io.WriteString(w, "whole")
 			}))
@@ -132,13 +80,13 @@
 				wg.Go(func() { _ = get("/together", false) })
 			}
 			wg.Wait()
-			g.Expect(len(l.conns)).To(Equal(silentConns))
+			g.Expect(l.Accepted()).To(Equal(silentConns))
 
 			path := "/"
 			if c.midAnswer {
 				path = "/half"
 			} else {
-				l.silence()
+				l.Silence()
 			}
 			g.Expect(get(path, c.cancel)).NotTo(Succeed())
 			if c.dropped {
