--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -63,6 +63,17 @@
 	}
 }
 
+// outdatedReason returns why a report says nothing about the present, or "" if it possibly does.
+func (p *planning) outdatedReason(l *link, r *cfwire.JobReport) string {
+	switch {
+	case r.Epoch != p.epoch:
+		return "sent in another epoch"
+	case r.Seq < p.lastReport(l):
+		return "a newer report was applied"
+	}
+	return ""
+}
+
 // lastReport returns the sequence number of the newest applied report of an agent's instance, or 0.
 func (p *planning) lastReport(l *link) uint64 {
 	if r := p.appliedReports[l.name]; r.instance == l.instance {
@@ -159,6 +170,11 @@
 	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.hasAuthority() || !c.mayOrder(ev.link) {
 		return
 	}
+	if reason := c.plan.outdatedReason(ev.link, ev.report); reason != "" {
+		c.Log.Warn().Str("Agent", ev.link.name).Str("Reason", reason).Uint64("Seq", ev.report.Seq).Uint64("Newest", c.plan.lastReport(ev.link)).
+			Uint64("ReportEpoch", uint64(ev.report.Epoch)).Uint64("Epoch", uint64(c.plan.epoch)).Bool("Lost", ev.report.Lost != nil).Msg("outdated report of an agent")
+		c.Scope.Tagged(map[string]string{"reason": reason}).Counter("reports_outdated").Inc(1)
+	}
 	c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report)
 	c.plan.markReportApplied(ev.link, ev.report.Seq)
 	if ev.report.Ask > 0 {
