Ignore reports that arrive after a newer one

Callers saw tasks run twice, or wait although there was room: a report that an agent wrote on a connection that it has given up can arrive after newer ones. The planner applied it. One that said that all leases had expired dropped a run that went on, so that its task was started elsewhere; one that listed a run that had ended had it adopted, and no later list removes it.

Cause: reports replace what is known of a worker, but only orders were compared by the number of the report that they follow. The planner now keeps the number of the newest report for each agent, also of agents whose leases have expired, and ignores reports below it. Numbers of one instance rise strictly; another instance begins anew. Results in an ignored report come again, as the planner repeats orders without a result and agents remember results of starts.

Ruled out: that the answer to a late request could extend leases; the agent counts from when it sent the request.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -133,6 +133,8 @@
 	// are the results of orders since the last report.
 	reportAll bool
 	results   []cfwire.JobOrderResult
+	// lastReport is the sequence number of the last report.
+	lastReport uint64
 	// expiredReport is the sequence number of the last report that all leases have expired. The
 	// planner then starts the tasks elsewhere. An order of before can be delayed on a connection.
 	expiredReport uint64
@@ -400,7 +402,8 @@
 // takeReport returns a report of the results since the last one, with the worker's whole
 // state if reportAll is set. It clears the results and reportAll.
 func (c *control) takeReport() *cfwire.JobReport {
-	r := &cfwire.JobReport{Seq: uint64(c.bootClock.Now()), Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-c.bootClock.Now())}
+	c.lastReport = max(c.lastReport+1, uint64(c.bootClock.Now()))
+	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-c.bootClock.Now())}
 	c.results = nil
 	if c.reportAll && c.hasWorker {
 		w := c.worker
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -162,7 +162,7 @@
 	until := c.Clock.Now().Add(othersFor + s.LeaseExpiryTime())
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
-		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, appliedReports: map[string]appliedReport{}, entrySeenAt: map[string]time.Time{},
+		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, entrySeenAt: map[string]time.Time{},
 	}
 	c.restoreLearned()
 	for _, e := range c.stored.Jobs {
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -30,8 +30,6 @@
 	// orderedLinks holds, by agent, a connection of the newest instance that the planner gives
 	// orders to.
 	orderedLinks map[string]*link
-	// appliedReports holds, by agent, the newest report of the agent's newest instance.
-	appliedReports map[string]appliedReport
 	// entrySeenAt holds, by name, when each entry was last connected, or when the planner
 	// first saw the entry's record.
 	entrySeenAt map[string]time.Time
@@ -50,34 +48,10 @@
 	extraRecords []cfcore.KeyedRecord
 }
 
-// appliedReport identifies a report that the planner has applied.
-type appliedReport struct {
-	instance cfcore.InstanceID
-	seq      uint64
-}
-
-// markReportApplied remembers that a report was applied.
-func (p *planning) markReportApplied(l *link, seq uint64) {
-	if old := p.appliedReports[l.name]; old.instance != l.instance || old.seq < seq {
-		p.appliedReports[l.name] = appliedReport{instance: l.instance, seq: seq}
-	}
-}
-
-// outdatedReason returns why a report says nothing about the present, or "" if it possibly does.
-func (p *planning) outdatedReason(l *link, r *cfwire.JobReport) string {
-	switch {
-	case r.Epoch != p.epoch:
-		return "sent in another epoch"
-	case r.Seq < p.lastReport(l):
-		return "a newer report was applied"
-	}
-	return ""
-}
-
 // lastReport returns the sequence number of the newest applied report of an agent's instance, or 0.
 func (p *planning) lastReport(l *link) uint64 {
-	if r := p.appliedReports[l.name]; r.instance == l.instance {
-		return r.seq
+	if newest := p.orderedLinks[l.name]; newest != nil && newest.instance == l.instance {
+		return p.LastReport(l.name)
 	}
 	return 0
 }
@@ -141,6 +115,7 @@
 		return false
 	}
 	c.plan.orderedLinks[l.name] = l
+	c.plan.BeginInstance(l.name)
 	return true
 }
 
@@ -170,13 +145,12 @@
 	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.hasAuthority() || !c.mayOrder(ev.link) {
 		return
 	}
-	if reason := c.plan.outdatedReason(ev.link, ev.report); reason != "" {
-		c.Log.Warn().Str("Agent", ev.link.name).Str("Reason", reason).Uint64("Seq", ev.report.Seq).Uint64("Newest", c.plan.lastReport(ev.link)).
-			Uint64("ReportEpoch", uint64(ev.report.Epoch)).Uint64("Epoch", uint64(c.plan.epoch)).Bool("Lost", ev.report.Lost != nil).Msg("outdated report of an agent")
-		c.Scope.Tagged(map[string]string{"reason": reason}).Counter("reports_outdated").Inc(1)
+	if o := c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report); o != cfdispatch.UpToDate {
+		c.Log.Warn().Str("Agent", ev.link.name).Str("Reason", string(o)).Uint64("Seq", ev.report.Seq).Uint64("Newest", c.plan.lastReport(ev.link)).
+			Uint64("ReportEpoch", uint64(ev.report.Epoch)).Uint64("Epoch", uint64(c.plan.epoch)).Bool("Lost", ev.report.Lost != nil).Msg("outdated report of an agent ignored")
+		c.Scope.Tagged(map[string]string{"reason": string(o)}).Counter("reports_outdated").Inc(1)
+		return
 	}
-	c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report)
-	c.plan.markReportApplied(ev.link, ev.report.Seq)
 	if ev.report.Ask > 0 {
 		c.send(ev.link, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch, Answer: ev.report.Ask}})
 		c.plan.MarkAnswered(ev.link.name, c.Clock.Now())
--- /dev/null
+++ b/pkg/cfdispatch/outdated.go
@@ -0,0 +1,28 @@
+package cfdispatch
+
+import "cranberryford/pkg/cfwire"
+
+// Outdated says why a report of an agent says nothing about the present.
+type Outdated string
+
+const (
+	// UpToDate is a report that is applied.
+	UpToDate Outdated = ""
+	// OutdatedSequence is a report that arrived after a newer one, on another connection.
+	OutdatedSequence Outdated = "a newer report was applied"
+)
+
+// BeginInstance marks that an agent has another instance, with sequence numbers of its own.
+func (p *Planner) BeginInstance(agent string) { delete(p.lastReports, agent) }
+
+// LastReport returns the sequence number of the newest applied report of an agent's instance, or 0.
+func (p *Planner) LastReport(agent string) uint64 { return p.lastReports[agent] }
+
+// checkOrder returns whether a report is outdated, and remembers its sequence number if not.
+func (p *Planner) checkOrder(agent string, m *cfwire.JobReport) Outdated {
+	if m.Seq < p.lastReports[agent] {
+		return OutdatedSequence
+	}
+	p.lastReports[agent] = m.Seq
+	return UpToDate
+}
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -191,6 +191,9 @@
 	workers map[string]*worker
 	// fleet holds all workers, sorted by agent name.
 	fleet []*worker
+	// lastReports holds, by agent, the sequence number of the newest applied report. It outlasts
+	// the worker, which is removed once its leases have expired.
+	lastReports map[string]uint64
 	// runCount is the number of run numbers assigned so far.
 	runCount uint64
 	// copyCount is the number of second runs started so far.
@@ -249,7 +252,7 @@
 // leases of all runs that earlier planners started must have expired.
 func New(cfg Settings, agents []string, expectedUntil time.Time) *Planner {
 	p := &Planner{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, expectedAgents: map[string]bool{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, expectedAgents: map[string]bool{},
 		expectedUntil: expectedUntil, unrecordedJobs: map[string]*job{}, durationRatios: queueRatios{}, headroomModel: cfinterference.NewHeadroomModel(), orders: map[string]*Orders{},
 		open: map[string]*job{}, ackPending: map[*worker]bool{}, unrecordedAgents: map[string]bool{}, noFit: map[placementKey][]cfcore.Resources{}, changed: true,
 	}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -9,8 +9,12 @@
 	"cranberryford/pkg/cfwire"
 )
 
-// ApplyReport applies a report that the planner received from an agent.
-func (p *Planner) ApplyReport(now time.Time, agent string, m *cfwire.JobReport) {
+// ApplyReport applies a report that the planner received from an agent, unless it is outdated. The
+// results in an outdated report are not lost: the planner repeats the orders.
+func (p *Planner) ApplyReport(now time.Time, agent string, m *cfwire.JobReport) Outdated {
+	if o := p.checkOrder(agent, m); o != UpToDate {
+		return o
+	}
 	w := p.workers[agent]
 	if w == nil {
 		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}}
@@ -51,6 +55,7 @@
 	for _, r := range m.Results {
 		p.applyResult(now, w, r)
 	}
+	return UpToDate
 }
 
 // markLeft records that a worker has left. Later planners need not wait for the worker's
