Ignore reports that were sent in an earlier epoch

Callers can have seen tasks run twice: an entry that becomes the planner again applied reports that agents had sent to its former term. Their run lists come from calls with an older fencing token, after which the worker still executes starts of that term. The new term took the lists as complete and started inherited tasks elsewhere.

Cause: only reports that know a newer epoch were ignored. An agent follows an epoch before it reports to its planner, and then lists runs again, so that a report with an older epoch is never needed.

--- a/internal/cfjobentry/order_test.go
+++ b/internal/cfjobentry/order_test.go
@@ -86,6 +86,7 @@
 	g.Expect(c.plan.TakeOrders(now)).To(BeEmpty(), "the agent has not reported to this term")
 	report.Epoch, report.Seq = 3, 6
 	c.handleEvent(t.Context(), reportReceived{link: l, report: report})
+	c.plan.MarkAgentRecorded("a")
 	c.plan.Plan(now)
 	g.Expect(c.plan.TakeOrders(now)).To(HaveKey("a"))
 }
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -140,12 +140,12 @@
 // handleReportReceived passes an agent's report to the planner. If the report asks for
 // permission to extend leases, handleReportReceived answers with that permission. It
 // ignores the report if this entry is not the planner, if it may not give orders to the
-// agent, or if the agent knows a newer epoch.
+// agent, if the agent knows a newer epoch, or if the report is outdated.
 func (c *control) handleReportReceived(ev reportReceived) {
 	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.hasAuthority() || !c.mayOrder(ev.link) {
 		return
 	}
-	if o := c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report); o != cfdispatch.UpToDate {
+	if o := c.applyReport(ev); o != cfdispatch.UpToDate {
 		c.Log.Warn().Str("Agent", ev.link.name).Str("Reason", string(o)).Uint64("Seq", ev.report.Seq).Uint64("Newest", c.plan.lastReport(ev.link)).
 			Uint64("ReportEpoch", uint64(ev.report.Epoch)).Uint64("Epoch", uint64(c.plan.epoch)).Bool("Lost", ev.report.Lost != nil).Msg("outdated report of an agent ignored")
 		c.Scope.Tagged(map[string]string{"reason": string(o)}).Counter("reports_outdated").Inc(1)
@@ -157,6 +157,16 @@
 	}
 }
 
+// applyReport applies a report unless it is outdated. This entry can have been the planner of the
+// epoch in which a report was sent. Its run lists can lack runs that still start, see
+// cfjobagent.
+func (c *control) applyReport(ev reportReceived) cfdispatch.Outdated {
+	if ev.report.Epoch < c.plan.epoch {
+		return cfdispatch.OutdatedEpoch
+	}
+	return c.plan.ApplyReport(c.Clock.Now(), ev.link.name, ev.report)
+}
+
 // runPlanningRound runs a planning round and sends the resulting orders, if this entry is
 // the planner and has authority.
 func (c *control) runPlanningRound(ctx context.Context) {
--- a/pkg/cfdispatch/outdated.go
+++ b/pkg/cfdispatch/outdated.go
@@ -10,6 +10,8 @@
 	UpToDate Outdated = ""
 	// OutdatedSequence is a report that arrived after a newer one, on another connection.
 	OutdatedSequence Outdated = "a newer report was applied"
+	// OutdatedEpoch is a report that was sent to the planner of an earlier epoch.
+	OutdatedEpoch Outdated = "sent in an earlier epoch"
 )
 
 // BeginInstance marks that an agent has another instance, with sequence numbers of its own.
