Ignore starts from before the planner's permission lapsed

Callers can have seen a task run again after it was done: an agent that no planner reaches for 7.6 s counts as lost, and the task starts elsewhere. An order of before that a connection, or a process that stood still, has held back was executed as soon as the agent could extend leases again.

Cause: an agent ignored outdated starts only after it had itself reported that all leases had expired. The planner draws that conclusion from silence as well, also while the worker answers. A planner that gives up has answered no request for longer than a grant is valid (2 s), so that the next request which it answers was made without a valid grant. Starts ordered before it had that request are ignored now; the planner repeats those that it still wants after 0.6 s.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -135,9 +135,10 @@
 	results   []cfwire.JobOrderResult
 	// lastReport is the sequence number of the last report.
 	lastReport uint64
-	// expiredReport is the sequence number of the last report that all leases have expired. The
-	// planner then starts the tasks elsewhere. An order of before can be delayed on a connection.
-	expiredReport uint64
+	// startsAfter is the sequence number of a report. The planner possibly gives up the starts that
+	// it has ordered before it receives that report, and starts the tasks elsewhere. Such an order
+	// can be delayed on a connection.
+	startsAfter uint64
 }
 
 func newControl(a *Agent) *control {
@@ -279,8 +280,9 @@
 		c.lastRecorded = o.RecordedEnd
 		c.nextHoldAt = 0
 	}
-	if o.AfterReport > 0 && o.AfterReport < c.expiredReport {
-		c.Log.Warn().Int("Starts", len(o.Starts)).Msg("starts ignored: the planner gave them before it learned that all leases have expired")
+	if o.AfterReport > 0 && o.AfterReport < c.startsAfter && len(o.Starts) > 0 {
+		c.Log.Warn().Int("Starts", len(o.Starts)).Uint64("After", o.AfterReport).Uint64("Report", c.startsAfter).Msg("starts ignored: the planner gave them before leases expired or its permission to extend them lapsed")
+		c.Scope.Counter("starts_outdated").Inc(int64(len(o.Starts)))
 		o.Starts = nil
 	}
 	for _, s := range o.Starts {
@@ -347,7 +349,7 @@
 // to extend leases, or 0 if it is not allowed to extend them. It does not extend the leases of
 // an unreachable worker, so that they certainly expire.
 func (c *control) leaseUntil() time.Duration {
-	if _, unreachable := c.unansweredFor(); unreachable || !c.hasGrant || c.workerClock == 0 || c.bootClock.Now()-c.grantedAt > c.cfg.Lease.Grant {
+	if _, unreachable := c.unansweredFor(); unreachable || !c.hasValidGrant() || c.workerClock == 0 {
 		return 0
 	}
 	c.leaseFrom = max(c.leaseFrom, c.workerClockAt)
@@ -376,35 +378,33 @@
 // sendReport sends changes to the planner. If a grant request is due, the report contains
 // it.
 func (c *control) sendReport() {
-	if c.planner == nil {
+	if c.planner == nil || !c.isRequestDue() && !c.reportAll && len(c.results) == 0 {
 		return
 	}
-	now := c.bootClock.Now()
-	due := now-c.lastGrantRequestAt >= c.cfg.Ask
-	if !due && !c.reportAll && len(c.results) == 0 {
-		return
-	}
-	r := c.takeReport()
-	if due {
-		c.grantSeq++
-		r.Ask, c.lastGrantRequestAt = c.grantSeq, now
-		if len(c.pendingGrants) > maxPendingGrants {
-			clear(c.pendingGrants)
-		}
-		c.pendingGrants[c.grantSeq] = now
-	}
-	if err := c.planner.conn.Send(&cfwire.Message{JobReport: r}); err != nil {
+	if err := c.planner.conn.Send(&cfwire.Message{JobReport: c.takeReport()}); err != nil {
 		c.Log.Debug().Err(err).Msg("report not sent on this connection to the planner")
 		c.dropPlannerLink(c.planner)
 	}
 }
 
+// isRequestDue reports whether the next report must contain a grant request.
+func (c *control) isRequestDue() bool { return c.bootClock.Now()-c.lastGrantRequestAt >= c.cfg.Ask }
+
+// hasValidGrant reports whether the planner now permits to extend leases.
+func (c *control) hasValidGrant() bool {
+	return c.hasGrant && c.bootClock.Now()-c.grantedAt <= c.cfg.Lease.Grant
+}
+
 // takeReport returns a report of the results since the last one, with the worker's whole
 // state if reportAll is set. It clears the results and reportAll.
 func (c *control) takeReport() *cfwire.JobReport {
-	c.lastReport = max(c.lastReport+1, uint64(c.bootClock.Now()))
-	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-c.bootClock.Now())}
+	now := c.bootClock.Now()
+	c.lastReport = max(c.lastReport+1, uint64(now))
+	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now)}
 	c.results = nil
+	if c.isRequestDue() {
+		c.addGrantRequest(r, now)
+	}
 	if c.reportAll && c.hasWorker {
 		w := c.worker
 		r.Worker = &w
@@ -419,8 +419,23 @@
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: c.leasesExpired(), Left: c.hasLeft}
 	}
 	if r.Lost != nil && r.Lost.LeasesExpired {
-		c.expiredReport = r.Seq
+		c.startsAfter = r.Seq
 	}
 	c.reportAll = false
 	return r
 }
+
+// addGrantRequest adds a grant request to a report. A planner that has answered none for longer
+// than a grant is valid can give up the runs on the worker, and also the starts that it has
+// ordered before it receives this request.
+func (c *control) addGrantRequest(r *cfwire.JobReport, now time.Duration) {
+	if !c.hasValidGrant() {
+		c.startsAfter = r.Seq
+	}
+	c.grantSeq++
+	r.Ask, c.lastGrantRequestAt = c.grantSeq, now
+	if len(c.pendingGrants) > maxPendingGrants {
+		clear(c.pendingGrants)
+	}
+	c.pendingGrants[c.grantSeq] = now
+}
