Call a restarted worker at once

A worker that restarts under its ID executes late starts of its former incarnation until it has a call with a new fencing token.

Cause: an agent makes one call for the run lists at a time, and a call to the former incarnation can be without an answer for 0.7 s. The agent no longer waits for it, and ignores its outcome.

Two tests pass outcomes of calls by hand; they name the incarnation now.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -243,7 +243,9 @@
 	}
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
 	c.inFlight, c.uncertain, c.startResults = map[orderKey]bool{}, map[orderKey]bool{}, map[orderKey]startResult{}
-	c.hasLeft, c.answeredAt, c.nextHoldAt = false, c.bootClock.Now(), 0
+	// A call to the previous incarnation is not waited for: until a call with a token of the new
+	// session, the new incarnation executes late starts of the previous one.
+	c.hasLeft, c.answeredAt, c.nextHoldAt, c.holdInFlight = false, c.bootClock.Now(), 0, false
 	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
 }
 
--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -201,7 +201,7 @@
 	g := NewWithT(t)
 	a, _ := newTestControl()
 	a.handleHeartbeat(workerState(born))
-	a.handleHoldReturned(holdReturned{token: a.fence.token(a.epoch), lists: cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: true}})
+	a.handleHoldReturned(holdReturned{incarnation: a.fence.currentIncarnation(), token: a.fence.token(a.epoch), lists: cfcore.RunLists{Born: born, Clock: time.Hour, Incomplete: true}})
 	g.Expect(a.nextHoldAt).To(BeNumerically(">", a.bootClock.Now()))
 	g.Expect(a.lists.Incomplete).To(BeTrue())
 }
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -37,11 +37,13 @@
 	holdReturned struct {
 		lists cfcore.RunLists
 		err   error
-		// worker is the ID of the worker that the call was for. until is the time on the
-		// worker's clock until which the call extended leases; 0 if it extended none.
-		worker string
-		until  time.Duration
-		token  cfcore.FencingToken
+		// worker is the ID of the worker that the call was for, and incarnation the number of its
+		// incarnation (see fence). until is the time on the worker's clock until which the call
+		// extended leases; 0 if it extended none.
+		worker      string
+		incarnation uint64
+		until       time.Duration
+		token       cfcore.FencingToken
 	}
 	// orderReturned is the outcome of an order to start or stop a run.
 	orderReturned struct {
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -124,7 +124,7 @@
 	a.handleHeartbeat(workerState(born))
 	a.lastRecorded = 57
 	w.holds = make(chan cfcore.HoldOptions, 1)
-	a.handleHoldReturned(holdReturned{worker: "w", err: errUnanswered})
+	a.handleHoldReturned(holdReturned{incarnation: a.fence.currentIncarnation(), worker: "w", err: errUnanswered})
 	a.nextHoldAt = 0
 	a.requestRunLists(t.Context())
 	g.Expect((<-w.holds).LastSeen).To(BeZero())
@@ -165,7 +165,7 @@
 	next := workerState(born.Add(time.Minute))
 	next.ID = "w2"
 	a.handleHeartbeat(next)
-	a.handleHoldReturned(holdReturned{worker: "w", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "refused")})
+	a.handleHoldReturned(holdReturned{incarnation: a.fence.currentIncarnation(), worker: "w", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "refused")})
 	g.Expect(a.hasLeft).To(BeFalse())
 }
 
@@ -180,7 +180,7 @@
 		for _, n := range ends {
 			l.Ended = append(l.Ended, cfcore.EndedTask{Number: n})
 		}
-		a.handleHoldReturned(holdReturned{worker: "w", token: a.fence.token(a.epoch), lists: l, until: until})
+		a.handleHoldReturned(holdReturned{incarnation: a.fence.currentIncarnation(), worker: "w", token: a.fence.token(a.epoch), lists: l, until: until})
 		return a.takeReport().UncertainEnd
 	}
 	g.Expect(list(10*time.Second, 15*time.Second, 1)).To(BeEquivalentTo(1), "a restarted agent knows no leases")
--- a/internal/cfjobagent/order_test.go
+++ b/internal/cfjobagent/order_test.go
@@ -32,17 +32,17 @@
 	g.Eventually(w.started).Should(Receive())
 }
 
-// silentWorker does not answer calls for the run lists until its context ends, except those of its
-// next incarnation.
+// silentWorker answers no call for the run lists until released is closed.
 type silentWorker struct {
 	cfcore.Executor
-	held chan cfcore.Order
+	held     chan cfcore.Order
+	released chan struct{}
 }
 
-func (w *silentWorker) Hold(ctx context.Context, o cfcore.Order, _ cfcore.HoldOptions) (cfcore.RunLists, error) {
+func (w *silentWorker) Hold(_ context.Context, o cfcore.Order, _ cfcore.HoldOptions) (cfcore.RunLists, error) {
 	w.held <- o
-	<-ctx.Done()
-	return cfcore.RunLists{}, ctx.Err()
+	<-w.released
+	return cfcore.RunLists{}, errUnanswered
 }
 
 // Until the first call with a new token, a worker that has restarted executes late starts of its
@@ -50,23 +50,26 @@
 func TestRestartedWorkerIsCalledAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := newTestControl()
-	w := &silentWorker{held: make(chan cfcore.Order, 2)}
+	w := &silentWorker{held: make(chan cfcore.Order, 2), released: make(chan struct{})}
 	a.Executor = w
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	a.handleHeartbeat(workerState(born))
-	a.requestRunLists(ctx)
-	var first cfcore.Order
+	a.requestRunLists(t.Context())
+	var first, second cfcore.Order
 	g.Eventually(w.held).Should(Receive(&first))
 	s := workerState(born.Add(time.Minute))
 	s.Clock = 100 * time.Millisecond
 	a.handleHeartbeat(s)
-	a.requestRunLists(ctx)
-	var second cfcore.Order
+	a.requestRunLists(t.Context())
 	g.Eventually(w.held).Should(Receive(&second))
 	g.Expect(second.Token).To(BeNumerically(">", first.Token))
-	cancel()
-	a.handleEvent(t.Context(), <-a.events)
-	a.handleEvent(t.Context(), <-a.events)
+	a.handleHoldReturned(holdReturned{worker: "w", err: errUnanswered})
+	g.Expect(a.holdInFlight).To(BeTrue(), "the call to the earlier incarnation has failed")
+	close(w.released)
+	for range 2 {
+		var ev event
+		g.Eventually(a.events).Should(Receive(&ev))
+		a.handleEvent(t.Context(), ev)
+	}
 	g.Expect(a.holdInFlight).To(BeFalse())
+	g.Expect(a.holdFailed).To(BeTrue())
 }
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -30,7 +30,7 @@
 	c.holdInFlight = true
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
-		ev := holdReturned{worker: worker, until: h.Until}
+		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until}
 		ev.token, ev.err = c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) (err error) {
 			ev.lists, err = c.Executor.Hold(ctx, o, h)
 			return err
@@ -41,6 +41,10 @@
 
 // handleHoldReturned handles the outcome of a call for the worker's run lists.
 func (c *control) handleHoldReturned(ev holdReturned) {
+	if ev.incarnation != c.fence.currentIncarnation() {
+		// Another call, to the present incarnation, is in flight or due.
+		return
+	}
 	c.holdInFlight, c.holdFailed, c.nextHoldAt = false, ev.err != nil, 0
 	if ev.err != nil {
 		c.nextHoldAt = c.bootClock.Now() + c.failedHoldRetryDelay()
