Follow an incarnation whose start time is earlier than the former one's

If the time of day is set back between two lives of a worker (clock_step), the newer life has an earlier start time. Agents and planners took it for the former one: its heartbeats and run lists were ignored, so that the worker was lost; starts still reached it under the same ID, and its ends were acknowledged by the numbers of the former life without being recorded, so that their tasks could start again after they were done.

Cause: the start time identifies an incarnation, but was compared as an order. An answer to a call that was sent to the current incarnation cannot come from an earlier one, and reports arrive in order now, so that another start time is a new incarnation. A heartbeat with an earlier start time counts only once the former incarnation has left, since it can be a delayed one.

Evidence: TestIncarnationWithAnEarlierStartTimeIsFollowed, TestWorkerThatReturnsWithAnEarlierStartTimeIsUsed (both cases) and TestIncarnationWithAnEarlierStartTimeIsApplied failed before; they pass.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -81,6 +81,8 @@
 	worker    cfcore.WorkerState
 	hasWorker bool
 	hasLeft   bool
+	// formerBorn is the start time of the previous incarnation.
+	formerBorn time.Time
 	// workerClock is the newest reading of the worker's clock.
 	workerClock time.Duration
 	// lists are the newest run lists that a call with the current epoch returned. They are
@@ -201,9 +203,11 @@
 }
 
 // handleHeartbeat records the worker's state. It ignores a heartbeat that arrives after a
-// newer one or comes from an earlier incarnation.
+// newer one or comes from an earlier incarnation. If the time of day was set back, a new
+// incarnation has an earlier start time than the one before. Its answers to calls show it then,
+// or its heartbeat if the one before has left.
 func (c *control) handleHeartbeat(s cfcore.WorkerState) {
-	if c.hasWorker && s.Born.Before(c.worker.Born) {
+	if c.hasWorker && (s.Born.Equal(c.formerBorn) || s.Born.Before(c.worker.Born) && !c.hasLeft) {
 		return
 	}
 	sameIncarnation := c.hasWorker && s.Born.Equal(c.worker.Born)
@@ -237,6 +241,7 @@
 // the new incarnation orders for the previous one. id and clock belong to the new one.
 func (c *control) resetWorker(id string, clock time.Duration) {
 	c.fence.beginIncarnation()
+	c.formerBorn = c.worker.Born
 	c.longLeasesUntil = 0
 	if c.hasWorker && c.worker.ID == id && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
--- a/internal/cfjobagent/order_test.go
+++ b/internal/cfjobagent/order_test.go
@@ -73,3 +73,48 @@
 	g.Expect(a.holdInFlight).To(BeFalse())
 	g.Expect(a.holdFailed).To(BeTrue())
 }
+
+// An incarnation can have an earlier start time than the one before, if the time of day was set back
+// in between. Its ends were acknowledged by the numbers of the former incarnation, and its lists
+// were ignored.
+func TestIncarnationWithAnEarlierStartTimeIsFollowed(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	next := born.Add(-time.Minute)
+	w := &restartingWorker{born: next, clock: time.Second}
+	a.Executor = w
+	a.handleHeartbeat(workerState(born))
+	a.lastRecorded = 57
+	hold := func() cfcore.HoldOptions {
+		a.nextHoldAt = 0
+		a.requestRunLists(t.Context())
+		var ev event
+		g.Eventually(a.events).Should(Receive(&ev))
+		a.handleEvent(t.Context(), ev)
+		return w.holds[len(w.holds)-1]
+	}
+	hold()
+	g.Expect(a.worker.Born).To(Equal(next))
+	g.Expect(hold().LastSeen).To(BeZero())
+	g.Expect(a.takeReport().Lists).To(HaveField("Born", next))
+	late := workerState(born)
+	late.Sequence = 9
+	a.handleHeartbeat(late)
+	g.Expect(a.worker.Born).To(Equal(next), "the heartbeat of the former incarnation was delayed")
+}
+
+func TestWorkerThatReturnsWithAnEarlierStartTimeIsUsed(t *testing.T) {
+	for name, id := range map[string]string{"the same ID": "w", "another ID": "x"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := newTestControl()
+			a.handleHeartbeat(workerState(born))
+			a.handleWorkerLeft("w")
+			s := workerState(born.Add(-time.Minute))
+			s.ID = id
+			a.handleHeartbeat(s)
+			g.Expect(a.hasLeft).To(BeFalse())
+			g.Expect(a.worker).To(Equal(s))
+		})
+	}
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -74,15 +74,12 @@
 	return failedHoldRetryDelay
 }
 
-// applyLists records run lists unless they are older than the current ones. Run lists of a
-// newer incarnation show that the worker has restarted. The first run lists of an
-// incarnation or an epoch must come from a call of the current session, because only then
-// the worker refuses all orders that are missing in the lists.
+// applyLists records run lists unless they are older than the current ones. They must come from a
+// call that was sent to the current incarnation: if another one has answered it, the worker has
+// restarted. The first run lists of an incarnation or an epoch must come from a call of the
+// current session, because only then the worker refuses all orders that are missing in the lists.
 func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) {
-	if l.Born.Before(c.worker.Born) {
-		return
-	}
-	if l.Born.After(c.worker.Born) {
+	if !l.Born.Equal(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
 		c.resetWorker(c.worker.ID, l.Clock)
 		c.worker.Born, c.worker.Clock, c.worker.Sequence = l.Born, l.Clock, 0
--- a/pkg/cfdispatch/incarnation_test.go
+++ b/pkg/cfdispatch/incarnation_test.go
@@ -112,3 +112,19 @@
 		})
 	}
 }
+
+// An incarnation can have an earlier start time than the one before, if the time of day was set back
+// in between. The planner ignored it and its ends.
+func TestIncarnationWithAnEarlierStartTimeIsApplied(t *testing.T) {
+	f, a, run := startOnWorker(t)
+	a.ended = []cfcore.EndedTask{{Number: 1}, {Number: 2}}
+	f.report()
+	clear(a.runs)
+	a.state.Born, a.ended = a.state.Born.Add(-time.Minute), nil
+	f.report()
+	f.Expect(f.HasLiveRuns("j")).To(BeFalse())
+	a.ended = []cfcore.EndedTask{{Number: 1, Task: run.Task, Run: run.Run, How: cfcore.EndDone}}
+	f.report()
+	_, ends := f.TakeUnrecordedProgress(f.now, true)
+	f.Expect(ends).To(ConsistOf(HaveField("Number", BeEquivalentTo(1))))
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -68,13 +68,10 @@
 	delete(p.unrecordedAgents, w.agent)
 }
 
-// updateWorker applies the state that a worker reported. The state of an earlier incarnation is
-// ignored.
+// updateWorker applies the state that a worker reported. Reports arrive in order, so that another
+// start time, also an earlier one, is a new incarnation.
 func (p *Planner) updateWorker(now time.Time, w *worker, s cfcore.WorkerState) {
-	if s.Born.Before(w.state.Born) {
-		return
-	}
-	if s.Born.After(w.state.Born) {
+	if !s.Born.Equal(w.state.Born) {
 		switch {
 		case s.ID != w.state.ID:
 			p.expireRuns(now, w)
