Keep the newest list of entries

An entry that the store does not answer sends each agent that connects the list of entries that it knew before. The agent replaced a newer list by it and gave up its connections to the entries that it does not name, possibly to the planner, until another list came.

Cause: lists had no order. They name the offset of the store up to which the sender has applied records; agents ignore a list with a lower one.

Evidence: TestListOfALaggingEntryDoesNotReplaceANewerOne failed before; it passes.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -49,9 +49,11 @@
 	// dialCancels holds the function that stops each dial loop, by the address of its
 	// entry.
 	dialCancels map[netip.AddrPort]context.CancelFunc
-	// seeds are the entries from the settings. discovered are those that an entry listed.
-	seeds      []netip.AddrPort
-	discovered []netip.AddrPort
+	// seeds are the entries from the settings. discovered are those that an entry listed when it
+	// had applied the records of the store up to discoveredTo.
+	seeds        []netip.AddrPort
+	discovered   []netip.AddrPort
+	discoveredTo int64
 	// dialDone receives a value when a dial loop ends. runningDials is the number of dial
 	// loops that have not ended yet.
 	dialDone     chan struct{}
@@ -308,8 +310,9 @@
 	if e.Epoch > c.epoch {
 		c.followPlanner(nil, e.Epoch)
 	}
-	if len(e.Addresses) > 0 {
-		c.discovered = e.Addresses
+	// An entry that the store does not answer sends the list that it knew before.
+	if len(e.Addresses) > 0 && (e.ReadTo == 0 || e.ReadTo >= c.discoveredTo) {
+		c.discovered, c.discoveredTo = e.Addresses, max(c.discoveredTo, e.ReadTo)
 		c.dialAll(ctx)
 	}
 	if e.Resigned && e.Epoch == c.epoch {
--- a/internal/cfjobagent/order_test.go
+++ b/internal/cfjobagent/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -118,3 +119,30 @@
 		})
 	}
 }
+
+// The agent gave up its connection to an entry that a list from a lagging entry did not contain.
+func TestListOfALaggingEntryDoesNotReplaceANewerOne(t *testing.T) {
+	newer, older := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	for name, c := range map[string]struct {
+		readTo   int64
+		replaced bool
+	}{
+		"lagging":                   {readTo: 6},
+		"as far":                    {readTo: 7, replaced: true},
+		"an entry of former builds": {replaced: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := newTestControl()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			a.handleEntries(ctx, &cfwire.JobEntries{Addresses: []netip.AddrPort{newer}, ReadTo: 7})
+			a.handleEntries(ctx, &cfwire.JobEntries{Addresses: []netip.AddrPort{older}, ReadTo: c.readTo})
+			if c.replaced {
+				g.Expect(a.dialCancels).To(HaveKey(older))
+			} else {
+				g.Expect(a.dialCancels).To(HaveKey(newer))
+			}
+		})
+	}
+}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -305,7 +305,7 @@
 // this is the connection to the planner.
 func (c *control) sendEntries(l *link) {
 	claim := c.newestClaim()
-	m := &cfwire.JobEntries{Epoch: claim.Epoch, Planner: claim.Address, Config: c.configVersion()}
+	m := &cfwire.JobEntries{Epoch: claim.Epoch, Planner: claim.Address, Config: c.configVersion(), ReadTo: c.stored.Next}
 	for _, e := range c.stored.Entries {
 		m.Addresses = append(m.Addresses, e.Address)
 	}
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -124,6 +124,9 @@
 // Epoch and Resigned.
 type JobEntries struct {
 	Addresses []netip.AddrPort
+	// ReadTo is the store offset up to which the sender had applied records; 0 if it is not known.
+	// Of two lists, the one with the higher offset is newer.
+	ReadTo int64 `cbor:",omitempty"`
 	// Epoch is the newest claimed epoch that the sender knows. Planner is the address of the
 	// entry that claimed it.
 	Epoch   cfcore.Epoch
