--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -289,11 +289,7 @@
 		c.lastRecorded = o.RecordedEnd
 		c.nextHoldAt = 0
 	}
-	if o.AfterReport > 0 && o.AfterReport < c.startsAfter && len(o.Starts) > 0 {
-		c.Log.Warn().Int("Starts", len(o.Starts)).Uint64("After", o.AfterReport).Uint64("Report", c.startsAfter).Msg("starts ignored: the planner gave them before leases expired or its permission to extend them lapsed")
-		c.Scope.Counter("starts_outdated").Inc(int64(len(o.Starts)))
-		o.Starts = nil
-	}
+	c.dropOutdatedStarts(o)
 	for _, s := range o.Starts {
 		c.startRun(ctx, s)
 	}
@@ -305,6 +301,16 @@
 	}
 }
 
+// dropOutdatedStarts removes the starts from orders if the planner has possibly given them up.
+func (c *control) dropOutdatedStarts(o *cfwire.JobOrders) {
+	if o.AfterReport == 0 || o.AfterReport >= c.startsAfter || len(o.Starts) == 0 {
+		return
+	}
+	c.Log.Warn().Int("Starts", len(o.Starts)).Uint64("After", o.AfterReport).Uint64("Report", c.startsAfter).Msg("starts ignored: the planner gave them before leases expired or its permission to extend them lapsed")
+	c.Scope.Counter("starts_outdated").Inc(int64(len(o.Starts)))
+	o.Starts = nil
+}
+
 // handleEntries handles an entry's list of entries, or the resignation of the planner.
 func (c *control) handleEntries(ctx context.Context, e *cfwire.JobEntries) {
 	if e.Epoch > c.epoch {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -12,9 +12,14 @@
 // ApplyReport applies a report that the planner received from an agent, unless it is outdated. The
 // results in an outdated report are not lost: the planner repeats the orders.
 func (p *Planner) ApplyReport(now time.Time, agent string, m *cfwire.JobReport) Outdated {
-	if o := p.checkOrder(agent, m); o != UpToDate {
-		return o
+	o := p.checkOrder(agent, m)
+	if o == UpToDate {
+		p.applyNewest(now, agent, m)
 	}
+	return o
+}
+
+func (p *Planner) applyNewest(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
 		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}}
@@ -55,7 +60,6 @@
 	for _, r := range m.Results {
 		p.applyResult(now, w, r)
 	}
-	return UpToDate
 }
 
 // markLeft records that a worker has left. Later planners need not wait for the worker's
