--- a/internal/cfentry/agents.go
+++ b/internal/cfentry/agents.go
@@ -70,9 +70,14 @@
 	switch ev := ev.(type) {
 	case sessionUp:
 		c.sessions[ev.session] = true
+		c.sessionCount++
+		ev.session.number = c.sessionCount
 		c.endOtherLinks(ev.session.worker, ev.session.agentInstance)
 	case sessionDown:
 		delete(c.sessions, ev.session)
+		if c.reporters[ev.session.worker] == ev.session {
+			delete(c.reporters, ev.session.worker)
+		}
 		c.tableDirty = true
 	case grantRequestReceived:
 		c.handleGrantRequest(ev)
@@ -112,9 +117,15 @@
 
 // handleGrantRequest stores the WorkerInfo and the report that an agent's grant request
 // carries, and answers the request. It also sends the desired state of the agent's worker
-// if that state has changed since it was last sent.
+// if that state has changed since it was last sent. It ignores a request on a session that the agent
+// has replaced: it can name an instance of the VM that has ended since.
 func (c *control) handleGrantRequest(ev grantRequestReceived) {
 	s, req := ev.session, ev.request
+	if newest := c.reporters[s.worker]; newest != nil && newest.number > s.number {
+		c.Scope.Counter("grant_requests_outdated").Inc(1)
+		return
+	}
+	c.reporters[s.worker] = s
 	if req.About != nil {
 		s.workerInfo = *req.About
 		c.tableDirty = true
--- a/internal/cfentry/control.go
+++ b/internal/cfentry/control.go
@@ -41,7 +41,11 @@
 	// sessions holds the agents' open control connections, and workers the newest report
 	// about each worker.
 	sessions map[*session]bool
-	workers  map[cfcore.WorkerID]*cfschedule.WorkerView
+	// reporters holds, by worker, the newest session that has sent a grant request. sessionCount
+	// numbers the sessions.
+	reporters    map[cfcore.WorkerID]*session
+	sessionCount uint64
+	workers      map[cfcore.WorkerID]*cfschedule.WorkerView
 	// desiredChangeOffset holds, for each worker, the log offset at which the worker's desired
 	// state last changed.
 	desiredChangeOffset map[cfcore.WorkerID]cfcore.Offset
@@ -119,7 +123,7 @@
 		rand:           e.Rand(randStreamControl),
 		interference:   cfinterference.NewSlowdownModel(interferenceLag),
 		tasksChangedAt: map[cfcore.WorkerID]time.Time{}, answerCounts: map[*cfroute.Backend]int64{},
-		sessions: map[*session]bool{}, workers: map[cfcore.WorkerID]*cfschedule.WorkerView{},
+		sessions: map[*session]bool{}, reporters: map[cfcore.WorkerID]*session{}, workers: map[cfcore.WorkerID]*cfschedule.WorkerView{},
 		desiredChangeOffset: map[cfcore.WorkerID]cfcore.Offset{}, links: map[cfcore.InstanceID]*cfroute.Link{},
 		backends: map[backendKey]*cfroute.Backend{}, services: map[string]*cfroute.Service{},
 		abandonedClaims: map[cfrecord.BatchID]bool{},
--- a/internal/cfentry/events.go
+++ b/internal/cfentry/events.go
@@ -123,6 +123,8 @@
 	worker cfcore.WorkerID
 	// agentInstance is the incarnation of the agent, not of the worker's VM.
 	agentInstance cfcore.InstanceID
+	// number rises from session to session.
+	number uint64
 	// lastRequest is the newest grant request, or nil before the first. A request carries
 	// the WorkerInfo and the report only when they have changed. workerInfo and report hold
 	// the newest ones that were received.
