Ignore the entries that an entry of an earlier epoch lists

An entry that the store rejects lacks the address of a newer planner and sends its old list when an agent connects. The agent closed its connection to that planner, and its leases expired after 7 s.

Lists with the offset of the store are compared by it as well, also within an epoch.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -317,7 +317,8 @@
 		c.followPlanner(nil, e.Epoch)
 	}
 	// An entry that the store does not answer sends the list that it knew before.
-	if len(e.Addresses) > 0 && (e.ReadTo == 0 || e.ReadTo >= c.discoveredTo) {
+	isOlder := e.Epoch < c.epoch || e.ReadTo > 0 && e.ReadTo < c.discoveredTo
+	if len(e.Addresses) > 0 && !isOlder {
 		c.discovered, c.discoveredTo = e.Addresses, max(c.discoveredTo, e.ReadTo)
 		c.dialAll(ctx)
 	}
