--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -29,3 +29,21 @@
 		a.runningDials--
 	}
 }
+
+// A worker announces that it leaves, without saying which incarnation it is. The announcement can
+// arrive after the first heartbeat of a new incarnation with the same ID, for example if the agent
+// stood still. A worker that is taken for gone until its next restart runs nothing.
+func TestLateGoodbyeOfAnEarlierIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.handleHeartbeat(workerState(born))
+	s := workerState(born.Add(time.Minute))
+	a.handleHeartbeat(s)
+	a.handleWorkerLeft(s.ID)
+	for range 3 {
+		s.Sequence++
+		s.Clock += time.Second
+		a.handleHeartbeat(s)
+	}
+	g.Expect(a.hasLeft).To(BeFalse(), "a worker that has left sends no further heartbeats")
+}
