Do not take a poll of a superseded planner for a sign of the current one

A planner that the store rejects polls other entries until it learns of a newer claim. An entry that got such a poll counted it as a message of the newer planner and claimed nothing after that one had fallen silent: nothing started.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -180,7 +180,9 @@
 			c.plannerSeenAt = c.Clock.Now()
 		}
 	case pollReceived:
-		c.plannerSeenAt = c.Clock.Now()
+		if ev.poll.Epoch >= c.stored.Planner.Epoch {
+			c.plannerSeenAt = c.Clock.Now()
+		}
 		c.answerPoll(ev)
 	case pollAnswered:
 		c.polls.handlePollAnswered(ev, c.plan)
--- /dev/null
+++ b/internal/cfjobentry/late_test.go
@@ -0,0 +1,48 @@
+package cfjobentry
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// appendingStore accepts all appends.
+type appendingStore struct{ cfcore.Store }
+
+func (appendingStore) Append(context.Context, cfcore.Topic, []cfcore.KeyedRecord, cfcore.AppendOptions) (int64, error) {
+	return 0, nil
+}
+
+// A planner that cannot read the claim of a newer one polls other entries for as long as the store
+// rejects it. An entry that takes these polls for a sign of the newer planner does not replace that
+// one when it falls silent, and no task starts.
+func TestPollOfAFormerPlannerDoesNotDelayAClaim(t *testing.T) {
+	for name, test := range map[string]struct {
+		epoch  cfcore.Epoch
+		claims bool
+	}{
+		"poll of the former planner":  {epoch: 3, claims: true},
+		"poll of the current planner": {epoch: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, _ := newTestControl(t)
+			c.Store = appendingStore{}
+			c.synced.Store(true)
+			c.stored.Planner = cfjob.Claim{Epoch: 4, Instance: "other", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+			c.plannerSeenAt = c.Clock.Now()
+			c.Clock.(*clockwork.FakeClock).Advance(2 * c.cfg.Planning.Silence)
+			peer := &otherEntry{g: g, opts: cfwire.Options{Codec: c.Codec, Clock: c.Clock, Self: cfwire.Peer{Role: cfwire.RolePeer, Name: "x"}}}
+			c.handleEvent(t.Context(), pollReceived{conn: peer.connect(t, nil), poll: &cfwire.JobPoll{Epoch: test.epoch}})
+			c.claimIfNoPlanner(t.Context())
+			g.Expect(c.claimInFlight).To(Equal(test.claims))
+		})
+	}
+}
