Do not replace a configuration in the planner by an older one

The store and another entry deliver configurations in two goroutines. If the event of the older one is queued last, the planner kept the older queues until the next version, and started tasks on workers of a service that a queue no longer uses.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -294,9 +294,10 @@
 }
 
 // applyConfig passes a newer configuration to c.plan, the planner's state, if this entry
-// is the planner. The configuration then also applies to existing jobs.
+// is the planner. The configuration then also applies to existing jobs. applyConfig ignores a
+// configuration that another one has replaced: their events can be queued in any order.
 func (c *control) applyConfig(cfg *cfjob.Config) {
-	if c.plan != nil {
+	if c.plan != nil && cfg.Version >= c.configVersion() {
 		c.plan.SetQueues(cfg)
 	}
 }
--- a/internal/cfjobentry/late_test.go
+++ b/internal/cfjobentry/late_test.go
@@ -46,3 +46,27 @@
 		})
 	}
 }
+
+// The store and another entry deliver configurations in two goroutines. The older one's event can
+// be queued after the newer one's. A planner that applies it starts tasks on workers of a service
+// to which the queue no longer leads.
+func TestOlderConfigurationThatArrivesLateIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	c := newStartedRun(t)
+	config := func(version uint64, service string) *cfjob.Config {
+		return &cfjob.Config{Version: version, Queues: []cfjob.Queue{{Name: "q", Service: service}}}
+	}
+	newest := config(6, "new")
+	now := c.Clock.Now()
+	job := &cfjob.Job{ID: "k", Queue: cfjob.Queue{Name: "q", Service: "s"}, Steps: []cfjob.Step{{Count: 1}}, Accepted: now}
+	c.plan.AddJob(now, &cfjob.StoredJob{Job: job}, job.Queue, false)
+	c.config.Store(&configRecord{Config: newest})
+	c.handleEvent(t.Context(), configChanged{config: newest})
+	c.handleEvent(t.Context(), configChanged{config: config(5, "s")})
+	c.plan.Plan(now)
+	for _, o := range c.plan.TakeOrders(now) {
+		for _, s := range o.Starts {
+			g.Expect(s.Task).To(Equal(c.run.Task), "the only worker has the service of the older configuration")
+		}
+	}
+}
--- a/internal/cfjobentry/order_test.go
+++ b/internal/cfjobentry/order_test.go
@@ -11,17 +11,24 @@
 	"cranberryford/pkg/cfwire"
 )
 
-// startedRun returns the control of a planner of epoch 2 that has started the only task of job j on
-// the worker of agent a, an instance of which has opened two connections.
-func startedRun(t *testing.T) (c *control, former, newer *link, run cfwire.JobStart, worker cfcore.WorkerState) {
-	c, _ = newTestControl(t)
+// startedRun is the control of a planner of epoch 2 that has started the only task of job j on the
+// worker of agent a, an instance of which has opened two connections.
+type startedRun struct {
+	*control
+	former, newer *link
+	run           cfwire.JobStart
+	worker        cfcore.WorkerState
+}
+
+func newStartedRun(t *testing.T) *startedRun {
+	c, _ := newTestControl(t)
 	c.stored.Agents = map[string]time.Time{"a": {}}
 	c.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
 	now := c.Clock.Now()
 	c.plan.lastBatchAt = now
-	former, _ = newAgentLink(t, c, "1")
-	newer, _ = newAgentLink(t, c, "1")
-	worker = cfcore.WorkerState{ID: "w", Service: "s", Born: now, Clock: time.Hour, Capacity: cfcore.Resources{MilliCores: 1000, MemoryMB: 1000}}
+	former, _ := newAgentLink(t, c, "1")
+	newer, _ := newAgentLink(t, c, "1")
+	worker := cfcore.WorkerState{ID: "w", Service: "s", Born: now, Clock: time.Hour, Capacity: cfcore.Resources{MilliCores: 1000, MemoryMB: 1000}}
 	c.handleEvent(t.Context(), reportReceived{link: former, report: &cfwire.JobReport{Seq: 5, Epoch: 2, Worker: &worker, Lists: &cfcore.RunLists{Born: now}}})
 	c.plan.MarkAgentRecorded("a")
 	j := &cfjob.Job{ID: "j", Queue: cfjob.Queue{Service: "s"}, Steps: []cfjob.Step{{Count: 1}}, Accepted: now}
@@ -29,7 +36,7 @@
 	c.plan.Plan(now)
 	starts := c.plan.TakeOrders(now)["a"].Starts
 	NewWithT(t).Expect(starts).To(HaveLen(1))
-	return c, former, newer, starts[0], worker
+	return &startedRun{control: c, former: former, newer: newer, run: starts[0], worker: worker}
 }
 
 // An agent that has lost a connection reports on another one. What it wrote before can arrive later.
@@ -41,14 +48,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			c, former, newer, run, worker := startedRun(t)
-			lists := &cfcore.RunLists{Born: worker.Born, Running: []cfcore.RunningTask{{Task: run.Task, Run: run.Run}}}
-			c.handleEvent(t.Context(), reportReceived{link: newer, report: &cfwire.JobReport{Seq: 20, Epoch: 2, Worker: &worker, Lists: lists}})
+			c := newStartedRun(t)
+			lists := &cfcore.RunLists{Born: c.worker.Born, Running: []cfcore.RunningTask{{Task: c.run.Task, Run: c.run.Run}}}
+			c.handleEvent(t.Context(), reportReceived{link: c.newer, report: &cfwire.JobReport{Seq: 20, Epoch: 2, Worker: &c.worker, Lists: lists}})
 			late.Seq, late.Epoch = 10, 2
 			for i := range late.Results {
-				late.Results[i].Run = run.Run
+				late.Results[i].Run = c.run.Run
 			}
-			c.handleEvent(t.Context(), reportReceived{link: former, report: late})
+			c.handleEvent(t.Context(), reportReceived{link: c.former, report: late})
 			g.Expect(c.plan.HasLiveRuns("j")).To(BeTrue())
 		})
 	}
@@ -57,12 +64,12 @@
 // An ended run that is adopted again keeps its task from starting.
 func TestRunsOfALateReportAreNotAdopted(t *testing.T) {
 	g := NewWithT(t)
-	c, former, newer, run, worker := startedRun(t)
-	ended := &cfcore.RunLists{Born: worker.Born, Ended: []cfcore.EndedTask{{Number: 1, Task: run.Task, Run: run.Run, How: cfcore.EndStopped}}}
-	c.handleEvent(t.Context(), reportReceived{link: newer, report: &cfwire.JobReport{Seq: 20, Epoch: 2, Worker: &worker, Lists: ended}})
+	c := newStartedRun(t)
+	ended := &cfcore.RunLists{Born: c.worker.Born, Ended: []cfcore.EndedTask{{Number: 1, Task: c.run.Task, Run: c.run.Run, How: cfcore.EndStopped}}}
+	c.handleEvent(t.Context(), reportReceived{link: c.newer, report: &cfwire.JobReport{Seq: 20, Epoch: 2, Worker: &c.worker, Lists: ended}})
 	g.Expect(c.plan.HasLiveRuns("j")).To(BeFalse())
-	running := &cfcore.RunLists{Born: worker.Born, Running: []cfcore.RunningTask{{Task: run.Task, Run: run.Run}}}
-	c.handleEvent(t.Context(), reportReceived{link: former, report: &cfwire.JobReport{Seq: 10, Epoch: 2, Worker: &worker, Lists: running}})
+	running := &cfcore.RunLists{Born: c.worker.Born, Running: []cfcore.RunningTask{{Task: c.run.Task, Run: c.run.Run}}}
+	c.handleEvent(t.Context(), reportReceived{link: c.former, report: &cfwire.JobReport{Seq: 10, Epoch: 2, Worker: &c.worker, Lists: running}})
 	g.Expect(c.plan.HasLiveRuns("j")).To(BeFalse())
 }
 
