Apply another entry's configuration without posting an event

The control goroutine received the configuration and posted to its own queue. With a full queue, for example after the process stood still, it waited for itself: the entry hung for good and still reported that it was ready.

--- a/internal/cfjobentry/config.go
+++ b/internal/cfjobentry/config.go
@@ -123,28 +123,29 @@
 	if r.Key != e.ConfigKey {
 		return
 	}
-	if err := e.configure(ctx, r.Value, "store"); err != nil {
+	cfg, err := e.configure(r.Value, "store")
+	if err != nil {
 		e.Log.Error().Err(err).Int64("Offset", r.Offset).Msg("configuration cannot be decoded; skipping it")
 	}
+	if cfg != nil {
+		e.post(ctx, configChanged{config: cfg})
+	}
 }
 
 // configure decodes a configuration and puts it in force if it is newer than the current
-// one. source is the origin of the configuration, for log lines.
-func (e *Entry) configure(ctx context.Context, value []byte, source string) error {
+// one. It returns the configuration if the control goroutine must apply it, or nil. source is
+// the origin of the configuration, for log lines.
+func (e *Entry) configure(value []byte, source string) (*cfjob.Config, error) {
 	cfg, err := e.DecodeConfig(value)
-	if err != nil {
-		return err
-	}
-	if !e.replaceConfig(&configRecord{Config: cfg, value: value}) {
-		return nil
+	if err != nil || !e.replaceConfig(&configRecord{Config: cfg, value: value}) {
+		return nil, err
 	}
 	for _, err := range cfg.Malformed {
 		e.Log.Error().Err(err).Uint64("Version", cfg.Version).Msg("queue cannot be decoded; leaving it out")
 		e.Scope.Counter("queues_skipped").Inc(1)
 	}
 	e.Log.Info().Uint64("Version", cfg.Version).Int("Queues", len(cfg.Queues)).Str("From", source).Msg("configuration in force")
-	e.post(ctx, configChanged{config: cfg})
-	return nil
+	return cfg, nil
 }
 
 // replaceConfig replaces the configuration in force if next is newer, and reports whether
@@ -233,7 +234,7 @@
 //   - parts of versions older than the one being received
 //   - parts of configurations larger than maxConfigBytes
 //   - parts that do not start at the end of the bytes received so far: they are duplicates
-func (c *control) receiveConfigPart(ctx context.Context, ev configPart) {
+func (c *control) receiveConfigPart(ev configPart) {
 	ownVersion, m, peers := c.configVersion(), ev.part, &c.peerConfigs
 	if m.Version <= ownVersion || m.Version < peers.receivedVersion || m.Size > maxConfigBytes {
 		return
@@ -255,7 +256,11 @@
 	}
 	value := peers.receivedBytes
 	peers.receivedBytes = nil
-	if err := c.configure(ctx, value, ev.conn.Peer().Name); err != nil {
+	cfg, err := c.configure(value, ev.conn.Peer().Name)
+	if err != nil {
 		c.Log.Error().Err(err).Str("Entry", ev.conn.Peer().Name).Uint64("Version", m.Version).Msg("configuration of another entry cannot be decoded; skipping it")
 	}
+	if cfg != nil {
+		c.applyConfig(cfg)
+	}
 }
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -190,7 +190,7 @@
 	case plannerGone:
 		c.goneEpoch = max(c.goneEpoch, ev.epoch)
 	case configPart:
-		c.receiveConfigPart(ctx, ev)
+		c.receiveConfigPart(ev)
 	case entriesReceived:
 		c.followNamedPlanner(ctx, ev)
 	}
--- a/internal/cfjobentry/late_test.go
+++ b/internal/cfjobentry/late_test.go
@@ -70,3 +70,22 @@
 		}
 	}
 }
+
+// The control goroutine receives the configuration of another entry. It must not wait for room in
+// its own queue, which is full after the process stood still: nothing else takes events from it.
+func TestConfigurationOfAnotherEntryWithAFullQueue(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newTestControl(t)
+	c.DecodeConfig = func([]byte) (*cfjob.Config, error) { return &cfjob.Config{Version: 7}, nil }
+	for range queueCapacity {
+		c.events <- plannerMessage{}
+	}
+	peer := &otherEntry{g: g, opts: cfwire.Options{Codec: c.Codec, Clock: c.Clock, Self: cfwire.Peer{Role: cfwire.RolePeer, Name: "x"}}}
+	conn := peer.connect(t, nil)
+	handled := make(chan struct{})
+	go func() {
+		defer close(handled)
+		c.handleEvent(t.Context(), configPart{conn: conn, part: &cfwire.JobConfig{Version: 7, Size: 2, Part: []byte("{}")}})
+	}()
+	g.Eventually(handled, "2s").Should(BeClosed())
+}
--- a/internal/cfjobentry/malformed_test.go
+++ b/internal/cfjobentry/malformed_test.go
@@ -32,7 +32,7 @@
 				return config, json.Unmarshal(data, config)
 			}
 			o := &otherEntry{g: g, opts: cfwire.Options{Codec: c.Codec, Clock: c.Clock, Self: cfwire.Peer{Role: cfwire.RolePeer, Name: "x"}}}
-			c.receiveConfigPart(t.Context(), configPart{conn: o.connect(t, nil), part: &part})
+			c.receiveConfigPart(configPart{conn: o.connect(t, nil), part: &part})
 			g.Expect(c.config.Load()).To(BeNil())
 		})
 	}
