--- a/integration/jobs/cut_test.go
+++ b/integration/jobs/cut_test.go
@@ -26,7 +26,7 @@
 // authority for 2 s more.
 var _ = DescribeTable("tasks are not started again by a planner that another one has superseded, while they",
 	func(spec string) {
-		f := startFleet(3, 2, &proxies{cut: map[proxiedLink]bool{}})
+		f := startFleet(3, 2, newProxies())
 		p := f.awaitPlanner()
 		var others []int
 		for e := range f.entries {
--- a/integration/jobs/proxy_test.go
+++ b/integration/jobs/proxy_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -19,17 +20,62 @@
 	cut map[proxiedLink]bool
 	// silentBefore is when the connections that were open then became silent.
 	silentBefore time.Time
+	// held holds the links from holdBack until the delivery.
+	held map[proxiedLink]*heldLink
 	// rewrites holds pairs of an entry's own address and its proxy's address, as encoded in
 	// records of the store.
 	rewrites [][2][]byte
 }
 
+func newProxies() *proxies {
+	return &proxies{cut: map[proxiedLink]bool{}, held: map[proxiedLink]*heldLink{}}
+}
+
 // proxiedLink is a link from the IP address of an agent or entry to an entry.
 type proxiedLink struct {
 	from  netip.Addr
 	entry int
 }
 
+// heldLink is a link whose connections from before begunAt are held back.
+type heldLink struct {
+	begunAt   time.Time
+	delivered chan struct{}
+	// reports is the number of reports that are held back.
+	reports atomic.Int32
+}
+
+// minReportBytes is more than the size of a heartbeat on a connection (13 bytes) and less than that
+// of a report (29 bytes or more).
+const minReportBytes = 20
+
+// holdBack ends each open connection of an agent to an entry on the agent's side as soon as the
+// agent has written a report. The entry gets this report when deliver is called. It closes the
+// connection 0.8 s after the last message, so that deliver has no effect later.
+func (p *proxies) holdBack(agent netip.Addr, entry int) (h *heldLink, deliver func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := proxiedLink{agent, entry}
+	h = &heldLink{begunAt: time.Now(), delivered: make(chan struct{})}
+	p.held[l] = h
+	return h, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.held, l)
+		close(h.delivered)
+	}
+}
+
+// holdOf returns the hold of a connection that was opened at a time, or nil.
+func (p *proxies) holdOf(l proxiedLink, openedAt time.Time) *heldLink {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.held[l]; h != nil && openedAt.Before(h.begunAt) {
+		return h
+	}
+	return nil
+}
+
 // setCut cuts or restores a link. A cut link loses all data without an error. A connection that
 // has lost data is closed when the link is restored.
 func (p *proxies) setCut(from netip.Addr, entry int, cut bool) {
@@ -94,13 +140,37 @@
 	defer func() { _ = target.Close() }()
 	done := make(chan struct{}, 2)
 	now := time.Now()
-	go func() { p.transfer(target, conn, l, now); done <- struct{}{} }()
-	go func() { p.transfer(conn, target, l, now); done <- struct{}{} }()
+	var isHeld atomic.Bool
+	holdReport := func(data []byte) bool {
+		h := p.holdOf(l, now)
+		if h == nil || len(data) < minReportBytes {
+			return false
+		}
+		isHeld.Store(true)
+		_ = conn.Close()
+		h.reports.Add(1)
+		<-h.delivered
+		_, _ = target.Write(data)
+		return true
+	}
+	go func() { p.transfer(target, conn, l, now, holdReport); done <- struct{}{} }()
+	go func() {
+		p.transfer(conn, target, l, now, func([]byte) bool { return false })
+		if isHeld.Load() {
+			// The entry can lose data that it has not read if the connection is closed with unread
+			// data from the entry.
+			_, _ = io.Copy(io.Discard, target)
+		}
+		done <- struct{}{}
+	}()
 	<-done
+	if isHeld.Load() {
+		<-done
+	}
 }
 
-// transfer forwards the data of one direction of a connection.
-func (p *proxies) transfer(to, from net.Conn, l proxiedLink, openedAt time.Time) {
+// transfer forwards the data of one direction of a connection until hold returns true.
+func (p *proxies) transfer(to, from net.Conn, l proxiedLink, openedAt time.Time, hold func([]byte) bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -116,6 +186,9 @@
 			}
 			return
 		}
+		if hold(buf[:n]) {
+			return
+		}
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
--- a/integration/jobs/silent_test.go
+++ b/integration/jobs/silent_test.go
@@ -32,7 +32,7 @@
 // leases of the fleet ran out, or a newer configuration was not in force for 18 s.
 var _ = DescribeTable("runs go on, and entries follow the store, after open connections have become silent:", func(silence func(*fleet)) {
 	const tasks = 72
-	f := startFleet(3, 3, &proxies{cut: map[proxiedLink]bool{}})
+	f := startFleet(3, 3, newProxies())
 	Expect(f.submit(1, oneStep(tasks, untilCancelled))).To(BeTrue())
 	Eventually(func() int { return f.runningCount(1) }, 10*time.Second).Should(Equal(tasks))
 	var wg sync.WaitGroup
--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -82,7 +82,11 @@
 // fault yet, reserve returns its index and the function that ends the reservation. Otherwise
 // the last result is false.
 func (s *soak) reserve(kind string, n int) (int, func(), bool) {
-	i := s.rng.IntN(n)
+	return s.reserveAt(kind, s.rng.IntN(n))
+}
+
+// reserveAt is reserve for a process or worker that is already chosen.
+func (s *soak) reserveAt(kind string, i int) (int, func(), bool) {
 	key := fmt.Sprint(kind, i)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -280,14 +284,63 @@
 		return func() {}
 	}, time.Millisecond},
 	{"the configuration changes", func(s *soak) func() { s.version++; s.configure(s.version); return func() {} }, time.Millisecond},
+	{"a connection of an agent is held back while the agent uses another one", func(s *soak) func() {
+		if s.proxies == nil {
+			return nil
+		}
+		i, release, ok := s.reserve("held", len(s.agents))
+		if !ok {
+			return nil
+		}
+		_, deliver := s.holdBack(i)
+		return func() { deliver(); release() }
+	}, 700 * time.Millisecond},
+	{"a worker is unavailable, and its agent's connection is held back when it is available again", func(s *soak) func() {
+		if s.proxies == nil {
+			return nil
+		}
+		i, release, ok := s.reserve("worker", len(s.workers))
+		if !ok {
+			return nil
+		}
+		_, releaseHeld, ok := s.reserveAt("held", i)
+		if !ok {
+			release()
+			return nil
+		}
+		delay := time.Duration(200+s.rng.IntN(400)) * time.Millisecond
+		s.workers[i].SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Down} })
+		return func() {
+			isHeld, deliver := s.holdBack(i)
+			for end := time.Now().Add(500 * time.Millisecond); !isHeld() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			s.workers[i].SetFault(nil)
+			time.Sleep(delay)
+			deliver()
+			release()
+			releaseHeld()
+		}
+	}, 9 * time.Second},
+}
+
+// firstHeldSeed is the first seed whose soaks choose from all faults. Those of smaller seeds lack
+// the last two, which are newer, so that the seeds keep their choices.
+const firstHeldSeed = 800
+
+func faultsOf(seed uint64) []soakFault {
+	if seed < firstHeldSeed {
+		return soakFaults[:len(soakFaults)-2]
+	}
+	return soakFaults
 }
 
-// injectFaults injects random faults for the duration d, then waits until all faults have
+// injectFaults injects random ones of the faults for the duration d, then waits until all faults have
 // ended.
-func (s *soak) injectFaults(d time.Duration) {
+func (s *soak) injectFaults(faults []soakFault, d time.Duration) {
 	deadline := time.Now().Add(d)
 	for time.Now().Before(deadline) {
-		f := soakFaults[s.rng.IntN(len(soakFaults))]
+		f := faults[s.rng.IntN(len(faults))]
 		duration := time.Duration(s.rng.Int64N(int64(f.maxDuration))) + time.Millisecond
 		pause := time.Duration(100+s.rng.IntN(900)) * time.Millisecond
 		if end := f.begin(s); end != nil {
@@ -388,7 +441,7 @@
 	// Behind proxies, entries that are down refuse no connections. Half of the soaks have none.
 	var p *proxies
 	if rng.IntN(2) == 0 {
-		p = &proxies{cut: map[proxiedLink]bool{}}
+		p = newProxies()
 	}
 	s := &soak{fleet: startFleet(entries, agents, p), rng: rng, faulted: map[string]bool{}, version: 1, storeFaults: map[string]standin.Fault{}}
 	s.store.SetFault(s.faultOfCall)
@@ -398,7 +451,7 @@
 		defer close(loadDone)
 		s.submitAndCancel(rand.New(rand.NewPCG(seed, 1)), done)
 	}()
-	s.injectFaults(d)
+	s.injectFaults(faultsOf(seed), d)
 	time.Sleep(time.Second)
 	close(done)
 	<-loadDone
