--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -471,8 +471,14 @@
 var _ = Describe("the soak", func() {
 	firstSeed, seedCount := envInt(soakSeedVar, 1), envInt(soakRunsVar, 2)
 	d := time.Duration(envInt(soakTimeVar, 8)) * time.Second
+	var seeds []uint64
 	for i := range seedCount {
-		seed := uint64(firstSeed + i)
+		seeds = append(seeds, uint64(firstSeed+i))
+	}
+	if os.Getenv(soakSeedVar) == "" {
+		seeds = append(seeds, firstHeldSeed)
+	}
+	for _, seed := range seeds {
 		It(fmt.Sprintf("passes with seed %d", seed), func() { runSoak(seed, d) })
 	}
 })
