Model reports that arrive after newer ones

With the scope flag lateReports, a report is held back on a former connection for up to 3.2 s, while the agent reports on another one. It is then passed to the same planner, or to the next one if the same entry is elected again.

Agents of the model number their reports, ignore starts that were ordered before their leases expired or their grant lapsed, and repeat known results of starts, as internal/cfjobagent does.

--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -75,14 +75,19 @@
 	startedAt     time.Time
 	inFlight      map[modelOrderKey]bool
 	uncertain     map[modelOrderKey]bool
-	calls         []modelCall
-	results       []cfwire.JobOrderResult
+	// startResults holds the refusals of starts; empty if the run has started.
+	startResults map[modelOrderKey]cfcore.ExecutorKind
+	calls        []modelCall
+	results      []cfwire.JobOrderResult
+	// lastReport is the sequence number of the last report. Starts ordered before the report
+	// startsAfter was applied are ignored.
+	lastReport, startsAfter uint64
 }
 
 func newModelAgent(m *model, w *modelWorker) *modelAgent {
 	return &modelAgent{
 		m: m, name: w.name, worker: w, session: m.sessionNow(), workerClockAt: m.now, answeredAt: m.now, leaseFrom: m.now, startedAt: m.now,
-		inFlight: map[modelOrderKey]bool{}, uncertain: map[modelOrderKey]bool{},
+		inFlight: map[modelOrderKey]bool{}, uncertain: map[modelOrderKey]bool{}, startResults: map[modelOrderKey]cfcore.ExecutorKind{},
 	}
 }
 
@@ -117,10 +122,15 @@
 // sessionNow returns the number of a session that begins now.
 func (m *model) sessionNow() uint64 { return uint64(m.now.Sub(epochStart) / modelTick) }
 
+// hasValidGrant reports whether the planner now permits to extend leases.
+func (a *modelAgent) hasValidGrant() bool {
+	return a.hasGrant && a.m.now.Sub(a.grantedAt) <= settings.GrantTime
+}
+
 // leaseUntil returns the time on the worker's clock until which the agent may extend leases,
 // or 0.
 func (a *modelAgent) leaseUntil() time.Duration {
-	if !a.hasGrant || a.workerClock == 0 || a.m.now.Sub(a.grantedAt) > settings.GrantTime || a.m.now.Sub(a.answeredAt) > unreachableAfter {
+	if !a.hasValidGrant() || a.workerClock == 0 || a.m.now.Sub(a.answeredAt) > unreachableAfter {
 		return 0
 	}
 	a.leaseFrom = a.workerClockAt
@@ -198,7 +208,7 @@
 	}
 	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
 	a.lastListed, a.leasedUntil, a.uncertainEnd = 0, 0, 0
-	a.inFlight, a.uncertain = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}
+	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
 	a.answeredAt, a.holdDueAt = a.m.now, time.Time{}
 }
 
@@ -239,7 +249,8 @@
 // takeReport returns a report of the worker's whole state and of the results since the last
 // one.
 func (a *modelAgent) takeReport() *cfwire.JobReport {
-	r := &cfwire.JobReport{Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now))}
+	a.lastReport = max(a.lastReport+1, uint64(a.m.now.Sub(epochStart)))
+	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now))}
 	a.results = nil
 	if a.hasWorker {
 		r.Worker = &cfcore.WorkerState{ID: workerID, Service: "dispatch", Born: a.born, Clock: a.workerClock, Capacity: workerCapacity}
@@ -254,14 +265,24 @@
 	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired()}
 	}
+	if !a.hasValidGrant() || r.Lost != nil && r.Lost.LeasesExpired {
+		a.startsAfter = r.Seq
+	}
 	return r
 }
 
 // startRun sends the worker an order to start a run.
 func (a *modelAgent) startRun(s cfwire.JobStart) {
 	key := modelOrderKey{task: s.Task, run: s.Run, born: s.Born}
+	if a.inFlight[key] {
+		return
+	}
+	if refusal, ok := a.startResults[key]; ok && !a.m.faults.forgetResults {
+		a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: refusal})
+		return
+	}
 	until := a.leaseUntil()
-	if a.inFlight[key] || !a.hasWorker || !s.Born.Equal(a.born) || until == 0 {
+	if !a.hasWorker || !s.Born.Equal(a.born) || until == 0 {
 		return
 	}
 	a.inFlight[key] = true
@@ -348,6 +369,7 @@
 		}
 		res.Refusal = cfcore.ExecutorStale
 	case refusal == "":
+		a.startResults[key] = refusal
 	case refusal == cfcore.ExecutorOutcomeUnknown && faults.reportUncertain:
 		res.Refusal = cfcore.ExecutorRefused
 	case refusal == cfcore.ExecutorOutcomeUnknown:
@@ -360,6 +382,7 @@
 		return
 	default:
 		res.Refusal = refusal
+		a.startResults[key] = refusal
 	}
 	delete(a.uncertain, key)
 	a.results = append(a.results, res)
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -70,12 +70,18 @@
 
 func TestModelWithStalledRuns(t *testing.T) { checkModel(t, stalls) }
 
+func TestModelWithLateReports(t *testing.T) { checkModel(t, lateReports) }
+
+func TestModelWithTakeoversAndLateReports(t *testing.T) { checkModel(t, takeoversAndLateReports) }
+
+func TestModelWithAgentRestartsAndLateReports(t *testing.T) { checkModel(t, restartsAndLateReports) }
+
 func TestModelWithAllDisruptions(t *testing.T) { checkModel(t, allDisruptions) }
 
 // Restarts and late orders together are in KNOWN-RED.txt because of orphaned runs, see modelRun.
 // Other violations would not be noticed there.
 func TestModelBreaksNoRuleWithoutOrphanedRuns(t *testing.T) {
-	for name, scope := range map[string]modelScope{"late starts": restartsAndLateStarts, "late orders": restartsAndLate, "all disruptions": allDisruptions} {
+	for name, scope := range map[string]modelScope{"late starts": restartsAndLateStarts, "late orders": restartsAndLate, "all disruptions": allDisruptions, "all and late reports": allWithLateReports} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				for _, v := range runModel(t, scope, modelFaults{}).violations {
@@ -92,8 +98,10 @@
 func TestModelIsReproducible(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range 30 {
-		trace := func() string { return strings.Join(modelHistory(seed, allDisruptions, modelFaults{}).trace, "\n") }
-		g.Expect(trace()).To(Equal(trace()), "seed %d", seed)
+		for _, scope := range []modelScope{allDisruptions, allWithLateReports} {
+			trace := func() string { return strings.Join(modelHistory(seed, scope, modelFaults{}).trace, "\n") }
+			g.Expect(trace()).To(Equal(trace()), "seed %d", seed)
+		}
 	}
 }
 
@@ -125,6 +133,9 @@
 		"planners start new jobs at once":             {takeovers, modelFaults{newJobsAtOnce: true}},
 		"planners skip unknown jobs":                  {takeovers, modelFaults{skipUnknownJobs: true}},
 		"planners order before they are confirmed":    {agentAndWorkerRestarts, modelFaults{orderUnconfirmed: true}},
+		"agents forget the results of starts":         {lateReports, modelFaults{forgetResults: true}},
+		"planners apply late reports":                 {lateReports, modelFaults{applyLate: true}},
+		"planners apply reports of an earlier epoch":  {lateReports, modelFaults{applyEarlier: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			// The product has faults of its own. A history counts only if its seed gives no
@@ -161,7 +172,7 @@
 	scope := map[string]modelScope{
 		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
 		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "agentAndWorkerRestarts": agentAndWorkerRestarts, "workerCuts": workerCuts,
-		"storeOutages": storeOutages, "stalls": stalls, "all": allDisruptions,
+		"storeOutages": storeOutages, "stalls": stalls, "lateReports": lateReports, "takeoversAndLateReports": takeoversAndLateReports, "restartsAndLateReports": restartsAndLateReports, "allWithLateReports": allWithLateReports, "all": allDisruptions,
 	}[os.Getenv("MODEL_SCOPE")]
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -51,22 +51,31 @@
 	storeOutages bool
 	// stalls stop the progress of all runs on a worker for a while.
 	stalls bool
+	// lateReports let reports of agents arrive after newer ones, on a former connection.
+	lateReports bool
 }
 
 // The scopes of the tests.
 var (
-	takeovers              = modelScope{slowClocks: true}
-	lateStarts             = modelScope{slowClocks: true, lateStarts: true}
-	lateOrders             = modelScope{slowClocks: true, lateStarts: true, lateStops: true, lateHolds: true}
-	workerRestarts         = modelScope{slowClocks: true, workerRestarts: true}
-	restartsAndLateStarts  = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true}
-	restartsAndLate        = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true}
-	agentRestarts          = modelScope{slowClocks: true, agentRestarts: true, lateStarts: true, workerCuts: true}
-	agentAndWorkerRestarts = modelScope{slowClocks: true, workerRestarts: true, agentRestarts: true}
-	workerCuts             = modelScope{slowClocks: true, workerCuts: true}
-	storeOutages           = modelScope{slowClocks: true, storeOutages: true}
-	stalls                 = modelScope{slowClocks: true, lateStarts: true, lateStops: true, stalls: true}
-	allDisruptions         = modelScope{
+	takeovers               = modelScope{slowClocks: true}
+	lateStarts              = modelScope{slowClocks: true, lateStarts: true}
+	lateOrders              = modelScope{slowClocks: true, lateStarts: true, lateStops: true, lateHolds: true}
+	workerRestarts          = modelScope{slowClocks: true, workerRestarts: true}
+	restartsAndLateStarts   = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true}
+	restartsAndLate         = modelScope{slowClocks: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true}
+	agentRestarts           = modelScope{slowClocks: true, agentRestarts: true, lateStarts: true, workerCuts: true}
+	agentAndWorkerRestarts  = modelScope{slowClocks: true, workerRestarts: true, agentRestarts: true}
+	workerCuts              = modelScope{slowClocks: true, workerCuts: true}
+	storeOutages            = modelScope{slowClocks: true, storeOutages: true}
+	stalls                  = modelScope{slowClocks: true, lateStarts: true, lateStops: true, stalls: true}
+	lateReports             = modelScope{slowClocks: true, lateReports: true, workerCuts: true, lateStarts: true}
+	takeoversAndLateReports = modelScope{slowClocks: true, lateReports: true}
+	restartsAndLateReports  = modelScope{slowClocks: true, lateReports: true, agentRestarts: true, lateStarts: true, workerCuts: true}
+	allWithLateReports      = modelScope{
+		lateReports: true, lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
+		workerCuts: true, slowClocks: true, storeOutages: true,
+	}
+	allDisruptions = modelScope{
 		lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
 	}
@@ -92,6 +101,8 @@
 	// forgetUncertain makes agents report a refusal although an earlier attempt got no
 	// answer.
 	forgetUncertain bool
+	// forgetResults makes agents forget the results of starts.
+	forgetResults bool
 	// expireUnreachable makes agents report the leases of an unreachable worker as expired at
 	// once.
 	expireUnreachable bool
@@ -111,6 +122,9 @@
 	orderUnconfirmed bool
 	// ignoreProgress makes a new planner ignore which tasks are recorded as done.
 	ignoreProgress bool
+	// applyLate makes planners apply reports that arrive after newer ones, and applyEarlier
+	// those that were sent in an earlier epoch, to the same entry.
+	applyLate, applyEarlier bool
 }
 
 // modelPlanner is a planner together with its epoch.
@@ -128,6 +142,12 @@
 	recordedAgents map[string]bool
 	// reachedAt is when the planner last reached each agent.
 	reachedAt map[string]time.Time
+	// instances holds the accepted instance of each agent, lastReports the sequence number of the
+	// newest applied report of that instance.
+	instances   map[string]*modelAgent
+	lastReports map[string]uint64
+	// entry is the entry that is the planner. It is 0 without late reports: all entries then differ.
+	entry int
 	// progress and ends are in the batch that the store has not accepted yet.
 	progress []cfdispatch.JobProgress
 	ends     []cfdispatch.EndedRunsPosition
@@ -173,6 +193,8 @@
 	workers    []*modelWorker
 	links      map[string]*modelLink
 	lateOrders []lateOrder
+	// lateReports are held back on former connections.
+	lateReports []lateReport
 	// isOrphaned is set while a start is carried out that was ordered to an earlier incarnation of
 	// the worker.
 	isOrphaned bool
@@ -215,6 +237,7 @@
 	p := &modelPlanner{
 		Planner: cfdispatch.New(s, names, m.now.Add(leadershipTime+settings.LeaseExpiryTime())),
 		epoch:   epoch, electedAt: m.now, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{},
+		instances: map[string]*modelAgent{}, lastReports: map[string]uint64{}, entry: m.nextEntry(),
 	}
 	m.tracef("planner %d elected", epoch)
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
@@ -278,6 +301,7 @@
 		w.advance()
 	}
 	m.runLateOrders()
+	m.dropLateReports()
 	for _, a := range m.agents {
 		a.advance()
 	}
@@ -305,16 +329,26 @@
 // runPlanner delivers the reports of the agents that a planner reaches, and sends its orders.
 func (m *model) runPlanner(p *modelPlanner) {
 	for _, a := range m.agents {
-		if m.isDisconnected(p, a) || a.epoch > p.epoch || p.confirmedAt.Before(a.startedAt) && !m.faults.orderUnconfirmed {
+		if a.epoch > p.epoch || p.confirmedAt.Before(a.startedAt) && !m.faults.orderUnconfirmed {
+			continue
+		}
+		isCut := m.isDisconnected(p, a)
+		if !isCut {
+			p.acceptInstance(a)
+			a.follow(p.epoch)
+		}
+		if m.holdsBack(p, a) {
+			m.holdBack(p, a)
+			continue
+		}
+		if isCut {
 			continue
 		}
-		a.follow(p.epoch)
-		r := a.takeReport()
-		m.traceReport(p, a, r)
-		p.ApplyReport(m.now, a.name, r)
+		m.applyReport(p, a, a.takeReport())
 		p.MarkAnswered(a.name, m.now)
 		a.hasGrant, a.grantedAt, p.reachedAt[a.name] = true, m.now, m.now
 	}
+	m.applyLateReports(p)
 	m.readJobs(p)
 	gone := m.expireLeases(p)
 	p.Plan(m.now)
@@ -394,6 +428,10 @@
 	}
 	slices.SortFunc(o.Starts, func(a, b cfwire.JobStart) int { return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
 	slices.SortFunc(o.Stops, func(a, b cfwire.JobStop) int { return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
+	if after := p.lastReports[a.name]; after > 0 && after < a.startsAfter && len(o.Starts) > 0 {
+		m.tracef("%s ignores %d starts of planner %d", a.name, len(o.Starts), p.epoch)
+		o.Starts = nil
+	}
 	for _, s := range o.Starts {
 		m.tracef("planner %d orders the start of run %x of %s on %s", p.epoch, s.Run, taskString(s.Task), a.name)
 		m.orderedAt[s.Run] = m.now
