--- a/internal/cfentry/control.go
+++ b/internal/cfentry/control.go
@@ -41,11 +41,11 @@
 	// sessions holds the agents' open control connections, and workers the newest report
 	// about each worker.
 	sessions map[*session]bool
+	workers  map[cfcore.WorkerID]*cfschedule.WorkerView
 	// reporters holds, by worker, the newest session that has sent a grant request. sessionCount
 	// numbers the sessions.
 	reporters    map[cfcore.WorkerID]*session
 	sessionCount uint64
-	workers      map[cfcore.WorkerID]*cfschedule.WorkerView
 	// desiredChangeOffset holds, for each worker, the log offset at which the worker's desired
 	// state last changed.
 	desiredChangeOffset map[cfcore.WorkerID]cfcore.Offset
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -19,6 +19,7 @@
 	return o
 }
 
+// applyNewest applies a report that is newer than all that were applied before.
 func (p *Planner) applyNewest(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
