--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -55,8 +55,8 @@
 	lateReports bool
 	// heldOrders let orders arrive late at agents, on a former connection.
 	heldOrders bool
-	// fewTakeovers let planners count leases as expired more often, which takes longer than most
-	// of them are in force otherwise.
+	// fewTakeovers makes takeovers rare, so that planners are in force long enough to count leases
+	// as expired.
 	fewTakeovers bool
 }
 
--- a/pkg/cfdispatch/outdated.go
+++ b/pkg/cfdispatch/outdated.go
@@ -2,7 +2,7 @@
 
 import "cranberryford/pkg/cfwire"
 
-// Outdated says why a report of an agent says nothing about the present.
+// Outdated is the reason why a report is not applied; empty if it is applied.
 type Outdated string
 
 const (
