Report which tasks are over their targets, beside what, and what was ordered

- `tail latency was over its target beside best-effort tasks` with the task, its image, the images beside it, and for how long;
- `best-effort tasks paused` and `resumed` for a worker, with their number;
- a service level for each latency-critical job, with a line when it falls far below the mean of its queue and when it is back.
No decision uses it yet.

Counters over_target and best_effort_pauses.

--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -216,6 +216,16 @@
 		case cfdispatch.EventUnexpected:
 			l.Str("Reason", e.Reason).Time("Born", e.Born)
 			c.Scope.Counter("runs_unexpected").Inc(1)
+		case cfdispatch.EventWithinTarget:
+			l.Str("Image", e.Image).Strs("Neighbours", e.Neighbours)
+			c.Scope.Timer("over_target").Record(e.Took)
+		case cfdispatch.EventPaused:
+			l.Int("BestEffort", e.BestEffort)
+			c.Scope.Counter("best_effort_pauses").Inc(1)
+		case cfdispatch.EventResumed:
+			l.Int("BestEffort", e.BestEffort)
+		case cfdispatch.EventUnderserved, cfdispatch.EventServedAgain:
+			l.Float64("Level", e.Level)
 		case cfdispatch.EventOtherRun:
 			l.Time("Born", e.Born)
 			c.Scope.Counter("tasks_done_with_other_runs").Inc(1)
--- a/pkg/cfdispatch/events.go
+++ b/pkg/cfdispatch/events.go
@@ -35,6 +35,16 @@
 	// quarantine the worker gets no starts. There is no event if a refused start or a
 	// stalled run leads to the quarantine.
 	EventQuarantined EventKind = "worker quarantined: runs of different jobs failed in a row"
+	// EventWithinTarget is the end of the time for which a latency-critical run was over its
+	// target beside best-effort tasks.
+	EventWithinTarget EventKind = "tail latency was over its target beside best-effort tasks"
+	// EventPaused and EventResumed are the pause of all best-effort tasks on a worker, and its end.
+	EventPaused  EventKind = "best-effort tasks paused: a tail latency is over its target"
+	EventResumed EventKind = "best-effort tasks resumed"
+	// EventUnderserved and EventServedAgain are the start and the end of a time for which a
+	// latency-critical job is served much less than the others of its queue.
+	EventUnderserved EventKind = "latency-critical job is served much less than the others of its queue"
+	EventServedAgain EventKind = "latency-critical job is served like the others of its queue again"
 )
 
 // Event is a change of a run, a job or a worker as seen by the planner, for logs. Fields
@@ -61,6 +71,13 @@
 	// to its end, and negative if the job ended before its objective.
 	Took           time.Duration
 	AfterObjective time.Duration
+	// Image is the image of a run that was over its target, and Neighbours are the images of the
+	// best-effort tasks beside it. BestEffort is the number of best-effort runs that are paused or
+	// resumed. Level is the served share of a job, see serviceLevel.
+	Image      string
+	Neighbours []string
+	BestEffort int
+	Level      float64
 }
 
 // maxEvents is the maximum number of events kept until the next call of TakeEvents. Further
@@ -79,6 +96,12 @@
 	p.addEvent(Event{Kind: kind, Agent: r.w.agent, Task: r.task.name, Run: r.id, Took: now.Sub(r.startedAt)})
 }
 
+// addLevelEvent adds an event about a job's service level. Its Took is how long the job has been
+// underserved.
+func (p *Planner) addLevelEvent(kind EventKind, now time.Time, j *job) {
+	p.addEvent(Event{Kind: kind, Task: cfcore.TaskName{Job: j.ID}, Level: j.level.mean, Took: now.Sub(j.level.underservedAt)})
+}
+
 // addOutcomeEvent adds the event of a job's end, and sets hasUnrecordedOutcome.
 func (p *Planner) addOutcomeEvent(now time.Time, j *job) {
 	p.hasUnrecordedOutcome = true
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -25,6 +25,7 @@
 		return
 	}
 	p.changed = false
+	p.updateServiceLevels(now)
 	for _, w := range p.fleet {
 		w.reserved = cfcore.Resources{}
 	}
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -108,6 +108,10 @@
 	// speedSentAt is when a speed was last ordered. Before the first such order, it is when
 	// the run was placed, and zero for an adopted run.
 	speedSentAt time.Time
+	// overSince is the time since which a latency-critical run has been over its target beside
+	// best-effort tasks; zero if it is not. neighbours are the images of these tasks.
+	overSince  time.Time
+	neighbours []string
 }
 
 // task is the planner's state of one task of a job.
@@ -178,6 +182,7 @@
 	starvingSince time.Time
 	// liveRuns is the number of runs of the job that the planner keeps, see run.
 	liveRuns int
+	level    serviceLevel
 }
 
 // isOver reports whether the job has ended or was cancelled.
@@ -228,6 +233,8 @@
 	// zero lastScan makes them due.
 	changed  bool
 	lastScan time.Time
+	// levelsUpdatedAt is when the service levels of jobs were last updated.
+	levelsUpdatedAt time.Time
 	// pendingStops are the runs that the planner has decided to stop since the last call of
 	// TakeOrders. lastResendScan is when runs were last scanned for orders to repeat.
 	pendingStops   []*run
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -175,7 +175,9 @@
 	}
 	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
-	p.enforceTailTargets(now, w)
+	critical, bestEffort := w.colocated()
+	p.trackTails(now, critical, bestEffort)
+	p.enforceTailTargets(now, w, critical, bestEffort)
 	p.applyEnds(now, w, l.Ended, uncertainEnd)
 }
 
--- /dev/null
+++ b/pkg/cfdispatch/tails_test.go
@@ -0,0 +1,58 @@
+package cfdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfdispatch"
+)
+
+// eventsOf returns the planner's events of a kind since the last call.
+func (h *interferenceSim) eventsOf(kind cfdispatch.EventKind) []cfdispatch.Event {
+	var out []cfdispatch.Event
+	for _, e := range h.TakeEvents() {
+		if e.Kind == kind {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func TestTimeOverTargetIsReportedWithItsNeighbours(t *testing.T) {
+	h := newInterferenceSim(t, 1)
+	h.submit("service", latencyCriticalStep("a", 1))
+	h.submit("x", longBestEffortStep("x", 2))
+	h.submit("y", longBestEffortStep("y", 1))
+	for range 10 {
+		h.advance()
+	}
+	h.TakeEvents()
+	h.extraLoad = 0.9
+	for range 3 {
+		h.advance()
+	}
+	h.extraLoad = -0.4
+	h.advance()
+	events := h.eventsOf(cfdispatch.EventWithinTarget)
+	h.Expect(events).To(HaveLen(1))
+	h.Expect(events[0].Task.Job).To(Equal("service"))
+	h.Expect(events[0].Took).To(BeNumerically("~", 3*simStep, simStep))
+	h.Expect(events[0].Neighbours).To(Equal([]string{"x", "y"}))
+}
+
+func TestPausesAreReported(t *testing.T) {
+	h := newInterferenceSim(t, 1)
+	h.submit("service", latencyCriticalStep("a", 1))
+	h.submit("x", longBestEffortStep("x", 2))
+	h.advance()
+	h.extraLoad = 0.9
+	for range 10 {
+		h.advance()
+	}
+	events := h.eventsOf(cfdispatch.EventPaused)
+	h.Expect(events).To(HaveLen(1))
+	h.Expect(events[0].BestEffort).To(Equal(2))
+	h.Expect(events[0].Took).To(BeNumerically(">", 2*time.Second))
+}
--- a/pkg/cfdispatch/throttle.go
+++ b/pkg/cfdispatch/throttle.go
@@ -71,9 +71,8 @@
 // Short pauses end the interference at a lower cost than a permanently reduced speed. At a
 // permanently reduced speed, most best-effort jobs would miss their objectives, since a job
 // waits for its slowest task.
-func (p *Planner) enforceTailTargets(now time.Time, w *worker) {
-	critical, bestEffort := w.colocated()
-	overTarget := slices.ContainsFunc(critical, func(r *run) bool { return r.tailLatency() > r.task.step.TailTarget })
+func (p *Planner) enforceTailTargets(now time.Time, w *worker, critical, bestEffort []*run) {
+	overTarget := slices.ContainsFunc(critical, (*run).isOverTarget)
 	switch {
 	case !overTarget:
 		w.overSince = time.Time{}
@@ -89,9 +88,11 @@
 	case w.pausedAt.IsZero():
 		if overTarget && now.Sub(w.overSince) >= pauseAfter && len(bestEffort) > 0 {
 			w.pausedAt = now
+			p.addEvent(Event{Kind: EventPaused, Agent: w.agent, Took: now.Sub(w.overSince), BestEffort: len(bestEffort)})
 		}
 	case pausedFor >= minPause && (!overTarget || pausedFor > maxPause):
 		w.pausedAt, w.overSince = time.Time{}, time.Time{}
+		p.addEvent(Event{Kind: EventResumed, Agent: w.agent, Took: pausedFor, BestEffort: len(bestEffort)})
 	}
 	percent := fullPercent
 	if !w.pausedAt.IsZero() {
