Expect the mean effect of unknown pairs, and learn nothing lower from saturated tails

And beside several heavy tasks a tail latency is at its maximum, so that each looked less heavy than alone: in the test 5.8 for 8.

An unknown pair is expected to have the mean of the known effects, and a saturated tail only raises effects.

--- a/pkg/cfinterference/headroom.go
+++ b/pkg/cfinterference/headroom.go
@@ -21,6 +21,8 @@
 	// unit of Effect. jobs is indexed by job ID.
 	pairs map[Pair]float64
 	jobs  map[string]jobHeadroom
+	// effectSum is the sum of the effects in pairs.
+	effectSum float64
 }
 
 // jobHeadroom is the headroom that remains for the tasks of a job under the job's own load.
@@ -62,10 +64,15 @@
 	// the squared CPU shares of all pairs in the report plus shareNormOffset. Without the
 	// offset, small shares would cause large changes.
 	shareNormOffset = 0.02
-	// priorEffect is what Effect returns for a pair without reports. maxEffect is the maximum
-	// of a learned effect.
-	priorEffect = 0.5
-	maxEffect   = 20.0
+	// priorEffect is what Effect returns for a pair without reports while no effect is known. It
+	// counts as much as priorWeightEffect learned effects. maxEffect is the maximum of a learned
+	// effect.
+	priorEffect       = 0.5
+	priorWeightEffect = 3.0
+	maxEffect         = 20.0
+	// saturatedHeadroom is a headroom so low that it no longer tells how much more is lost: a tail
+	// latency grows only until the worker's queues are full.
+	saturatedHeadroom = 0.2
 )
 
 // CPUShare is the fraction of a worker's CPU that best-effort tasks of one image use.
@@ -81,12 +88,26 @@
 
 // Effect returns the effect of best-effort tasks on latency-critical tasks, given the
 // images of both. The effect is the headroom that a latency-critical task would lose if the
-// best-effort tasks used the whole CPU of its worker.
+// best-effort tasks used the whole CPU of its worker. For a pair without reports it is the mean
+// of the known effects.
 func (m *HeadroomModel) Effect(image, bestEffortImage string) float64 {
 	if e, ok := m.pairs[Pair{image, bestEffortImage}]; ok {
 		return e
 	}
-	return priorEffect
+	return m.meanEffect()
+}
+
+// meanEffect returns the mean of the learned effects and of priorEffect, which has the weight
+// priorWeightEffect.
+func (m *HeadroomModel) meanEffect() float64 {
+	return (priorEffect*priorWeightEffect + m.effectSum) / (priorWeightEffect + float64(len(m.pairs)))
+}
+
+// setEffect sets the learned effect of a pair, within its limits.
+func (m *HeadroomModel) setEffect(k Pair, e float64) {
+	e = min(max(0, e), maxEffect)
+	m.effectSum += e - m.pairs[k]
+	m.pairs[k] = e
 }
 
 // Observe updates the estimates with a report on a latency-critical task. job is the ID of
@@ -104,6 +125,10 @@
 		h = jobHeadroom{alone: headroom + lost, low: headroom + lost, updatedAt: now}
 	}
 	predictionError := h.alone - lost - headroom
+	if headroom < saturatedHeadroom {
+		// The task has lost at least as much as reported.
+		predictionError = max(0, predictionError)
+	}
 	for _, s := range shares {
 		m.adjustEffect(Pair{image, s.Image}, effectGain*predictionError*s.Fraction/norm)
 	}
@@ -128,9 +153,9 @@
 	case !ok && len(m.pairs) >= maxPairs:
 		return
 	case !ok:
-		e = priorEffect
+		e = m.meanEffect()
 	}
-	m.pairs[k] = min(max(0, e+delta), maxEffect)
+	m.setEffect(k, e+delta)
 }
 
 // ForgetJob drops the estimated headroom of a job. It keeps the effects of pairs.
@@ -187,7 +212,12 @@
 // KeepStrongest leaves out all but the n effects that differ most from the effect of an unknown
 // pair.
 func (l *LearnedEffects) KeepStrongest(n int) {
-	strength := func(e LearnedEffect) float64 { return math.Abs(float64(e.Effect) - priorEffect*effectUnit) }
+	sum := priorEffect * priorWeightEffect * effectUnit
+	for _, e := range l.Pairs {
+		sum += float64(e.Effect)
+	}
+	unknown := sum / (priorWeightEffect + float64(len(l.Pairs)))
+	strength := func(e LearnedEffect) float64 { return math.Abs(float64(e.Effect) - unknown) }
 	kept := slices.Clone(l.Pairs)
 	slices.SortStableFunc(kept, func(a, b LearnedEffect) int { return cmp.Compare(strength(b), strength(a)) })
 	kept = kept[:min(n, len(kept))]
@@ -214,6 +244,6 @@
 		if k.Service < 0 || k.Service >= len(l.Images) || k.Filler < 0 || k.Filler >= len(l.Images) || len(m.pairs) >= maxPairs {
 			continue
 		}
-		m.pairs[Pair{l.Images[k.Service], l.Images[k.Filler]}] = min(max(0, float64(k.Effect)/effectUnit), maxEffect)
+		m.setEffect(Pair{l.Images[k.Service], l.Images[k.Filler]}, float64(k.Effect)/effectUnit)
 	}
 }
