Start no best-effort tasks on a worker whose best-effort tasks are paused

Callers of a latency-critical task saw it over its target for 4 s and more: its worker got new best-effort tasks during each pause. They run at full speed until the next report, 0.3 s later, so that a pause of 0.8 s had no moment without interference.

The test failed before: 4 runs on the paused worker, 3 are expected.

--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -232,6 +232,10 @@
 	if !w.used.Add(w.reserved).Add(t.step.Reservation()).Fits(w.state.Capacity) {
 		return false
 	}
+	// A new run is not paused before the next report.
+	if t.step.BestEffort && !w.pausedAt.IsZero() {
+		return false
+	}
 	if t.waitsForFreeCPU() && w.overcommit(t) > maxOvercommit && !t.j.isStarved(now) {
 		return false
 	}
--- a/pkg/cfdispatch/tails_test.go
+++ b/pkg/cfdispatch/tails_test.go
@@ -76,3 +76,24 @@
 	h.Expect(events[0].BestEffort).To(Equal(2))
 	h.Expect(events[0].Took).To(BeNumerically(">", 2*time.Second))
 }
+
+// A best-effort task that starts on a paused worker runs at full speed until the next report, so
+// that the tail latency stays over its target.
+func TestPausedWorkerGetsNoBestEffortTasks(t *testing.T) {
+	h := newInterferenceSim(t, 1)
+	h.submit("service", latencyCriticalStep("a", 1))
+	h.submit("x", longBestEffortStep("x", 2))
+	h.advance()
+	h.extraLoad = 0.9
+	for len(h.eventsOf(cfdispatch.EventPaused)) == 0 {
+		h.advance()
+	}
+	h.submit("y", bestEffortStep("y", 1))
+	h.planAndApply()
+	h.Expect(h.runs["w0"]).To(HaveLen(3))
+	h.extraLoad = 0
+	for range 4 {
+		h.advance()
+	}
+	h.Expect(h.runs["w0"]).To(HaveLen(4), "after the pause")
+}
