Count a tail latency that is reported at its target as over it

Tail latencies are reported in whole milliseconds. One between 50 and 51 ms was taken for within a target of 50, and began the count of the time over the target anew.

The test failed before: no pause after 3 s at a reported 50 ms.

--- a/pkg/cfdispatch/tails.go
+++ b/pkg/cfdispatch/tails.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// isOverTarget reports whether the last reported tail latency of a latency-critical run is over
-// its target.
-func (r *run) isOverTarget() bool { return r.tailLatency() > r.task.step.TailTarget }
+// isOverTarget reports whether the tail latency of a latency-critical run is possibly over its
+// target. It is reported in whole milliseconds, so that a figure equal to the target can be that of
+// a latency above it.
+func (r *run) isOverTarget() bool { return r.tailLatency() >= r.task.step.TailTarget }
 
 // trackTails records since when the latency-critical runs of a worker have been over their targets
 // beside best-effort tasks, and adds an event once a run no longer is.
--- a/pkg/cfdispatch/tails_test.go
+++ b/pkg/cfdispatch/tails_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfdispatch"
 )
 
@@ -97,3 +98,20 @@
 	}
 	h.Expect(h.runs["w0"]).To(HaveLen(4), "after the pause")
 }
+
+// Tail latencies are reported in whole milliseconds: 50 can be 50.9, which is over a target of 50.
+func TestBestEffortTasksArePausedAtATailLatencyThatIsRoundedToItsTarget(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	f.workers["a"].state.Capacity = cfcore.Resources{MilliCores: 16000, MemoryMB: 64000}
+	f.add("service", latencyCriticalStep("a", 1))
+	f.add("x", longBestEffortStep("x", 2))
+	f.report()
+	f.runPlanner()
+	f.workers["a"].gauges[0] = int(tailTarget / time.Millisecond)
+	for range 10 {
+		f.now = f.now.Add(simStep)
+		f.report()
+		f.runPlanner()
+	}
+	f.Expect(f.workers["a"].speeds).To(HaveKeyWithValue("x", 0))
+}
