--- a/pkg/cfdispatch/servicelevel.go
+++ b/pkg/cfdispatch/servicelevel.go
@@ -36,9 +36,13 @@
 )
 
 // update adds the state of the last period of time to the estimate. atWork and over are the
-// shares of the job's tasks that are at work, and that are over their targets.
+// shares of the job's tasks that are at work, and that are over their targets. The estimate begins
+// once a task is at work.
 func (l *serviceLevel) update(period time.Duration, atWork, over float64) {
 	if l.age == 0 {
+		if atWork == 0 {
+			return
+		}
 		l.mean = 1
 	}
 	l.age += period
@@ -60,7 +64,9 @@
 		if tasks := j.criticalTasks(); tasks > 0 {
 			atWork, over := j.countServing()
 			j.level.update(period, float64(atWork)/float64(tasks), float64(over)/float64(tasks))
-			queues[j.queue.Name] = append(queues[j.queue.Name], j)
+			if j.level.age > 0 {
+				queues[j.queue.Name] = append(queues[j.queue.Name], j)
+			}
 		}
 	}
 	for _, jobs := range queues {
