--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -47,3 +48,46 @@
 	}
 	g.Expect(a.hasLeft).To(BeFalse(), "a worker that has left sends no further heartbeats")
 }
+
+// leavingWorker answers calls for the run lists until it is gone.
+type leavingWorker struct {
+	cfcore.Executor
+	gone bool
+}
+
+func (w *leavingWorker) Hold(context.Context, cfcore.Order, cfcore.HoldOptions) (cfcore.RunLists, error) {
+	if w.gone {
+		return cfcore.RunLists{}, errUnanswered
+	}
+	return cfcore.RunLists{Born: born, Clock: time.Minute}, nil
+}
+
+// A worker whose goodbye gets no acknowledgement in time, for example because its agent stood still,
+// goes on for seconds. The agent took the goodbye for the end of all runs, and the planner started
+// their tasks elsewhere while they ran.
+func TestRunsOfAWorkerEndNotBeforeItIsGone(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	w := &leavingWorker{}
+	a.Executor, a.bootClock = w, &clock
+	a.grantedAt, a.answeredAt, a.leaseFrom = time.Hour, time.Hour, time.Hour
+	s := workerState(born)
+	s.Draining = true
+	a.handleHeartbeat(s)
+	call := func() *cfwire.JobReport {
+		clock += fakeBootClock(holdRetryDelay)
+		a.requestRunLists(t.Context())
+		var ev event
+		g.Eventually(a.events).Should(Receive(&ev))
+		a.handleEvent(t.Context(), ev)
+		return a.takeReport()
+	}
+	a.handleWorkerLeft(s.ID)
+	g.Expect(a.takeReport().Lost).To(BeNil())
+	for range 20 {
+		g.Expect(call().Lost).To(BeNil(), "the worker answers")
+	}
+	w.gone = true
+	g.Expect(call().Lost).To(HaveField("Left", BeTrue()))
+}
