Count a worker as gone once its port refuses connections

Callers see two runs of a task at once: a goodbye (DELETE) counted as the end of all runs on its worker, and their tasks started elsewhere within milliseconds. But a worker whose goodbye gets no acknowledgement within a second, for example because its agent stood still, ends only "some seconds later" (PROTOCOL.md), and a goodbye names no incarnation, so that a late one also ended the runs of the next incarnation with the same ID, which then got no work until it restarted. The first way needs no reused ID.

Cause: the goodbye says what the worker will do, and was taken for what it has done. Ruled out: agents that wait for a heartbeat after the goodbye (the runs count as ended until then), goodbyes only of draining workers (the heartbeat that says so is missed when the agent stands still).

Before: TestLateGoodbyeOfAnEarlierIncarnation: late_test.go:49: a worker that has left sends no further heartbeats TestRunsOfAWorkerEndNotBeforeItIsGone: late_test.go:87: <*cfwire.JobWorkerUnreachable>: {For: 0, LeasesExpired: false, Left: true} to be nil

Now a worker that says goodbye gets no more starts, and the agent calls it until its port refuses a connection, which nobody but a process that is gone does; only then its runs have ended. One that answers 0.5 s later and is not draining is another incarnation, and the goodbye is dropped. One that neither answers nor refuses is handled as before: its leases expire.

The stand-in's worker kept its port open after it had left; it closes it now, since "a job continues without delay under another planner after a worker has left" failed with it (2 s without the record being dropped).

--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// listen serves a handler at an address until the fleet is closed.
-func (f *fleet) listen(a netip.AddrPort, h http.Handler) {
+// listen serves a handler at an address until the fleet or the returned server is closed.
+func (f *fleet) listen(a netip.AddrPort, h http.Handler) *http.Server {
 	l, err := net.Listen("tcp", a.String())
 	Expect(err).NotTo(HaveOccurred())
 	silencer := &cfstandin.Silencer{Listener: l}
@@ -119,6 +119,7 @@
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(silencer) }()
 	f.servers = append(f.servers, s)
+	return s
 }
 
 // newFleet starts a fleet and waits until all entries are ready.
@@ -161,7 +162,8 @@
 		f.stopWorker = append(f.stopWorker, cancel)
 		w := standin.NewWorker(ctx, fmt.Sprintf("w-%d", i), service, heartbeatAddr, 1-float64(i%2)*maxClockLag)
 		f.workers = append(f.workers, w)
-		f.listen(workerAddr, w)
+		server := f.listen(workerAddr, w)
+		w.SetCloseServer(func() { _ = server.Close() })
 		f.workerAddrs = append(f.workerAddrs, workerAddr)
 	}
 	DeferCleanup(f.close)
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -37,6 +37,9 @@
 	// resultMemory is how long the agent remembers the result of a start. An order that the planner
 	// repeated before it received the result arrives much earlier.
 	resultMemory = time.Minute
+	// goodbyeTimeout is how long a worker that is not draining can answer calls after its goodbye.
+	// After that time, the goodbye counts as that of an earlier incarnation with the same ID.
+	goodbyeTimeout = 500 * time.Millisecond
 	// maxPendingGrants bounds the number of grant requests that wait for answers. If there
 	// are more, the agent discards all of them and ignores their answers.
 	maxPendingGrants = 64
@@ -78,11 +81,14 @@
 	hasGrant  bool
 
 	// worker is the newest state of the worker's current incarnation. hasWorker is set
-	// once a heartbeat has arrived. hasLeft is set once the worker has announced its
-	// shutdown, or has refused a call because the call is for another incarnation.
-	worker    cfcore.WorkerState
-	hasWorker bool
-	hasLeft   bool
+	// once a heartbeat has arrived. isLeaving is set once the worker has announced its
+	// shutdown, at leavingSince. hasLeft is set once it is gone: its port refuses connections
+	// after the announcement, or a call was refused because it is for another incarnation.
+	worker       cfcore.WorkerState
+	hasWorker    bool
+	isLeaving    bool
+	leavingSince time.Duration
+	hasLeft      bool
 	// formerBorn is the start time of the previous incarnation.
 	formerBorn time.Time
 	// workerClock is the newest reading of the worker's clock.
@@ -207,9 +213,9 @@
 // handleHeartbeat records the worker's state. It ignores a heartbeat that arrives after a
 // newer one or comes from an earlier incarnation. If the time of day was set back, a new
 // incarnation has an earlier start time than the one before. Its answers to calls show it then,
-// or its heartbeat if the one before has left.
+// or its heartbeat if the one before has left or is leaving.
 func (c *control) handleHeartbeat(s cfcore.WorkerState) {
-	if c.hasWorker && (s.Born.Equal(c.formerBorn) || s.Born.Before(c.worker.Born) && !c.hasLeft) {
+	if c.hasWorker && (s.Born.Equal(c.formerBorn) || s.Born.Before(c.worker.Born) && !c.hasLeft && !c.isLeaving) {
 		return
 	}
 	sameIncarnation := c.hasWorker && s.Born.Equal(c.worker.Born)
@@ -253,19 +259,41 @@
 	// A call to the previous incarnation is not waited for: until a call with a token of the new
 	// session, the new incarnation executes late starts of the previous one.
 	c.hasLeft, c.answeredAt, c.nextHoldAt, c.holdInFlight = false, c.bootClock.Now(), 0, false
+	c.isLeaving = false
 	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
 }
 
-// handleWorkerLeft records that the worker with the given ID is gone or is about to shut
-// down. It ignores the ID of another worker.
+// handleWorkerLeft handles the goodbye of the worker with the given ID. It ignores that of
+// another worker. The runs of a worker have not ended until it is gone: it goes on for seconds if
+// its goodbye is not acknowledged in time. A goodbye names no incarnation; it can also come from an
+// earlier one with the same ID.
 func (c *control) handleWorkerLeft(id string) {
+	if !c.hasWorker || c.worker.ID != id || c.isLeaving || c.hasLeft {
+		return
+	}
+	c.Log.Info().Str("Worker", id).Msg("worker is about to shut down; it gets no more starts")
+	c.isLeaving, c.leavingSince = true, c.bootClock.Now()
+	c.nextHoldAt = 0
+}
+
+// markGone records that the worker with the given ID is gone. It ignores the ID of another worker.
+func (c *control) markGone(id string) {
 	if c.hasWorker && c.worker.ID == id {
-		c.Log.Info().Str("Worker", id).Msg("worker is gone or about to shut down; it gets no more starts")
-		c.hasLeft = true
+		c.Log.Info().Str("Worker", id).Msg("worker is gone")
+		c.hasLeft, c.isLeaving = true, false
 		c.reportAll = true
 	}
 }
 
+// checkGoodbye ends the wait for the end of a worker that still answers calls long after its
+// goodbye, unless it is draining.
+func (c *control) checkGoodbye() {
+	if c.isLeaving && !c.worker.Draining && c.bootClock.Now()-c.leavingSince > goodbyeTimeout {
+		c.Log.Warn().Str("Worker", c.worker.ID).Time("Born", c.worker.Born).Msg("goodbye ignored: the worker still answers and is not draining")
+		c.isLeaving = false
+	}
+}
+
 // handleMessage handles a message of an entry, which is either a list of entries or orders.
 // It ignores orders of an older epoch than the newest known one.
 func (c *control) handleMessage(ctx context.Context, l *link, m *cfwire.Message) {
--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -57,7 +59,7 @@
 
 func (w *leavingWorker) Hold(context.Context, cfcore.Order, cfcore.HoldOptions) (cfcore.RunLists, error) {
 	if w.gone {
-		return cfcore.RunLists{}, errUnanswered
+		return cfcore.RunLists{}, cferror.Wrap("hold", cfcore.ExecutorOutcomeUnknown, syscall.ECONNREFUSED)
 	}
 	return cfcore.RunLists{Born: born, Clock: time.Minute}, nil
 }
@@ -91,3 +93,25 @@
 	w.gone = true
 	g.Expect(call().Lost).To(HaveField("Left", BeTrue()))
 }
+
+// The next incarnation with the same ID answers calls and is not draining.
+func TestWorkerGetsStartsAgainAfterALateGoodbye(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	a.bootClock, a.grantedAt, a.answeredAt, a.leaseFrom = &clock, time.Hour, time.Hour, time.Hour
+	a.handleHeartbeat(workerState(born))
+	a.handleWorkerLeft("w")
+	start := func(run uint64) {
+		clock += fakeBootClock(goodbyeTimeout/2 + 1)
+		a.handleHoldReturned(holdReturned{
+			incarnation: a.fence.currentIncarnation(), worker: "w", token: a.fence.token(a.epoch),
+			lists: cfcore.RunLists{Born: born, Clock: time.Minute + time.Duration(clock)},
+		})
+		a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: run})
+	}
+	start(7)
+	g.Eventually(w.stopped).Should(Receive(BeEquivalentTo(7)), "the worker is possibly leaving")
+	start(8)
+	g.Eventually(w.started).Should(Receive(HaveField("Run", BeEquivalentTo(8))))
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"maps"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cranberryford/pkg/cfcommon"
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cferror"
@@ -23,7 +26,7 @@
 	h := cfcore.HoldOptions{Until: c.leaseUntil()}
 	if !c.holdFailed {
 		h.LastSeen = c.lastRecorded
-		if c.hasLists && c.lastListed <= c.lastRecorded {
+		if c.hasLists && c.lastListed <= c.lastRecorded && !c.isLeaving {
 			h.Wait = c.cfg.HoldWait
 		}
 	}
@@ -48,20 +51,23 @@
 	c.holdInFlight, c.holdFailed, c.nextHoldAt = false, ev.err != nil, 0
 	if ev.err != nil {
 		c.nextHoldAt = c.bootClock.Now() + c.failedHoldRetryDelay()
-		if cferror.Is(ev.err, cfcore.ExecutorOtherIncarnation) {
-			c.handleWorkerLeft(ev.worker)
+		if cferror.Is(ev.err, cfcore.ExecutorOtherIncarnation) || c.isLeaving && errors.Is(ev.err, syscall.ECONNREFUSED) {
+			c.markGone(ev.worker)
 		}
 		c.Log.Debug().Err(ev.err).Msg("call for the worker's run lists failed")
 		c.Scope.Counter("holds_failed").Inc(1)
 		return
 	}
 	c.applyLists(ev.lists, ev.token)
+	c.checkGoodbye()
 	// A call that was sent before a restart was noticed contains a time on the earlier clock.
 	if ev.lists.Born.Equal(c.worker.Born) && ev.until <= ev.lists.Clock+c.cfg.Lease.Lease {
 		c.leasedUntil = max(c.leasedUntil, ev.until)
 	}
 	// A worker that lists ends which the planner does not record answers without waiting.
-	if c.lastListed > c.lastRecorded || ev.lists.Incomplete {
+	if c.isLeaving {
+		c.nextHoldAt = c.bootClock.Now() + failedHoldRetryDelay
+	} else if c.lastListed > c.lastRecorded || ev.lists.Incomplete {
 		c.nextHoldAt = c.bootClock.Now() + holdRetryDelay
 	}
 }
@@ -128,7 +134,7 @@
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: r.refusal})
 		return
 	}
-	if c.hasWorker && s.Born.Equal(c.worker.Born) && !c.hasLeft && c.worker.Draining {
+	if c.hasWorker && s.Born.Equal(c.worker.Born) && !c.hasLeft && (c.worker.Draining || c.isLeaving) {
 		// The worker gets no more starts. Once it has answered the stop, the planner can start
 		// the task elsewhere.
 		c.stopRun(ctx, cfwire.JobStop{Task: s.Task, Run: s.Run})
