--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -121,6 +121,8 @@
 	// Incomplete is set if rows are left out because they cannot be decoded. A run that is
 	// missing from the lists then possibly exists.
 	Incomplete bool `cbor:",omitempty"`
+	// LacksEnds is set if a row that is left out is that of an end.
+	LacksEnds bool `cbor:",omitempty"`
 	// MoreEnds is set if Ended possibly leaves out the newest ends. The worker lists them once
 	// older ones are acknowledged.
 	MoreEnds bool `cbor:",omitempty"`
--- a/pkg/cfdispatch/incomplete_test.go
+++ b/pkg/cfdispatch/incomplete_test.go
@@ -93,3 +93,43 @@
 	f.Expect(report(true)).To(BeEmpty())
 	f.Expect(report(false)).To(HaveLen(1))
 }
+
+// An end whose row cannot be decoded was acknowledged together with a higher one. The worker forgot
+// it, and the planner started the task again.
+func TestEndsThatCannotBeDecodedAreNotAcknowledged(t *testing.T) {
+	for name, c := range map[string]struct {
+		lists cfcore.RunLists
+		acked uint64
+	}{
+		"all rows are decoded":                   {acked: 2},
+		"a row of a running task is left out":    {lists: cfcore.RunLists{Incomplete: true}, acked: 2},
+		"a row of an end is left out":            {lists: cfcore.RunLists{Incomplete: true, LacksEnds: true}},
+		"a row of an end is left out, more ends": {lists: cfcore.RunLists{Incomplete: true, LacksEnds: true, MoreEnds: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "a")
+			f.add("j", newStep(2, 100))
+			f.Expect(f.runPlanner()).To(HaveLen(2))
+			w := f.workers["a"]
+			var ends []cfcore.EndedTask
+			for _, r := range w.runs {
+				ends = append(ends, cfcore.EndedTask{Number: uint64(len(ends) + 1), Task: r.Task, Run: r.Run, How: cfcore.EndDone})
+			}
+			l := c.lists
+			l.Born, l.Ended = w.state.Born, ends
+			if l.LacksEnds {
+				l.Ended = ends[1:]
+			}
+			acked := func(l cfcore.RunLists) uint64 {
+				f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &w.state, Lists: &l})
+				_, recorded := f.TakeUnrecordedProgress(f.now, true)
+				f.MarkEndsRecorded(recorded)
+				f.runPlanner()
+				return w.ackedEnd
+			}
+			f.Expect(acked(l)).To(Equal(c.acked))
+			f.Expect(acked(l)).To(Equal(c.acked))
+			f.Expect(acked(cfcore.RunLists{Born: w.state.Born, Ended: ends})).To(BeEquivalentTo(2), "the row can be decoded now")
+		})
+	}
+}
