Acknowledge no ends while a worker's lists lack one

Callers would see a task start again after it was done: a row of an end that cannot be decoded was left out, and the next end acknowledged it as well, since last_seen covers all lower numbers. The worker forgot it, its later lists were complete and without the run, and the planner started the task again.

Ruled out: acknowledging up to the number of the row (of most such rows, the number can't be decoded either); holding ends back whenever lists are incomplete (a row of a task that runs for long would hold back all ends).

Before: TestEndsThatCannotBeDecodedAreNotAcknowledged/a_row_of_an_end_is_left_out incomplete_test.go:130: Expected <uint64>: 2 to equal <uint64>: 0

Lists now say that they lack an end. The planner applies the ends in such lists, as it does those above a postponed one, and acknowledges none until lists come that lack none. Until then the worker's later ends stay listed, 500 at most; a run that is missing from such lists already counted as existing.

--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -176,7 +176,7 @@
 	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
 	p.enforceTailTargets(now, w)
-	p.applyEnds(now, w, l.Ended, uncertainEnd)
+	p.applyEnds(now, w, l, uncertainEnd)
 }
 
 // applyRunning applies a row of a worker's list of running runs, whose job must be known and
--- a/pkg/cfdispatch/unsettled.go
+++ b/pkg/cfdispatch/unsettled.go
@@ -28,7 +28,7 @@
 	running map[runKey]unknownRun
 	// ended holds the postponed ends by their Number.
 	ended map[uint64]postponedEnd
-	// applied holds the numbers of applied ends that are possibly above an end in ended.
+	// applied holds the numbers of applied ends that are possibly above an end that is not applied.
 	applied map[uint64]bool
 }
 
@@ -87,11 +87,12 @@
 }
 
 // applyEnds applies the ends in a worker's run lists and postpones some of them. lastEnd stays
-// below the postponed ones. Ends up to uncertainEnd are uncertain.
-func (p *Planner) applyEnds(now time.Time, w *worker, ends []cfcore.EndedTask, uncertainEnd uint64) {
+// below the postponed ones, and as it is if the lists lack an end: its number is not known. Ends up
+// to uncertainEnd are uncertain.
+func (p *Planner) applyEnds(now time.Time, w *worker, l *cfcore.RunLists, uncertainEnd uint64) {
 	u := &w.unsettled
-	isPostponed := false
-	for _, e := range ends {
+	isPostponed := l.LacksEnds
+	for _, e := range l.Ended {
 		if e.Number <= w.lastEnd {
 			continue
 		}
