Give a restarted agent no starts before it reports

An agent ignores starts from before it reported that leases had expired; it knows them by the report that they follow. Suspected only: in what was read, a start that is first on its connection finds no permission to extend leases at the agent. An agent with two connections to the planner can have got that permission on the other one.

Ruled out: agents that ignore starts without a report (planners of earlier builds name none, so that no task would start during an update).

The worker now counts as unreachable until the new instance reports, so that every start and stop of a run follows one of its reports.

--- a/pkg/cfdispatch/outdated.go
+++ b/pkg/cfdispatch/outdated.go
@@ -14,8 +14,15 @@
 	OutdatedEpoch Outdated = "sent in an earlier epoch"
 )
 
-// BeginInstance marks that an agent has another instance, with sequence numbers of its own.
-func (p *Planner) BeginInstance(agent string) { delete(p.lastReports, agent) }
+// BeginInstance marks that an agent has another instance, with sequence numbers of its own. The
+// worker counts as unreachable until that instance reports: the instance cannot tell whether a start
+// that names none of its reports is outdated.
+func (p *Planner) BeginInstance(agent string) {
+	delete(p.lastReports, agent)
+	if w := p.workers[agent]; w != nil {
+		w.isUnreachable = true
+	}
+}
 
 // LastReport returns the sequence number of the newest applied report of an agent's instance, or 0.
 func (p *Planner) LastReport(agent string) uint64 { return p.lastReports[agent] }
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -23,7 +23,8 @@
 	// they arrived.
 	hasMoreEnds bool
 	listedAt    time.Time
-	// isUnreachable is set while the agent reports that the worker does not respond.
+	// isUnreachable is set while the agent reports that the worker does not respond, and until
+	// a new instance of the agent reports.
 	isUnreachable bool
 	// isRecorded is set once the agent is on record in the store. The agent gets no starts
 	// before, since only agents on record are known to later planners.
