Keep jobs that have ended before the planner knows them

Callers would see a cancelled job start (UNASKED): a cancellation can reach the store before the job's submission, which the store carries out seconds later. The planner left out a job that had ended when it first saw it. When the job's records are dropped (Keep), the deletion of the cancellation comes first and made the job look new: the planner added it, and started its tasks even after the job's own record was gone, since Forget expects a job that has ended.

Ruled out there: a job that has run is always known to its planner, so that no task starts again that was done. Ruled out as a fix: deleting the job's record first (of deletions that are applied in part, the job's must be the last).

The planner now keeps such a job as ended until its last record is dropped.

--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -84,12 +84,11 @@
 	if c.plan == nil || e.Job == nil {
 		return
 	}
+	inherited := c.confirmedAt <= c.plan.othersUntil
+	c.plan.AddJob(c.Clock.Now(), e, c.currentQueue(e.Job), inherited)
 	if e.Cancellation != nil {
 		c.plan.Cancel(e.Job.ID)
-		return
 	}
-	inherited := c.confirmedAt <= c.plan.othersUntil
-	c.plan.AddJob(c.Clock.Now(), e, c.currentQueue(e.Job), inherited)
 }
 
 // currentQueue returns the current configuration of a job's queue. If the queue no longer
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -264,9 +264,10 @@
 
 // AddJob adds an accepted job. q is the current configuration of the job's queue. inherited
 // is set if an earlier planner may have started the job. AddJob ignores a job that was
-// added before, and an ended job unless inherited is set.
+// added before. A job that has ended is kept as well: when its records are dropped, it can
+// look like one that has not ended.
 func (p *Planner) AddJob(now time.Time, e *cfjob.StoredJob, q cfjob.Queue, inherited bool) {
-	if p.jobs[e.Job.ID] != nil || e.Ended() && !inherited {
+	if p.jobs[e.Job.ID] != nil {
 		return
 	}
 	j := &job{
