--- a/pkg/cfdispatch/occurrence_test.go
+++ b/pkg/cfdispatch/occurrence_test.go
@@ -165,3 +165,11 @@
 		}
 	}
 }
+
+// Entries have clocks of their own, which can be seconds apart after one was set.
+func TestJobOfAnEntryWhoseClockIsAheadStartsAtOnce(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	job := &cfjob.Job{ID: "j", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}, Accepted: f.now.Add(3 * time.Second)}
+	f.AddJob(f.now, &cfjob.StoredJob{Job: job}, queue, false)
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
+}
