Start jobs at once where the accepting entry's clock is ahead

Callers saw jobs start seconds late: a job without a schedule was due at the time at which an entry had accepted it, by that entry's clock. A planner whose clock is behind that one waited for the difference, also for the first start of jobs that it had accepted itself before it was set back.

Not a path to a task that starts again.

Only schedules have due times now.

--- a/pkg/cfjob/job.go
+++ b/pkg/cfjob/job.go
@@ -109,11 +109,12 @@
 	return j.Schedule.Count
 }
 
-// Due returns the time before which no task of an occurrence starts. Occurrences are
-// numbered from 0.
+// Due returns the time before which no task of an occurrence starts, or the zero time if there is
+// none. Accepted is no such time: it is from the clock of another entry. Occurrences are numbered
+// from 0.
 func (j *Job) Due(occurrence int) time.Time {
 	if j.Schedule == nil {
-		return j.Accepted
+		return time.Time{}
 	}
 	return j.Schedule.FirstRun.Add(time.Duration(occurrence) * j.Schedule.Period)
 }
