--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -47,3 +50,68 @@
 	}
 	g.Expect(a.hasLeft).To(BeFalse(), "a worker that has left sends no further heartbeats")
 }
+
+// leavingWorker answers calls for the run lists until it is gone.
+type leavingWorker struct {
+	cfcore.Executor
+	gone bool
+}
+
+func (w *leavingWorker) Hold(context.Context, cfcore.Order, cfcore.HoldOptions) (cfcore.RunLists, error) {
+	if w.gone {
+		return cfcore.RunLists{}, cferror.Wrap("hold", cfcore.ExecutorOutcomeUnknown, syscall.ECONNREFUSED)
+	}
+	return cfcore.RunLists{Born: born, Clock: time.Minute}, nil
+}
+
+// A worker whose goodbye gets no acknowledgement in time, for example because its agent stood still,
+// goes on for seconds. The agent took the goodbye for the end of all runs, and the planner started
+// their tasks elsewhere while they ran.
+func TestRunsOfAWorkerEndNotBeforeItIsGone(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	w := &leavingWorker{}
+	a.Executor, a.bootClock = w, &clock
+	a.grantedAt, a.answeredAt, a.leaseFrom = time.Hour, time.Hour, time.Hour
+	s := workerState(born)
+	s.Draining = true
+	a.handleHeartbeat(s)
+	call := func() *cfwire.JobReport {
+		clock += fakeBootClock(holdRetryDelay)
+		a.requestRunLists(t.Context())
+		var ev event
+		g.Eventually(a.events).Should(Receive(&ev))
+		a.handleEvent(t.Context(), ev)
+		return a.takeReport()
+	}
+	a.handleWorkerLeft(s.ID)
+	g.Expect(a.takeReport().Lost).To(BeNil())
+	for range 20 {
+		g.Expect(call().Lost).To(BeNil(), "the worker answers")
+	}
+	w.gone = true
+	g.Expect(call().Lost).To(HaveField("Left", BeTrue()))
+}
+
+// The next incarnation with the same ID answers calls and is not draining.
+func TestWorkerGetsStartsAgainAfterALateGoodbye(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	a.bootClock, a.grantedAt, a.answeredAt, a.leaseFrom = &clock, time.Hour, time.Hour, time.Hour
+	a.handleHeartbeat(workerState(born))
+	a.handleWorkerLeft("w")
+	start := func(run uint64) {
+		clock += fakeBootClock(goodbyeTimeout/2 + 1)
+		a.handleHoldReturned(holdReturned{
+			incarnation: a.fence.currentIncarnation(), worker: "w", token: a.fence.token(a.epoch),
+			lists: cfcore.RunLists{Born: born, Clock: time.Minute + time.Duration(clock)},
+		})
+		a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: run})
+	}
+	start(7)
+	g.Eventually(w.stopped).Should(Receive(BeEquivalentTo(7)), "the worker is possibly leaving")
+	start(8)
+	g.Eventually(w.started).Should(Receive(HaveField("Run", BeEquivalentTo(8))))
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -178,7 +178,7 @@
 	critical, bestEffort := w.colocated()
 	p.trackTails(now, critical, bestEffort)
 	p.enforceTailTargets(now, w, critical, bestEffort)
-	p.applyEnds(now, w, l.Ended, uncertainEnd)
+	p.applyEnds(now, w, l, uncertainEnd)
 }
 
 // applyRunning applies a row of a worker's list of running runs, whose job must be known and
