Planner: keep runs of unread jobs while run lists possibly lack their ends

A planner that had not read a job yet forgot the listed runs of that job when the next lists left out ends or rows.

--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -173,6 +173,7 @@
 		}
 		p.applyRunning(now, w, row)
 	}
+	p.keepUnlistedRuns(w, l, unknown)
 	p.expireMissingRuns(now, w, l)
 	p.learnInterference(now, w)
 	p.enforceTailTargets(now, w)
--- a/pkg/cfdispatch/unsettled.go
+++ b/pkg/cfdispatch/unsettled.go
@@ -24,7 +24,8 @@
 // possibly takes the run for lost and starts its task again. Such an end is postponed until
 // all these starts are known.
 type unsettledRuns struct {
-	// running holds the rows of runs of unknown jobs in the worker's last lists.
+	// running holds the rows of runs of unknown jobs in the worker's last lists, and earlier ones
+	// that these possibly lack.
 	running map[runKey]unknownRun
 	// ended holds the postponed ends by their Number.
 	ended map[uint64]postponedEnd
@@ -74,6 +75,22 @@
 	}
 }
 
+// keepUnlistedRuns keeps the listed runs of unknown jobs that are missing from lists that possibly
+// lack them, or their ends. running are those in the lists before.
+func (p *Planner) keepUnlistedRuns(w *worker, l *cfcore.RunLists, running map[runKey]unknownRun) {
+	if !l.MayLackRuns() {
+		return
+	}
+	for _, e := range l.Ended {
+		delete(running, runKey{task: e.Task, run: e.Run})
+	}
+	for key, u := range running {
+		if _, ok := w.unsettled.running[key]; !ok && p.mayBecomeKnown(key.task.Job, u.listedAt) {
+			w.unsettled.running[key] = u
+		}
+	}
+}
+
 // earlierPlannerMayStart reports whether an earlier planner can possibly still start tasks on
 // an agent that this planner has not reached. Its authority ends before expectedUntil by
 // LeaseExpiryTime; agents follow its orders for up to GrantTime longer.
