--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -56,7 +56,9 @@
 	hasGrant  bool
 	grantedAt time.Time
 
-	hasWorker     bool
+	hasWorker bool
+	// hasLeft is set once the worker has announced that it leaves, or another incarnation has answered.
+	hasLeft       bool
 	born          time.Time
 	workerClock   time.Duration
 	workerClockAt time.Time
@@ -174,7 +176,7 @@
 			a.sendStart(c)
 		}
 	}
-	if !a.hasWorker || a.m.now.Before(a.holdDueAt) {
+	if !a.hasWorker || a.hasLeft || a.m.now.Before(a.holdDueAt) {
 		return
 	}
 	lastSeen := a.lastRecorded
@@ -189,6 +191,9 @@
 		return
 	}
 	l, refusal := w.hold(born, token, until, lastSeen)
+	if refusal == cfcore.ExecutorOtherIncarnation {
+		a.leaveWorker(born)
+	}
 	if refusal != "" {
 		return
 	}
@@ -198,6 +203,14 @@
 	}
 }
 
+// leaveWorker records that an incarnation of the worker is gone.
+func (a *modelAgent) leaveWorker(born time.Time) {
+	if a.hasWorker && a.born.Equal(born) {
+		a.hasLeft = true
+		a.m.tracef("%s: the worker has left", a.name)
+	}
+}
+
 // observeBorn clears the state of the previous incarnation if the worker is a new one.
 func (a *modelAgent) observeBorn(born time.Time) {
 	if !born.After(a.born) {
@@ -211,7 +224,7 @@
 	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
 	a.lastListed, a.leasedUntil, a.uncertainEnd, a.moreUncertainEnds = 0, 0, 0, false
 	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
-	a.answeredAt, a.holdDueAt = a.m.now, time.Time{}
+	a.answeredAt, a.holdDueAt, a.hasLeft = a.m.now, time.Time{}, false
 }
 
 func (a *modelAgent) recordClock(reading time.Duration) {
@@ -264,8 +277,8 @@
 			r.Lists, r.UncertainEnd = &l, a.uncertainEnd
 		}
 	}
-	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker {
-		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired()}
+	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker || a.hasLeft {
+		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired(), Left: a.hasLeft}
 	}
 	if !a.hasValidGrant() && !a.m.faults.ignoreSilence || r.Lost != nil && r.Lost.LeasesExpired {
 		a.startsAfter = r.Seq
@@ -284,7 +297,7 @@
 		return
 	}
 	until := a.leaseUntil()
-	if !a.hasWorker || !s.Born.Equal(a.born) || until == 0 {
+	if !a.hasWorker || !s.Born.Equal(a.born) || a.hasLeft || until == 0 {
 		return
 	}
 	a.inFlight[key] = true
@@ -321,7 +334,7 @@
 // stopRun sends the worker an order to stop a run.
 func (a *modelAgent) stopRun(n cfcore.TaskName, run uint64) {
 	c := modelCall{key: modelOrderKey{task: n, run: run, stop: true, born: a.born}, token: a.token()}
-	if a.inFlight[c.key] || !a.hasWorker {
+	if a.inFlight[c.key] || !a.hasWorker || a.hasLeft {
 		return
 	}
 	a.inFlight[c.key] = true
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -14,6 +14,9 @@
 	if m.scope.jobKinds {
 		m.drawKind(e.Job)
 	}
+	if m.scope.largeProgress {
+		e.Job.Steps[0].Checkpointing = true
+	}
 	m.jobs[id] = e
 	m.taskTicks[id] = shortTask
 	if m.oneIn(2, "long") {
@@ -125,6 +128,10 @@
 		d := first + disturbance(m.uniform(4, "disturbance")%(int(last-first)+1))
 		*m.links[a.name] = modelLink{disturbedUntil: until, disturbance: d}
 		m.tracef("%s: calls to the worker are disturbed until %.1f, %s", a.name, until.Sub(epochStart).Seconds(), []string{"some get no answer", "none gets an answer", "none arrives"}[d])
+	case kind == 2 && s.leaves:
+		a.leaveWorker(w.born)
+		m.links[a.name] = &modelLink{disturbedUntil: m.now.Add(m.ticks(5, "gone")), disturbance: loseCalls}
+		w.restart()
 	case (kind == 2 || kind == 3) && s.workerRestarts:
 		w.restart()
 	case kind == 4 && s.agentRestarts:
--- a/pkg/cfdispatch/model_kinds_test.go
+++ b/pkg/cfdispatch/model_kinds_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -28,6 +29,9 @@
 	task cfcore.TaskName
 }
 
+// largeCheckpoint is a checkpoint of which a batch of progress holds only one.
+var largeCheckpoint = strings.Repeat("c", 1<<20)
+
 // drawKind makes a job a gang, duplicable, repeated, or one of two steps, or leaves it as it is.
 func (m *model) drawKind(j *cfjob.Job) {
 	switch m.uniform(3, "job kind") {
--- a/pkg/cfdispatch/model_store_test.go
+++ b/pkg/cfdispatch/model_store_test.go
@@ -48,6 +48,10 @@
 // store carries out the batch of a planner.
 func (m *model) store(p *modelPlanner) {
 	for _, u := range p.progress {
+		if u.Progress == nil {
+			m.tracef("planner %d: the batch is full before job %s", p.epoch, u.ID[12:])
+			continue
+		}
 		m.jobs[u.ID].Progress = u.Progress
 		m.markRecorded(u)
 		m.tracef("planner %d records progress of job %s", p.epoch, u.ID[12:])
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -69,6 +69,11 @@
 	lateStore bool
 	// flaps make workers refuse starts and fail runs by turns.
 	flaps bool
+	// leaves lets workers announce that they leave. Others with new IDs follow them.
+	leaves bool
+	// largeProgress lets jobs have checkpoints so large that a batch cannot hold two. Which of two jobs
+	// comes first is not reproducible.
+	largeProgress bool
 }
 
 // The scopes of the tests.
@@ -98,10 +103,12 @@
 	jobKinds      = modelScope{slowClocks: true, jobKinds: true, lateStarts: true, lateStops: true, lateHolds: true, workerCuts: true}
 	shortLists    = modelScope{slowClocks: true, shortLists: true, lateHolds: true, workerCuts: true, storeOutages: true}
 	lateStore     = modelScope{slowClocks: true, lateStore: true, storeOutages: true, lateHolds: true}
+	leaves        = modelScope{slowClocks: true, leaves: true, newIDs: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true, lateStore: true}
+	largeProgress = modelScope{slowClocks: true, largeProgress: true, lateStore: true, storeOutages: true, flaps: true, newIDs: true, workerRestarts: true, lateHolds: true}
 	flaps         = modelScope{slowClocks: true, flaps: true, lateStarts: true, lateStops: true, workerCuts: true, newIDs: true, workerRestarts: true}
 	newerAndCuts  = modelScope{slowClocks: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, newIDs: true, workerRestarts: true, workerCuts: true, storeOutages: true, fewTakeovers: true}
 	allWithNewIDs = modelScope{
-		newIDs: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true,
+		newIDs: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, leaves: true, stalls: true,
 		lateReports: true, heldOrders: true, lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
 	}
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -126,6 +126,9 @@
 	w.highestRun[n] = max(w.highestRun[n], r.id)
 	w.endCount++
 	w.ended = append(w.ended, cfcore.EndedTask{Number: w.endCount, Task: n, Run: r.id, How: how})
+	if how != cfcore.EndDone && w.m.step(n).Checkpointing {
+		w.ended[len(w.ended)-1].Checkpoint = largeCheckpoint
+	}
 	w.m.tracef("%s: run %x of %s ends as %s, end %d", w.name, r.id, taskString(n), how, w.endCount)
 	if r.isOrphaned {
 		w.orphanedEnds[w.endCount] = true
