--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -43,6 +44,12 @@
 	run func()
 }
 
+// lateAnswer is an answer that arrives at the time at.
+type lateAnswer struct {
+	at    time.Time
+	apply func()
+}
+
 // modelAgent follows the rules of internal/cfjobagent. A restart resets all fields but m, name
 // and worker.
 type modelAgent struct {
@@ -71,6 +78,8 @@
 	// moreUncertainEnds is set if uncertain ends are left out of the last lists.
 	moreUncertainEnds bool
 	holdDueAt         time.Time
+	holdInFlight      bool
+	lateAnswers       []lateAnswer
 	holdFailed        bool
 	holdToken         cfcore.FencingToken
 	answeredAt        time.Time
@@ -161,6 +170,7 @@
 		a.observeBorn(a.worker.born)
 		a.recordClock(a.worker.clock())
 	}
+	a.applyLateAnswers()
 	calls := a.calls
 	a.calls = nil
 	for _, c := range calls {
@@ -176,7 +186,7 @@
 			a.sendStart(c)
 		}
 	}
-	if !a.hasWorker || a.hasLeft || a.m.now.Before(a.holdDueAt) {
+	if !a.hasWorker || a.hasLeft || a.holdInFlight || a.m.now.Before(a.holdDueAt) {
 		return
 	}
 	lastSeen := a.lastRecorded
@@ -191,15 +201,47 @@
 		return
 	}
 	l, refusal := w.hold(born, token, until, lastSeen)
-	if refusal == cfcore.ExecutorOtherIncarnation {
-		a.leaveWorker(born)
-	}
-	if refusal != "" {
+	a.holdInFlight = true
+	a.answer(func() {
+		if !born.Equal(a.born) {
+			return
+		}
+		a.holdInFlight = false
+		if refusal == cfcore.ExecutorOtherIncarnation {
+			a.leaveWorker(born)
+		}
+		if refusal != "" {
+			return
+		}
+		a.applyLists(l, token)
+		if l.Born.Equal(a.born) {
+			a.leasedUntil = max(a.leasedUntil, until)
+		}
+	})
+}
+
+// answer applies an answer of the worker, now or late.
+func (a *modelAgent) answer(apply func()) {
+	if !a.m.scope.lateAnswers || !a.m.oneIn(1, "late answer") {
+		apply()
 		return
 	}
-	a.applyLists(l, token)
-	if l.Born.Equal(a.born) {
-		a.leasedUntil = max(a.leasedUntil, until)
+	a.lateAnswers = append(a.lateAnswers, lateAnswer{at: a.m.now.Add(a.m.ticks(1, "answered after")), apply: apply})
+}
+
+// applyLateAnswers applies the answers that have arrived, the last one first.
+func (a *modelAgent) applyLateAnswers() {
+	var due []lateAnswer
+	a.lateAnswers = slices.DeleteFunc(a.lateAnswers, func(l lateAnswer) bool {
+		isDue := !a.m.now.Before(l.at)
+		if isDue {
+			due = append(due, l)
+		}
+		return isDue
+	})
+	for _, l := range slices.Backward(due) {
+		a.m.tracef("%s: an answer of the worker arrives late", a.name)
+		l.apply()
 	}
 }
 
@@ -225,6 +267,7 @@
 	a.lastListed, a.leasedUntil, a.uncertainEnd, a.moreUncertainEnds = 0, 0, 0, false
 	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
 	a.answeredAt, a.holdDueAt, a.hasLeft = a.m.now, time.Time{}, false
+	a.holdInFlight = false
 }
 
 func (a *modelAgent) recordClock(reading time.Duration) {
@@ -240,7 +283,7 @@
 	}
 	a.observeBorn(l.Born)
 	a.answeredAt = a.m.now
-	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session {
+	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return
 	}
 	a.recordClock(l.Clock)
@@ -360,13 +403,22 @@
 
 // handleOrder handles the outcome of an order.
 func (a *modelAgent) handleOrder(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind) {
-	delete(a.inFlight, key)
 	needsLists := refusal == cfcore.ExecutorStale || key.stop && refusal == ""
 	var l cfcore.RunLists
 	var hasLists bool
 	if needsLists {
 		l, hasLists = a.listsAfter(token)
 	}
+	if refusal == cfcore.ExecutorOutcomeUnknown {
+		a.applyResult(key, token, refusal, l, hasLists)
+		return
+	}
+	a.answer(func() { a.applyResult(key, token, refusal, l, hasLists) })
+}
+
+// applyResult applies the outcome of an order, with the run lists after it if there are any.
+func (a *modelAgent) applyResult(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind, l cfcore.RunLists, hasLists bool) {
+	delete(a.inFlight, key)
 	if !key.born.Equal(a.born) {
 		return
 	}
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -90,6 +90,8 @@
 
 func TestModelWithFlappingWorkers(t *testing.T) { checkModel(t, flaps) }
 
+func TestModelWithLateAnswers(t *testing.T) { checkModel(t, lateAnswers) }
+
 func TestModelWithLeavingWorkers(t *testing.T) { checkModel(t, leaves) }
 
 func TestModelWithLargeProgress(t *testing.T) { checkModel(t, largeProgress) }
@@ -214,7 +216,7 @@
 		"a gang is broken": "ends as Broken", "a member of a gang waits too long": "ends as Alone", "a worker fails a run": "ends as Failed",
 		"a copy runs": "copy of run", "a second step is done": `\.0\.1\.0 ends as Done`, "a later occurrence is done": `\.2\.0\.0 ends as Done`,
 		"a worker leaves out ends": "ends are left out", "the store rejects a late record": "the store rejects a record", "the store is late": "carries out a record .* late",
-		"a worker refuses a start": string(cfcore.ExecutorUnhealthy), "an answer is late": "answer to a record is late", "a worker leaves": "the worker has left", "a batch is split": "the batch is full", "a call names a former incarnation": "refuses a call to a former incarnation",
+		"a worker refuses a start": string(cfcore.ExecutorUnhealthy), "an answer is late": "answer to a record is late", "a worker leaves": "the worker has left", "a batch is split": "the batch is full", "an answer of a worker is late": "answer of the worker arrives late", "a call names a former incarnation": "refuses a call to a former incarnation",
 	} {
 		t.Run(name, func(t *testing.T) { NewWithT(t).Expect(trace.String()).To(MatchRegexp(event)) })
 	}
@@ -233,7 +235,7 @@
 		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
 		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "agentAndWorkerRestarts": agentAndWorkerRestarts, "workerCuts": workerCuts,
 		"storeOutages": storeOutages, "stalls": stalls, "lateReports": lateReports, "takeoversAndLateReports": takeoversAndLateReports, "restartsAndLateReports": restartsAndLateReports, "heldOrders": heldOrders, "lateMessages": lateMessages, "allWithLateReports": allWithLateReports, "all": allDisruptions,
-		"newIDs": newIDs, "jobKinds": jobKinds, "shortLists": shortLists, "lateStore": lateStore, "flaps": flaps, "leaves": leaves, "largeProgress": largeProgress, "newerAndCuts": newerAndCuts, "allWithNewIDs": allWithNewIDs,
+		"newIDs": newIDs, "jobKinds": jobKinds, "shortLists": shortLists, "lateStore": lateStore, "flaps": flaps, "leaves": leaves, "lateAnswers": lateAnswers, "largeProgress": largeProgress, "newerAndCuts": newerAndCuts, "allWithNewIDs": allWithNewIDs,
 	}[os.Getenv("MODEL_SCOPE")]
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -69,6 +69,8 @@
 	lateStore bool
 	// flaps make workers refuse starts and fail runs by turns.
 	flaps bool
+	// lateAnswers let answers of workers arrive after those of later calls.
+	lateAnswers bool
 	// leaves lets workers announce that they leave. Others with new IDs follow them.
 	leaves bool
 	// largeProgress lets jobs have checkpoints so large that a batch cannot hold two. Which of two jobs
@@ -103,12 +105,13 @@
 	jobKinds      = modelScope{slowClocks: true, jobKinds: true, lateStarts: true, lateStops: true, lateHolds: true, workerCuts: true}
 	shortLists    = modelScope{slowClocks: true, shortLists: true, lateHolds: true, workerCuts: true, storeOutages: true}
 	lateStore     = modelScope{slowClocks: true, lateStore: true, storeOutages: true, lateHolds: true}
+	lateAnswers   = modelScope{slowClocks: true, lateAnswers: true, lateStarts: true, lateStops: true, lateHolds: true, stalls: true, flaps: true}
 	leaves        = modelScope{slowClocks: true, leaves: true, newIDs: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true, lateStore: true}
 	largeProgress = modelScope{slowClocks: true, largeProgress: true, lateStore: true, storeOutages: true, flaps: true, newIDs: true, workerRestarts: true, lateHolds: true}
 	flaps         = modelScope{slowClocks: true, flaps: true, lateStarts: true, lateStops: true, workerCuts: true, newIDs: true, workerRestarts: true}
 	newerAndCuts  = modelScope{slowClocks: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, newIDs: true, workerRestarts: true, workerCuts: true, storeOutages: true, fewTakeovers: true}
 	allWithNewIDs = modelScope{
-		newIDs: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, leaves: true, stalls: true,
+		newIDs: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, leaves: true, stalls: true, lateAnswers: true,
 		lateReports: true, heldOrders: true, lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
 	}
