--- a/pkg/cfdispatch/model_store_test.go
+++ b/pkg/cfdispatch/model_store_test.go
@@ -45,6 +45,13 @@
 	m.appends = remaining
 }
 
+// repeatAcknowledgement makes a planner tell an agent that it reaches again which ends are recorded.
+func (m *model) repeatAcknowledgement(p *modelPlanner, a *modelAgent) {
+	if m.scope.lateStore && p.isCut[a.name] {
+		p.RepeatAcknowledgement(a.name)
+	}
+}
+
 // store carries out the batch of a planner.
 func (m *model) store(p *modelPlanner) {
 	for _, u := range p.progress {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -185,6 +185,8 @@
 	recordedAgents map[string]bool
 	// reachedAt is when the planner last reached each agent.
 	reachedAt map[string]time.Time
+	// isCut holds the agents that the planner did not reach last.
+	isCut map[string]bool
 	// instances holds the accepted instance of each agent, lastReports the sequence number of the
 	// newest applied report of that instance.
 	instances   map[string]*modelAgent
@@ -285,7 +287,7 @@
 	}
 	p := &modelPlanner{
 		Planner: cfdispatch.New(s, names, m.now.Add(leadershipTime+settings.LeaseExpiryTime())),
-		epoch:   epoch, electedAt: m.now, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{},
+		epoch:   epoch, electedAt: m.now, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{}, isCut: map[string]bool{},
 		instances: map[string]*modelAgent{}, lastReports: map[string]uint64{}, entry: m.nextEntry(),
 	}
 	m.tracef("planner %d elected", epoch)
@@ -391,7 +393,9 @@
 		if !isCut {
 			p.acceptInstance(a)
 			a.follow(p.epoch)
+			m.repeatAcknowledgement(p, a)
 		}
+		p.isCut[a.name] = isCut
 		if m.holdsBack(p, a) {
 			m.holdBack(p, a)
 			continue
@@ -461,7 +465,7 @@
 		return
 	}
 	if p.progress == nil && p.ends == nil {
-		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, true)
+		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, !m.scope.lateStore)
 	}
 	if m.faults.ackUnrecorded {
 		p.MarkEndsRecorded(p.ends)
