--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -330,6 +330,9 @@
 // the last two, which are newer, so that the seeds keep their choices.
 const firstHeldSeed = 800
 
+// firstRepeatedSeed is the first seed whose soaks submit repeated jobs, too.
+const firstRepeatedSeed = 1000
+
 func faultsOf(seed uint64) []soakFault {
 	if seed < firstHeldSeed {
 		return soakFaults[:len(soakFaults)-2]
@@ -359,8 +362,8 @@
 }
 
 // submitAndCancel submits jobs, and cancels some of them, until done is closed. A job counts
-// as refused if all attempts to submit the job were refused.
-func (s *soak) submitAndCancel(rng *rand.Rand, done <-chan struct{}) {
+// as refused if all attempts to submit the job were refused. With repeats set, some are repeated.
+func (s *soak) submitAndCancel(rng *rand.Rand, repeats bool, done <-chan struct{}) {
 	for n := 1; ; n++ {
 		select {
 		case <-done:
@@ -371,6 +374,9 @@
 		if n%10 == 0 {
 			body = oneStep(3, untilCancelled)
 		}
+		if repeats && n%10 == 3 {
+			body = fmt.Sprintf(`{"spec":"150ms","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":150}],"repeat_count":4,"first_run_ms":%d,"period_ms":400}`, time.Now().UnixMilli())
+		}
 		refused := true
 		for range 3 {
 			status, _ := s.call(rng.IntN(len(s.entries)), http.MethodPost, queuePrefix+jobID(n), body)
@@ -451,7 +457,7 @@
 	go func() {
 		defer GinkgoRecover()
 		defer close(loadDone)
-		s.submitAndCancel(rand.New(rand.NewPCG(seed, 1)), done)
+		s.submitAndCancel(rand.New(rand.NewPCG(seed, 1)), seed >= firstRepeatedSeed, done)
 	}()
 	s.injectFaults(faultsOf(seed), d)
 	time.Sleep(time.Second)
