--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -11,7 +11,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -81,7 +83,10 @@
 	advisor    *standin.Advisor
 	entries    []*process
 	agents     []*process
-	workers    []*standin.Worker
+	// workers are the present workers, replaced those that others with new IDs have replaced.
+	// workersMu guards both. Specs that replace no workers need not lock it.
+	workers, replaced []*standin.Worker
+	workersMu         sync.Mutex
 	// stopWorker holds one function for each worker. The function stops the worker
 	// permanently. Requests to a stopped worker get no response.
 	stopWorker []func()
@@ -92,6 +97,8 @@
 	silencers   map[netip.AddrPort]*cfstandin.Silencer
 	storeAddr   netip.AddrPort
 	workerAddrs []netip.AddrPort
+	// heartbeatAddrs are those of the agents, to which their workers send heartbeats.
+	heartbeatAddrs []netip.AddrPort
 	// proxies is nil if agents and entries connect to entries directly.
 	proxies *proxies
 }
@@ -160,9 +167,11 @@
 		f.cleanups = append(f.cleanups, cancel)
 		f.stopWorker = append(f.stopWorker, cancel)
 		w := standin.NewWorker(ctx, fmt.Sprintf("w-%d", i), service, heartbeatAddr, 1-float64(i%2)*maxClockLag)
+		f.workersMu.Lock()
 		f.workers = append(f.workers, w)
-		f.listen(workerAddr, w)
-		f.workerAddrs = append(f.workerAddrs, workerAddr)
+		f.workersMu.Unlock()
+		f.listen(workerAddr, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { f.worker(i).ServeHTTP(rw, r) }))
+		f.workerAddrs, f.heartbeatAddrs = append(f.workerAddrs, workerAddr), append(f.heartbeatAddrs, heartbeatAddr)
 	}
 	DeferCleanup(f.close)
 	for i := range f.entries {
@@ -308,13 +317,37 @@
 
 // runs returns the runs of all workers, including ended ones.
 func (f *fleet) runs() []standin.Run {
+	f.workersMu.Lock()
+	workers := append(slices.Clone(f.replaced), f.workers...)
+	f.workersMu.Unlock()
 	var out []standin.Run
-	for _, w := range f.workers {
+	for _, w := range workers {
 		out = append(out, w.History()...)
 	}
 	return out
 }
 
+// worker returns the present worker of an agent.
+func (f *fleet) worker(i int) *standin.Worker {
+	f.workersMu.Lock()
+	defer f.workersMu.Unlock()
+	return f.workers[i]
+}
+
+// replaceWorker crashes a worker. Another one with a new ID follows at the same address. It ends with
+// the fleet.
+func (f *fleet) replaceWorker(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.workersMu.Lock()
+	defer f.workersMu.Unlock()
+	f.cleanups = append(f.cleanups, cancel)
+	f.workers[i].Crash()
+	f.replaced = append(f.replaced, f.workers[i])
+	f.workers[i] = standin.NewWorker(ctx, fmt.Sprintf("w-%d-%d", i, len(f.replaced)), service, f.heartbeatAddrs[i], 1-float64(i%2)*maxClockLag)
+	// Otherwise, the new worker would be as old as the first ones.
+	f.workers[i].Restart()
+}
+
 // runningCount returns the number of runs of job n that have not ended.
 func (f *fleet) runningCount(n int) int {
 	count := 0
--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -197,7 +197,7 @@
 			return nil
 		}
 		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 0))
-		s.workers[i].SetFault(func(string) standin.OrderFault {
+		s.worker(i).SetFault(func(string) standin.OrderFault {
 			if rng.Float64() >= share {
 				return standin.OrderFault{}
 			}
@@ -207,7 +207,7 @@
 			s.ordersUntil = time.Now().Add(max(fault.Delay, time.Until(s.ordersUntil)))
 			return fault
 		})
-		return func() { s.workers[i].SetFault(nil); release() }
+		return func() { s.worker(i).SetFault(nil); release() }
 	}
 }
 
@@ -233,8 +233,8 @@
 		if !ok {
 			return nil
 		}
-		s.workers[i].SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Lost} })
-		return func() { s.workers[i].SetFault(nil); release() }
+		s.worker(i).SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Lost} })
+		return func() { s.worker(i).SetFault(nil); release() }
 	}, 2 * time.Second},
 	{"a worker executes all orders late, without answering them", lateOrders(1), 2 * time.Second},
 	{"a worker executes some orders late, without answering them", lateOrders(0.3), 5 * time.Second},
@@ -244,20 +244,20 @@
 			return nil
 		}
 		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 0))
-		s.workers[i].SetFault(func(path string) standin.OrderFault {
+		s.worker(i).SetFault(func(path string) standin.OrderFault {
 			if path != "/run-start" {
 				return standin.OrderFault{}
 			}
 			return []standin.OrderFault{{}, {Fault: standin.Down}, {FailsRun: true}}[rng.IntN(3)]
 		})
-		return func() { s.workers[i].SetFault(nil); release() }
+		return func() { s.worker(i).SetFault(nil); release() }
 	}, 4 * time.Second},
 	{"a worker restarts with the same ID", func(s *soak) func() {
-		s.workers[s.rng.IntN(len(s.workers))].Restart()
+		s.worker(s.rng.IntN(len(s.workers))).Restart()
 		return func() {}
 	}, time.Millisecond},
 	{"a worker restarts twice with the same ID", func(s *soak) func() {
-		w := s.workers[s.rng.IntN(len(s.workers))]
+		w := s.worker(s.rng.IntN(len(s.workers)))
 		w.Restart()
 		return w.Restart
 	}, 6 * time.Second},
@@ -269,7 +269,7 @@
 		i := len(s.workers) - s.departedWorkers
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		if err := s.workers[i].Leave(ctx); err != nil {
+		if err := s.worker(i).Leave(ctx); err != nil {
 			AddReportEntry("a worker left without an acknowledgement: " + err.Error())
 		}
 		return func() {}
@@ -310,32 +310,47 @@
 		}
 		delay := time.Duration(200+s.rng.IntN(400)) * time.Millisecond
 		expiry := time.Now().Add(6500 * time.Millisecond)
-		s.workers[i].SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Down} })
+		s.worker(i).SetFault(func(string) standin.OrderFault { return standin.OrderFault{Fault: standin.Down} })
 		return func() {
 			time.Sleep(time.Until(expiry))
 			isHeld, deliver := s.holdBack(i)
 			for end := time.Now().Add(500 * time.Millisecond); !isHeld() && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
-			s.workers[i].SetFault(nil)
+			s.worker(i).SetFault(nil)
 			time.Sleep(delay)
 			deliver()
 			release()
 			releaseHeld()
 		}
 	}, 9 * time.Second},
+	{"a worker with a new ID replaces one that crashes", func(s *soak) func() {
+		i := s.rng.IntN(len(s.workers) - s.departedWorkers)
+		i, release, ok := s.reserveAt("worker", i)
+		if !ok {
+			return nil
+		}
+		s.replaceWorker(i)
+		return release
+	}, time.Millisecond},
 }
 
-// firstHeldSeed is the first seed whose soaks choose from all faults. Those of smaller seeds lack
-// the last two, which are newer, so that the seeds keep their choices.
+// firstHeldSeed is the first seed whose soaks choose from faults with connections that are held back. Those of smaller seeds lack
+// newer ones, so that the seeds keep their choices.
 const firstHeldSeed = 800
 
+// firstReplacedSeed is the first seed whose soaks replace workers by others with new IDs.
+const firstReplacedSeed = 1100
+
 // firstRepeatedSeed is the first seed whose soaks submit repeated jobs, too.
 const firstRepeatedSeed = 1000
 
 func faultsOf(seed uint64) []soakFault {
-	if seed < firstHeldSeed {
-		return soakFaults[:len(soakFaults)-2]
+	switch {
+	case seed < firstHeldSeed:
+		return soakFaults[:len(soakFaults)-3]
+	case seed < firstReplacedSeed:
+		return soakFaults[:len(soakFaults)-1]
 	}
 	return soakFaults
 }
