Tests: a late check-in of a former worker after its agent has restarted

The tasks of the present worker start elsewhere while they run, and one in the model starts again after an acknowledged end. No worker reuses an ID. Listed in KNOWN-RED.txt.

--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -79,15 +79,17 @@
 	moreUncertainEnds bool
 	holdDueAt         time.Time
 	holdInFlight      bool
-	lateAnswers       []lateAnswer
-	holdFailed        bool
-	holdToken         cfcore.FencingToken
-	answeredAt        time.Time
-	leaseFrom         time.Time
-	longLeases        time.Time
-	startedAt         time.Time
-	inFlight          map[modelOrderKey]bool
-	uncertain         map[modelOrderKey]bool
+	// checkInAt is when the worker sends its next check-in.
+	checkInAt   time.Time
+	lateAnswers []lateAnswer
+	holdFailed  bool
+	holdToken   cfcore.FencingToken
+	answeredAt  time.Time
+	leaseFrom   time.Time
+	longLeases  time.Time
+	startedAt   time.Time
+	inFlight    map[modelOrderKey]bool
+	uncertain   map[modelOrderKey]bool
 	// startResults holds the refusals of starts; empty if the run has started.
 	startResults map[modelOrderKey]cfcore.ExecutorKind
 	calls        []modelCall
@@ -165,7 +167,7 @@
 // advance handles a heartbeat, orders without an answer and the regular call for the run
 // lists.
 func (a *modelAgent) advance() {
-	if !a.m.now.Before(a.m.links[a.name].disturbedUntil) {
+	if !a.m.now.Before(a.m.links[a.name].disturbedUntil) && !a.m.now.Before(a.checkInAt) {
 		a.hasWorker = true
 		a.observeBorn(a.worker.born)
 		a.recordClock(a.worker.clock())
@@ -245,6 +247,17 @@
 	}
 }
 
+// getLateCheckIn lets the agent, which has just started, get a check-in of the former incarnation
+// of the worker before the next one of the present one.
+func (a *modelAgent) getLateCheckIn() {
+	if a.worker.formerBorn.IsZero() {
+		return
+	}
+	a.m.tracef("%s: the restarted agent gets a check-in of the former incarnation", a.name)
+	a.hasWorker, a.checkInAt = true, a.m.now.Add(a.m.ticks(2, "next check-in"))
+	a.observeBorn(a.worker.formerBorn)
+}
+
 // leaveWorker records that an incarnation of the worker is gone.
 func (a *modelAgent) leaveWorker(born time.Time) {
 	if a.hasWorker && a.born.Equal(born) {
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -137,6 +137,9 @@
 	case kind == 4 && s.agentRestarts:
 		m.agents[i] = newModelAgent(m, w)
 		m.tracef("agent %s restarts", a.name)
+		if s.lateCheckIns && m.oneIn(1, "late check-in") {
+			m.agents[i].getLateCheckIn()
+		}
 	case kind == 5 && s.storeOutages:
 		m.storeDownUntil = m.now.Add(m.ticks(6, "outage"))
 		m.tracef("store refuses records until %.1f", m.storeDownUntil.Sub(epochStart).Seconds())
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -92,6 +92,10 @@
 
 func TestModelWithLateAnswers(t *testing.T) { checkModel(t, lateAnswers) }
 
+// An agent that restarts takes a late check-in of the former worker for one of the present worker, and
+// then for gone, see KNOWN-RED.txt.
+func TestModelWithLateCheckIns(t *testing.T) { checkModel(t, lateCheckIns) }
+
 func TestModelWithLeavingWorkers(t *testing.T) { checkModel(t, leaves) }
 
 func TestModelWithLargeProgress(t *testing.T) { checkModel(t, largeProgress) }
@@ -235,7 +239,7 @@
 		"takeovers": takeovers, "lateStarts": lateStarts, "lateOrders": lateOrders, "workerRestarts": workerRestarts,
 		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "agentAndWorkerRestarts": agentAndWorkerRestarts, "workerCuts": workerCuts,
 		"storeOutages": storeOutages, "stalls": stalls, "lateReports": lateReports, "takeoversAndLateReports": takeoversAndLateReports, "restartsAndLateReports": restartsAndLateReports, "heldOrders": heldOrders, "lateMessages": lateMessages, "allWithLateReports": allWithLateReports, "all": allDisruptions,
-		"newIDs": newIDs, "jobKinds": jobKinds, "shortLists": shortLists, "lateStore": lateStore, "flaps": flaps, "leaves": leaves, "lateAnswers": lateAnswers, "largeProgress": largeProgress, "newerAndCuts": newerAndCuts, "allWithNewIDs": allWithNewIDs,
+		"newIDs": newIDs, "jobKinds": jobKinds, "shortLists": shortLists, "lateStore": lateStore, "flaps": flaps, "leaves": leaves, "lateCheckIns": lateCheckIns, "lateAnswers": lateAnswers, "largeProgress": largeProgress, "newerAndCuts": newerAndCuts, "allWithNewIDs": allWithNewIDs,
 	}[os.Getenv("MODEL_SCOPE")]
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -71,6 +71,8 @@
 	flaps bool
 	// lateAnswers let answers of workers arrive after those of later calls.
 	lateAnswers bool
+	// lateCheckIns let a check-in of a former incarnation be the first one that a restarted agent gets.
+	lateCheckIns bool
 	// leaves lets workers announce that they leave. Others with new IDs follow them.
 	leaves bool
 	// largeProgress lets jobs have checkpoints so large that a batch cannot hold two. Which of two jobs
@@ -106,6 +108,7 @@
 	shortLists    = modelScope{slowClocks: true, shortLists: true, lateHolds: true, workerCuts: true, storeOutages: true}
 	lateStore     = modelScope{slowClocks: true, lateStore: true, storeOutages: true, lateHolds: true}
 	lateAnswers   = modelScope{slowClocks: true, lateAnswers: true, lateStarts: true, lateStops: true, lateHolds: true, stalls: true, flaps: true}
+	lateCheckIns  = modelScope{slowClocks: true, lateCheckIns: true, newIDs: true, workerRestarts: true, agentRestarts: true, fewTakeovers: true}
 	leaves        = modelScope{slowClocks: true, leaves: true, newIDs: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true, lateStore: true}
 	largeProgress = modelScope{slowClocks: true, largeProgress: true, lateStore: true, storeOutages: true, flaps: true, newIDs: true, workerRestarts: true, lateHolds: true}
 	flaps         = modelScope{slowClocks: true, flaps: true, lateStarts: true, lateStops: true, workerCuts: true, newIDs: true, workerRestarts: true}
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -27,6 +27,8 @@
 	m    *model
 	name string
 	born time.Time
+	// formerBorn is when the former incarnation started; zero if there was none.
+	formerBorn time.Time
 	// fencingToken is the highest token of an order so far.
 	fencingToken cfcore.FencingToken
 	// leaseUntil is when the leases of all runs expire, on the worker's clock. lapsed is set
@@ -59,6 +61,7 @@
 const maxListedEnds = 2
 
 func (w *modelWorker) restart() {
+	w.formerBorn = w.born
 	w.born, w.fencingToken, w.leaseUntil, w.lapsed = w.m.now, 0, 0, true
 	w.runs, w.highestRun = map[cfcore.TaskName]*modelRun{}, map[cfcore.TaskName]uint64{}
 	w.ended, w.endCount, w.stalledUntil, w.unhealthyUntil = nil, 0, time.Time{}, time.Time{}
