--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -43,6 +44,12 @@
 	run func()
 }
 
+// lateAnswer is an answer that arrives at the time at.
+type lateAnswer struct {
+	at    time.Time
+	apply func()
+}
+
 // modelAgent follows the rules of internal/cfjobagent. A restart resets all fields but m, name
 // and worker.
 type modelAgent struct {
@@ -56,7 +63,9 @@
 	hasGrant  bool
 	grantedAt time.Time
 
-	hasWorker     bool
+	hasWorker bool
+	// hasLeft is set once the worker has announced that it leaves, or another incarnation has answered.
+	hasLeft       bool
 	born          time.Time
 	workerClock   time.Duration
 	workerClockAt time.Time
@@ -66,15 +75,21 @@
 	lastListed    uint64
 	leasedUntil   time.Duration
 	uncertainEnd  uint64
-	holdDueAt     time.Time
-	holdFailed    bool
-	holdToken     cfcore.FencingToken
-	answeredAt    time.Time
-	leaseFrom     time.Time
-	longLeases    time.Time
-	startedAt     time.Time
-	inFlight      map[modelOrderKey]bool
-	uncertain     map[modelOrderKey]bool
+	// moreUncertainEnds is set if uncertain ends are left out of the last lists.
+	moreUncertainEnds bool
+	holdDueAt         time.Time
+	holdInFlight      bool
+	// checkInAt is when the worker sends its next check-in.
+	checkInAt   time.Time
+	lateAnswers []lateAnswer
+	holdFailed  bool
+	holdToken   cfcore.FencingToken
+	answeredAt  time.Time
+	leaseFrom   time.Time
+	longLeases  time.Time
+	startedAt   time.Time
+	inFlight    map[modelOrderKey]bool
+	uncertain   map[modelOrderKey]bool
 	// startResults holds the refusals of starts; empty if the run has started.
 	startResults map[modelOrderKey]cfcore.ExecutorKind
 	calls        []modelCall
@@ -152,11 +167,12 @@
 // advance handles a heartbeat, orders without an answer and the regular call for the run
 // lists.
 func (a *modelAgent) advance() {
-	if !a.m.now.Before(a.m.links[a.name].disturbedUntil) {
+	if !a.m.now.Before(a.m.links[a.name].disturbedUntil) && !a.m.now.Before(a.checkInAt) {
 		a.hasWorker = true
 		a.observeBorn(a.worker.born)
 		a.recordClock(a.worker.clock())
 	}
+	a.applyLateAnswers()
 	calls := a.calls
 	a.calls = nil
 	for _, c := range calls {
@@ -172,7 +188,7 @@
 			a.sendStart(c)
 		}
 	}
-	if !a.hasWorker || a.m.now.Before(a.holdDueAt) {
+	if !a.hasWorker || a.hasLeft || a.holdInFlight || a.m.now.Before(a.holdDueAt) {
 		return
 	}
 	lastSeen := a.lastRecorded
@@ -180,19 +196,73 @@
 		a.endSession(a.holdToken)
 		lastSeen = 0
 	}
-	token, until, w := a.token(), a.leaseUntil(), a.worker
-	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(token, until, lastSeen) })
+	token, until, w, born := a.token(), a.leaseUntil(), a.worker, a.born
+	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(born, token, until, lastSeen) })
 	if a.holdFailed {
 		a.holdDueAt, a.holdToken = a.m.now.Add(orderTimeout), token
 		return
 	}
-	l, refusal := w.hold(token, until, lastSeen)
-	if refusal != "" {
+	l, refusal := w.hold(born, token, until, lastSeen)
+	a.holdInFlight = true
+	a.answer(func() {
+		if !born.Equal(a.born) {
+			return
+		}
+		a.holdInFlight = false
+		if refusal == cfcore.ExecutorOtherIncarnation {
+			a.leaveWorker(born)
+		}
+		if refusal != "" {
+			return
+		}
+		a.applyLists(l, token)
+		if l.Born.Equal(a.born) {
+			a.leasedUntil = max(a.leasedUntil, until)
+		}
+	})
+}
+
+// answer applies an answer of the worker, now or late.
+func (a *modelAgent) answer(apply func()) {
+	if !a.m.scope.lateAnswers || !a.m.oneIn(1, "late answer") {
+		apply()
+		return
+	}
+	a.lateAnswers = append(a.lateAnswers, lateAnswer{at: a.m.now.Add(a.m.ticks(1, "answered after")), apply: apply})
+}
+
+// applyLateAnswers applies the answers that have arrived, the last one first.
+func (a *modelAgent) applyLateAnswers() {
+	var due []lateAnswer
+	a.lateAnswers = slices.DeleteFunc(a.lateAnswers, func(l lateAnswer) bool {
+		isDue := !a.m.now.Before(l.at)
+		if isDue {
+			due = append(due, l)
+		}
+		return isDue
+	})
+	for _, l := range slices.Backward(due) {
+		a.m.tracef("%s: an answer of the worker arrives late", a.name)
+		l.apply()
+	}
+}
+
+// getLateCheckIn lets the agent, which has just started, get a check-in of the former incarnation
+// of the worker before the next one of the present one.
+func (a *modelAgent) getLateCheckIn() {
+	if a.worker.formerBorn.IsZero() {
 		return
 	}
-	a.applyLists(l, token)
-	if l.Born.Equal(a.born) {
-		a.leasedUntil = max(a.leasedUntil, until)
+	a.m.tracef("%s: the restarted agent gets a check-in of the former incarnation", a.name)
+	a.hasWorker, a.checkInAt = true, a.m.now.Add(a.m.ticks(2, "next check-in"))
+	a.observeBorn(a.worker.formerBorn)
+}
+
+// leaveWorker records that an incarnation of the worker is gone.
+func (a *modelAgent) leaveWorker(born time.Time) {
+	if a.hasWorker && a.born.Equal(born) {
+		a.hasLeft = true
+		a.m.tracef("%s: the worker has left", a.name)
 	}
 }
 
@@ -203,13 +273,14 @@
 	}
 	a.endSession(a.token())
 	a.longLeases = time.Time{}
-	if !a.born.IsZero() && a.worker.clock() < cfcore.MaxOrderDelay+cfcore.MaxLease {
+	if !a.born.IsZero() && !a.m.scope.newIDs && a.worker.clock() < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		a.longLeases = a.m.now.Add(agentLeaseExpiry(cfcore.MaxLease))
 	}
 	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
-	a.lastListed, a.leasedUntil, a.uncertainEnd = 0, 0, 0
+	a.lastListed, a.leasedUntil, a.uncertainEnd, a.moreUncertainEnds = 0, 0, 0, false
 	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
-	a.answeredAt, a.holdDueAt = a.m.now, time.Time{}
+	a.answeredAt, a.holdDueAt, a.hasLeft = a.m.now, time.Time{}, false
+	a.holdInFlight = false
 }
 
 func (a *modelAgent) recordClock(reading time.Duration) {
@@ -225,15 +296,15 @@
 	}
 	a.observeBorn(l.Born)
 	a.answeredAt = a.m.now
-	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session {
+	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return
 	}
 	a.recordClock(l.Clock)
 	for _, e := range l.Ended {
 		a.lastListed = max(a.lastListed, e.Number)
 	}
-	if l.Clock >= a.leasedUntil {
-		a.uncertainEnd = a.lastListed
+	if l.Clock >= a.leasedUntil || a.moreUncertainEnds {
+		a.uncertainEnd, a.moreUncertainEnds = a.lastListed, l.MoreEnds
 	}
 	a.lists, a.hasLists = l, true
 }
@@ -254,7 +325,7 @@
 	a.results = nil
 	if a.hasWorker {
 		r.Worker = &cfcore.WorkerState{ID: workerID, Service: "dispatch", Born: a.born, Clock: a.workerClock, Capacity: workerCapacity}
-		if a.m.faults.hideSameID {
+		if a.m.faults.hideSameID || a.m.scope.newIDs {
 			r.Worker.ID = a.born.String()
 		}
 		if a.hasLists {
@@ -262,8 +333,8 @@
 			r.Lists, r.UncertainEnd = &l, a.uncertainEnd
 		}
 	}
-	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker {
-		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired()}
+	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker || a.hasLeft {
+		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired(), Left: a.hasLeft}
 	}
 	if !a.hasValidGrant() && !a.m.faults.ignoreSilence || r.Lost != nil && r.Lost.LeasesExpired {
 		a.startsAfter = r.Seq
@@ -282,7 +353,7 @@
 		return
 	}
 	until := a.leaseUntil()
-	if !a.hasWorker || !s.Born.Equal(a.born) || until == 0 {
+	if !a.hasWorker || !s.Born.Equal(a.born) || a.hasLeft || until == 0 {
 		return
 	}
 	a.inFlight[key] = true
@@ -294,7 +365,7 @@
 	start := func() cfcore.ExecutorKind {
 		a.m.isOrphaned = !c.key.born.Equal(w.born)
 		defer func() { a.m.isOrphaned = false }()
-		return w.start(c.token, c.key.task, c.key.run, c.until)
+		return w.start(c.key.born, c.token, c.key.task, c.key.run, c.until)
 	}
 	if !a.answers(fmt.Sprintf("start of run %x of %s", c.key.run, taskString(c.key.task)), a.m.scope.lateStarts, func() { start() }) {
 		c.dueAt = a.m.now.Add(orderTimeout)
@@ -319,12 +390,12 @@
 // stopRun sends the worker an order to stop a run.
 func (a *modelAgent) stopRun(n cfcore.TaskName, run uint64) {
 	c := modelCall{key: modelOrderKey{task: n, run: run, stop: true, born: a.born}, token: a.token()}
-	if a.inFlight[c.key] || !a.hasWorker {
+	if a.inFlight[c.key] || !a.hasWorker || a.hasLeft {
 		return
 	}
 	a.inFlight[c.key] = true
 	w := a.worker
-	stop := func() cfcore.ExecutorKind { return w.stop(c.token, n, run) }
+	stop := func() cfcore.ExecutorKind { return w.stop(c.key.born, c.token, n, run) }
 	if !a.answers(fmt.Sprintf("stop of run %x of %s", run, taskString(n)), a.m.scope.lateStops, func() { stop() }) {
 		c.dueAt = a.m.now.Add(orderTimeout)
 		a.calls = append(a.calls, c)
@@ -335,23 +406,32 @@
 
 // listsAfter requests the run lists that show the effect of an order.
 func (a *modelAgent) listsAfter(token cfcore.FencingToken) (cfcore.RunLists, bool) {
-	w := a.worker
-	if !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(token, 0, 0) }) {
+	w, born := a.worker, a.born
+	if !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(born, token, 0, 0) }) {
 		return cfcore.RunLists{}, false
 	}
-	l, refusal := w.hold(token, 0, 0)
+	l, refusal := w.hold(born, token, 0, 0)
 	return l, refusal == ""
 }
 
 // handleOrder handles the outcome of an order.
 func (a *modelAgent) handleOrder(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind) {
-	delete(a.inFlight, key)
 	needsLists := refusal == cfcore.ExecutorStale || key.stop && refusal == ""
 	var l cfcore.RunLists
 	var hasLists bool
 	if needsLists {
 		l, hasLists = a.listsAfter(token)
 	}
+	if refusal == cfcore.ExecutorOutcomeUnknown {
+		a.applyResult(key, token, refusal, l, hasLists)
+		return
+	}
+	a.answer(func() { a.applyResult(key, token, refusal, l, hasLists) })
+}
+
+// applyResult applies the outcome of an order, with the run lists after it if there are any.
+func (a *modelAgent) applyResult(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind, l cfcore.RunLists, hasLists bool) {
+	delete(a.inFlight, key)
 	if !key.born.Equal(a.born) {
 		return
 	}
@@ -388,8 +468,11 @@
 	a.results = append(a.results, res)
 }
 
-// listed reports whether the run of an order is in the run lists.
+// listed reports whether the run of an order is in the run lists, or possibly left out.
 func listed(l *cfcore.RunLists, key modelOrderKey) bool {
+	if l.MayLackRuns() {
+		return true
+	}
 	for _, r := range l.Running {
 		if r.Task == key.task && r.Run == key.run {
 			return true
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -11,6 +11,12 @@
 func (m *model) submit(i int) {
 	id := fmt.Sprintf("%016x", i)
 	e := &cfjob.StoredJob{Job: &cfjob.Job{ID: id, Queue: queue, Steps: []cfjob.Step{newStep(2, 1000)}, Accepted: m.now}}
+	if m.scope.jobKinds {
+		m.drawKind(e.Job)
+	}
+	if m.scope.largeProgress {
+		e.Job.Steps[0].Checkpointing = true
+	}
 	m.jobs[id] = e
 	m.taskTicks[id] = shortTask
 	if m.oneIn(2, "long") {
@@ -101,7 +107,7 @@
 	s := m.scope
 	isLate := s.lateStarts || s.lateStops || s.lateHolds
 	disturbs := s.workerCuts || isLate
-	if !disturbs && !s.workerRestarts && !s.agentRestarts && !s.storeOutages && !s.stalls {
+	if !disturbs && !s.workerRestarts && !s.agentRestarts && !s.storeOutages && !s.stalls && !s.flaps {
 		return
 	}
 	if !m.oneIn(3, "disruption") {
@@ -122,14 +128,24 @@
 		d := first + disturbance(m.uniform(4, "disturbance")%(int(last-first)+1))
 		*m.links[a.name] = modelLink{disturbedUntil: until, disturbance: d}
 		m.tracef("%s: calls to the worker are disturbed until %.1f, %s", a.name, until.Sub(epochStart).Seconds(), []string{"some get no answer", "none gets an answer", "none arrives"}[d])
+	case kind == 2 && s.leaves:
+		a.leaveWorker(w.born)
+		m.links[a.name] = &modelLink{disturbedUntil: m.now.Add(m.ticks(5, "gone")), disturbance: loseCalls}
+		w.restart()
 	case (kind == 2 || kind == 3) && s.workerRestarts:
 		w.restart()
 	case kind == 4 && s.agentRestarts:
 		m.agents[i] = newModelAgent(m, w)
 		m.tracef("agent %s restarts", a.name)
+		if s.lateCheckIns && m.oneIn(1, "late check-in") {
+			m.agents[i].getLateCheckIn()
+		}
 	case kind == 5 && s.storeOutages:
 		m.storeDownUntil = m.now.Add(m.ticks(6, "outage"))
 		m.tracef("store refuses records until %.1f", m.storeDownUntil.Sub(epochStart).Seconds())
+	case kind == 6 && s.flaps:
+		w.unhealthyUntil = m.now.Add(m.ticks(6, "unhealthy"))
+		m.tracef("%s: refuses starts and fails runs by turns until %.1f", w.name, w.unhealthyUntil.Sub(epochStart).Seconds())
 	case kind >= 6 && s.stalls:
 		w.stalledUntil = m.now.Add(m.ticks(6, "stalled"))
 		m.tracef("%s: runs make no progress until %.1f", w.name, w.stalledUntil.Sub(epochStart).Seconds())
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -58,6 +58,26 @@
 	// fewTakeovers makes takeovers rare, so that planners are in force long enough to count leases
 	// as expired.
 	fewTakeovers bool
+	// newIDs give each incarnation of a worker an ID of its own. A call to another incarnation has
+	// no effect then, so that no run is orphaned.
+	newIDs bool
+	// jobKinds lets jobs be gangs, duplicable, repeated, or have two steps.
+	jobKinds bool
+	// shortLists let workers leave out ends of their lists.
+	shortLists bool
+	// lateStore lets the store carry out and answer records late.
+	lateStore bool
+	// flaps make workers refuse starts and fail runs by turns.
+	flaps bool
+	// lateAnswers let answers of workers arrive after those of later calls.
+	lateAnswers bool
+	// lateCheckIns let a check-in of a former incarnation be the first one that a restarted agent gets.
+	lateCheckIns bool
+	// leaves lets workers announce that they leave. Others with new IDs follow them.
+	leaves bool
+	// largeProgress lets jobs have checkpoints so large that a batch cannot hold two. Which of two jobs
+	// comes first is not reproducible.
+	largeProgress bool
 }
 
 // The scopes of the tests.
@@ -82,6 +102,22 @@
 		lateReports: true, heldOrders: true, lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
 	}
+	// These restart workers only under new IDs. No run is orphaned, so that each violation counts.
+	newIDs        = modelScope{slowClocks: true, newIDs: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true}
+	jobKinds      = modelScope{slowClocks: true, jobKinds: true, lateStarts: true, lateStops: true, lateHolds: true, workerCuts: true}
+	shortLists    = modelScope{slowClocks: true, shortLists: true, lateHolds: true, workerCuts: true, storeOutages: true}
+	lateStore     = modelScope{slowClocks: true, lateStore: true, storeOutages: true, lateHolds: true}
+	lateAnswers   = modelScope{slowClocks: true, lateAnswers: true, lateStarts: true, lateStops: true, lateHolds: true, stalls: true, flaps: true}
+	lateCheckIns  = modelScope{slowClocks: true, lateCheckIns: true, newIDs: true, workerRestarts: true, agentRestarts: true, fewTakeovers: true}
+	leaves        = modelScope{slowClocks: true, leaves: true, newIDs: true, workerRestarts: true, lateStarts: true, lateStops: true, lateHolds: true, lateStore: true}
+	largeProgress = modelScope{slowClocks: true, largeProgress: true, lateStore: true, storeOutages: true, flaps: true, newIDs: true, workerRestarts: true, lateHolds: true}
+	flaps         = modelScope{slowClocks: true, flaps: true, lateStarts: true, lateStops: true, workerCuts: true, newIDs: true, workerRestarts: true}
+	newerAndCuts  = modelScope{slowClocks: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, newIDs: true, workerRestarts: true, workerCuts: true, storeOutages: true, fewTakeovers: true}
+	allWithNewIDs = modelScope{
+		newIDs: true, jobKinds: true, shortLists: true, lateStore: true, flaps: true, leaves: true, stalls: true, lateAnswers: true,
+		lateReports: true, heldOrders: true, lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
+		workerCuts: true, slowClocks: true, storeOutages: true,
+	}
 	allDisruptions = modelScope{
 		lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
 		workerCuts: true, slowClocks: true, storeOutages: true,
@@ -152,15 +188,19 @@
 	recordedAgents map[string]bool
 	// reachedAt is when the planner last reached each agent.
 	reachedAt map[string]time.Time
+	// isCut holds the agents that the planner did not reach last.
+	isCut map[string]bool
 	// instances holds the accepted instance of each agent, lastReports the sequence number of the
 	// newest applied report of that instance.
 	instances   map[string]*modelAgent
 	lastReports map[string]uint64
 	// entry is the entry that is the planner. It is 0 without late reports: all entries then differ.
 	entry int
-	// progress and ends are in the batch that the store has not accepted yet.
+	// progress and ends are in the batch that the store has not accepted yet. append is the append
+	// of the batch that is in flight; nil if there is none.
 	progress []cfdispatch.JobProgress
 	ends     []cfdispatch.EndedRunsPosition
+	append   *modelAppend
 	// readEnds holds the ends that the planner has read, for the trace.
 	readEnds map[string]bool
 }
@@ -206,6 +246,9 @@
 	// lateReports are held back on former connections.
 	lateReports []lateReport
 	heldOrders  []heldOrder
+	appends     []*modelAppend
+	// gangs holds the gangs whose members have been present together.
+	gangs map[modelGang]*modelGangRun
 	// isOrphaned is set while a start is carried out that was ordered to an earlier incarnation of
 	// the worker.
 	isOrphaned bool
@@ -247,7 +290,7 @@
 	}
 	p := &modelPlanner{
 		Planner: cfdispatch.New(s, names, m.now.Add(leadershipTime+settings.LeaseExpiryTime())),
-		epoch:   epoch, electedAt: m.now, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{},
+		epoch:   epoch, electedAt: m.now, recordedAgents: maps.Clone(m.recordedAgents), readEnds: map[string]bool{}, reachedAt: map[string]time.Time{}, isCut: map[string]bool{},
 		instances: map[string]*modelAgent{}, lastReports: map[string]uint64{}, entry: m.nextEntry(),
 	}
 	m.tracef("planner %d elected", epoch)
@@ -311,7 +354,12 @@
 	for _, w := range m.workers {
 		w.advance()
 	}
+	m.advanceGangs()
+	for _, w := range m.workers {
+		w.markLapsed()
+	}
 	m.runLateOrders()
+	m.runAppends()
 	m.dropLateReports()
 	m.deliverHeldOrders()
 	for _, a := range m.agents {
@@ -348,7 +396,9 @@
 		if !isCut {
 			p.acceptInstance(a)
 			a.follow(p.epoch)
+			m.repeatAcknowledgement(p, a)
 		}
+		p.isCut[a.name] = isCut
 		if m.holdsBack(p, a) {
 			m.holdBack(p, a)
 			continue
@@ -410,11 +460,15 @@
 			p.MarkAgentRecorded(name)
 		}
 	}
-	if !isNewest {
+	if p.append != nil && p.append.isStored && !m.now.Before(p.append.answeredAt) {
+		p.MarkEndsRecorded(p.ends)
+		p.progress, p.ends, p.append = nil, nil, nil
+	}
+	if !isNewest || p.append != nil {
 		return
 	}
 	if p.progress == nil && p.ends == nil {
-		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, true)
+		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, !m.scope.lateStore)
 	}
 	if m.faults.ackUnrecorded {
 		p.MarkEndsRecorded(p.ends)
@@ -423,11 +477,11 @@
 		return
 	}
 	slices.SortFunc(p.progress, func(a, b cfdispatch.JobProgress) int { return cmp.Compare(a.ID, b.ID) })
-	for _, u := range p.progress {
-		m.jobs[u.ID].Progress = u.Progress
-		m.markRecorded(u)
-		m.tracef("planner %d records progress of job %s", p.epoch, u.ID[12:])
+	if len(p.progress) > 0 && m.scope.lateStore && m.oneIn(1, "late record") {
+		m.appendLate(p)
+		return
 	}
+	m.store(p)
 	p.MarkEndsRecorded(p.ends)
 	p.progress, p.ends = nil, nil
 }
@@ -462,7 +516,7 @@
 func runModel(t *rapid.T, scope modelScope, faults modelFaults) *model {
 	m := &model{
 		t: t, scope: scope, faults: faults, now: epochStart, jobs: map[string]*cfjob.StoredJob{}, taskTicks: map[string]int{}, recordedAgents: map[string]bool{},
-		links: map[string]*modelLink{}, disconnectedUntil: map[string]time.Time{},
+		links: map[string]*modelLink{}, gangs: map[modelGang]*modelGangRun{}, disconnectedUntil: map[string]time.Time{},
 		orderedAt: map[uint64]time.Time{}, recordedAt: map[cfcore.TaskName]time.Time{},
 		ends: map[cfcore.TaskName][]*modelEnd{}, twoRuns: map[cfcore.TaskName]bool{},
 	}
