Report a worker only once it has answered a call

Callers of tasks on a worker saw them run twice, or start again after an end that was taken note of.

A check-in can arrive after its sender has crashed and another worker has registered at the same address (PROTOCOL.md). An agent that had just restarted took such a check-in for that of its worker. Its first call got 421, and it reported the worker as gone. The planner dropped the runs of the present worker, which went on, and started their tasks elsewhere.

Until a worker has answered a call of the agent's instance, the agent reports no worker, and a sender that is gone is forgotten, not reported as gone.

Ruled out: waiting for a second check-in (a late one can be followed by another), and trusting the newest start time alone (a restarted agent has seen no other).

The unit test failed before: the former worker was reported. The injected fault "restarted agents trust check-ins" keeps the model's rule honest.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -89,6 +89,9 @@
 	isLeaving    bool
 	leavingSince time.Duration
 	hasLeft      bool
+	// hasAnswered is set once a worker has answered a call of this instance of the agent. Before,
+	// the heartbeat can be a late one of a former worker.
+	hasAnswered bool
 	// formerBorn is the start time of the previous incarnation.
 	formerBorn time.Time
 	// workerClock is the newest reading of the worker's clock.
@@ -277,8 +280,15 @@
 }
 
 // markGone records that the worker with the given ID is gone. It ignores the ID of another worker.
+// If no worker has answered this instance of the agent, the heartbeat can be a late one of a former
+// worker. The present one then possibly has runs that an earlier instance started.
 func (c *control) markGone(id string) {
-	if c.hasWorker && c.worker.ID == id {
+	switch {
+	case !c.hasWorker || c.worker.ID != id:
+	case !c.hasAnswered:
+		c.Log.Info().Str("Worker", id).Msg("heartbeat ignored: its sender is gone and has answered no call")
+		c.hasWorker, c.isLeaving = false, false
+	default:
 		c.Log.Info().Str("Worker", id).Msg("worker is gone")
 		c.hasLeft, c.isLeaving = true, false
 		c.reportAll = true
@@ -450,7 +460,7 @@
 	if c.isRequestDue() {
 		c.addGrantRequest(r, now)
 	}
-	if c.reportAll && c.hasWorker {
+	if c.reportAll && c.hasWorker && c.hasAnswered {
 		w := c.worker
 		r.Worker = &w
 		if c.hasLists {
--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -115,3 +115,30 @@
 	start(8)
 	g.Eventually(w.started).Should(Receive(HaveField("Run", BeEquivalentTo(8))))
 }
+
+// A check-in can arrive after its sender has crashed and another worker has registered at the same
+// address. An agent that had just restarted reported the sender as gone, and the planner started
+// the tasks of the present worker elsewhere.
+func TestLateCheckInOfAFormerWorkerAfterARestartOfTheAgent(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	a.hasWorker = false
+	former := workerState(born.Add(-time.Minute))
+	former.ID = "former"
+	a.handleHeartbeat(former)
+	g.Expect(a.takeReport().Worker).To(BeNil(), "it has answered no call")
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: "former", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "421"),
+	})
+	r := a.takeReport()
+	g.Expect(r.Lost).To(HaveField("Left", BeFalse()))
+	g.Expect(r.Lost).To(HaveField("LeasesExpired", BeFalse()))
+	a.handleHeartbeat(workerState(born))
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: "w", token: a.fence.token(a.epoch),
+		lists: cfcore.RunLists{Born: born, Clock: time.Minute},
+	})
+	r = a.takeReport()
+	g.Expect(r.Lost).To(BeNil())
+	g.Expect(r.Worker.ID).To(Equal("w"))
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -90,7 +90,7 @@
 		c.resetWorker(c.worker.ID, l.Clock)
 		c.worker.Born, c.worker.Clock, c.worker.Sequence = l.Born, l.Clock, 0
 	}
-	c.answeredAt = c.bootClock.Now()
+	c.answeredAt, c.hasAnswered = c.bootClock.Now(), true
 	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
 		return
 	}
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -64,6 +64,8 @@
 	grantedAt time.Time
 
 	hasWorker bool
+	// hasAnswered is set once a worker has answered this instance of the agent.
+	hasAnswered bool
 	// hasLeft is set once the worker has announced that it leaves, or another incarnation has answered.
 	hasLeft       bool
 	born          time.Time
@@ -260,7 +262,11 @@
 
 // leaveWorker records that an incarnation of the worker is gone.
 func (a *modelAgent) leaveWorker(born time.Time) {
-	if a.hasWorker && a.born.Equal(born) {
+	switch {
+	case !a.hasWorker || !a.born.Equal(born):
+	case !a.hasAnswered && !a.m.faults.trustCheckIns:
+		a.hasWorker = false
+	default:
 		a.hasLeft = true
 		a.m.tracef("%s: the worker has left", a.name)
 	}
@@ -295,7 +301,7 @@
 		return
 	}
 	a.observeBorn(l.Born)
-	a.answeredAt = a.m.now
+	a.answeredAt, a.hasAnswered = a.m.now, true
 	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return
 	}
@@ -323,7 +329,7 @@
 	a.lastReport = max(a.lastReport+1, uint64(a.m.now.Sub(epochStart)))
 	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now))}
 	a.results = nil
-	if a.hasWorker {
+	if a.hasWorker && (a.hasAnswered || a.m.faults.trustCheckIns) {
 		r.Worker = &cfcore.WorkerState{ID: workerID, Service: "dispatch", Born: a.born, Clock: a.workerClock, Capacity: workerCapacity}
 		if a.m.faults.hideSameID || a.m.scope.newIDs {
 			r.Worker.ID = a.born.String()
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -170,6 +170,7 @@
 		"planners ignore the progress of late records": {lateStore, modelFaults{ignoreProgress: true}},
 		"workers with new IDs accept earlier planners": {newIDs, modelFaults{skipFencing: true}},
 		"workers with short lists, unrecorded ends":    {shortLists, modelFaults{ackUnrecorded: true}},
+		"restarted agents trust check-ins":             {lateCheckIns, modelFaults{trustCheckIns: true}},
 		"workers flap, unanswered starts as refused":   {flaps, modelFaults{reportUncertain: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -139,6 +139,9 @@
 	reportUncertain, trustStops bool
 	// relativeLeases makes workers count a lease from the arrival of a hold.
 	relativeLeases bool
+	// trustCheckIns makes agents that have just started report the worker of the first check-in, and
+	// that it has left if another incarnation answers.
+	trustCheckIns bool
 	// hideSameID makes agents report another worker ID for each incarnation.
 	hideSameID bool
 	// forgetUncertain makes agents report a refusal although an earlier attempt got no
