Keep unanswered starts until no incarnation can execute them

The planner gave such starts up with the leases and started the task elsewhere, and had the ends of runs with such an attempt acknowledged.

Change: agents report these attempts. Ruled out: a record in the store (agents know the attempts, planners don't), and holding back all ends of a restarted agent.

Tests: agents that report unanswered starts as refused, or forget them, now also leave them out of their list, since the planner's rule otherwise hides the fault.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -128,6 +128,9 @@
 	// uncertain holds the starts with an unanswered attempt that the worker can still
 	// carry out.
 	uncertain map[orderKey]bool
+	// unanswered holds the starts with an attempt that got no answer, of all incarnations of the
+	// worker.
+	unanswered map[cfcore.TaskName]unansweredStart
 	// startResults holds the results of starts within about the last resultMemory.
 	startResults       map[orderKey]startResult
 	resultsForgottenAt time.Duration
@@ -149,6 +152,7 @@
 	c := &control{
 		Agent: a, bootClock: cfclock.System{}, dialCancels: map[netip.AddrPort]context.CancelFunc{},
 		seeds: a.cfg.Entries, dialDone: make(chan struct{}), fence: newFence(a.Clock), pendingGrants: map[uint64]time.Duration{}, inFlight: map[orderKey]bool{}, uncertain: map[orderKey]bool{}, plannerLinks: map[*link]bool{}, startResults: map[orderKey]startResult{},
+		unanswered: map[cfcore.TaskName]unansweredStart{},
 	}
 	// An earlier incarnation of this agent possibly extended leases just before this one
 	// started. The time until leases have expired is therefore counted from now.
@@ -199,6 +203,8 @@
 		c.handleMessage(ctx, ev.link, ev.message)
 	case holdReturned:
 		c.handleHoldReturned(ev)
+	case startUnanswered:
+		c.handleStartUnanswered(ev)
 	case orderReturned:
 		c.handleOrderReturned(ctx, ev)
 	}
@@ -243,6 +249,9 @@
 // the new incarnation orders for the previous one. id and clock belong to the new one.
 func (c *control) resetWorker(id string, clock time.Duration) {
 	c.fence.beginIncarnation()
+	if c.worker.ID != id {
+		clear(c.unanswered)
+	}
 	c.formerBorn = c.worker.Born
 	c.longLeasesUntil = 0
 	if c.hasWorker && c.worker.ID == id && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
@@ -419,6 +428,7 @@
 	c.lastReport = max(c.lastReport+1, uint64(now))
 	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now)}
 	c.results = nil
+	r.Unanswered = c.unansweredStarts(now)
 	if c.isRequestDue() {
 		c.addGrantRequest(r, now)
 	}
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -45,6 +45,13 @@
 		until       time.Duration
 		token       cfcore.FencingToken
 	}
+	// startUnanswered is an attempt to start a run that got no answer at the time at.
+	startUnanswered struct {
+		worker string
+		task   cfcore.TaskName
+		run    uint64
+		at     time.Duration
+	}
 	// orderReturned is the outcome of an order to start or stop a run.
 	orderReturned struct {
 		key   orderKey
@@ -63,6 +70,7 @@
 func (linkDown) isEvent()        {}
 func (messageReceived) isEvent() {}
 func (holdReturned) isEvent()    {}
+func (startUnanswered) isEvent() {}
 func (orderReturned) isEvent()   {}
 
 // orderKey identifies an order to start a run or, if stop is set, to stop it. born
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -146,7 +146,13 @@
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until}
 	go func() {
-		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error { return c.Executor.Start(ctx, o, run) })
+		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error {
+			err := c.Executor.Start(ctx, o, run)
+			if cferror.Is(err, cfcore.ExecutorOutcomeUnknown) {
+				c.post(ctx, startUnanswered{worker: worker, task: run.Task, run: run.Run, at: c.bootClock.Now()})
+			}
+			return err
+		})
 		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, incarnation, cferror.Is(err, cfcore.ExecutorStale)))
 	}()
 }
@@ -227,7 +233,7 @@
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
-	case c.uncertain[ev.key] || c.bootClock.Now()-c.startedAt < cfcore.MaxOrderDelay:
+	case c.uncertain[ev.key] || c.mayStartLate(ev.key.task) || c.bootClock.Now()-c.startedAt < cfcore.MaxOrderDelay:
 		// The worker can still carry out an earlier attempt, possibly of an earlier
 		// incarnation of this agent. A stop prevents that.
 		c.logOrder(ev)
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -27,6 +29,12 @@
 	born time.Time
 }
 
+// modelCopy is an unanswered start that can be carried out until then.
+type modelCopy struct {
+	run   uint64
+	until time.Time
+}
+
 // modelCall is an order whose last attempt was not answered.
 type modelCall struct {
 	key     modelOrderKey
@@ -75,6 +83,8 @@
 	startedAt     time.Time
 	inFlight      map[modelOrderKey]bool
 	uncertain     map[modelOrderKey]bool
+	// copies holds until when an unanswered start of a task can still be carried out.
+	copies map[cfcore.TaskName]modelCopy
 	// startResults holds the refusals of starts; empty if the run has started.
 	startResults map[modelOrderKey]cfcore.ExecutorKind
 	calls        []modelCall
@@ -88,6 +98,7 @@
 	return &modelAgent{
 		m: m, name: w.name, worker: w, session: m.sessionNow(), workerClockAt: m.now, answeredAt: m.now, leaseFrom: m.now, startedAt: m.now,
 		inFlight: map[modelOrderKey]bool{}, uncertain: map[modelOrderKey]bool{}, startResults: map[modelOrderKey]cfcore.ExecutorKind{},
+		copies: map[cfcore.TaskName]modelCopy{},
 	}
 }
 
@@ -165,9 +176,11 @@
 			a.calls = append(a.calls, c)
 		case c.key.stop || c.attempt >= startAttempts || !c.key.born.Equal(a.born):
 			a.endSession(c.token)
+			a.addCopy(c)
 			a.handleOrder(c.key, c.token, cfcore.ExecutorOutcomeUnknown)
 		default:
 			a.endSession(c.token)
+			a.addCopy(c)
 			c.attempt, c.token = c.attempt+1, cfcore.NewFencingToken(c.token.Epoch(), a.session)
 			a.sendStart(c)
 		}
@@ -196,6 +209,14 @@
 	}
 }
 
+// addCopy remembers that a start got no answer.
+func (a *modelAgent) addCopy(c modelCall) {
+	f := &a.m.faults
+	if !c.key.stop && !f.hideUnanswered && !f.reportUncertain && !f.forgetUncertain {
+		a.copies[c.key.task] = modelCopy{run: c.key.run, until: a.m.now.Add(cfcore.MaxOrderDelay)}
+	}
+}
+
 // observeBorn clears the state of the previous incarnation if the worker is a new one.
 func (a *modelAgent) observeBorn(born time.Time) {
 	if !born.After(a.born) {
@@ -206,7 +227,7 @@
 	if !a.born.IsZero() && a.worker.clock() < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		a.longLeases = a.m.now.Add(agentLeaseExpiry(cfcore.MaxLease))
 	}
-	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
+	a.born, a.workerClock, a.lists, a.hasLists, a.lastRecorded = born, 0, cfcore.RunLists{}, false, 0
 	a.lastListed, a.leasedUntil, a.uncertainEnd = 0, 0, 0
 	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
 	a.answeredAt, a.holdDueAt = a.m.now, time.Time{}
@@ -252,6 +273,11 @@
 	a.lastReport = max(a.lastReport+1, uint64(a.m.now.Sub(epochStart)))
 	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now))}
 	a.results = nil
+	for _, n := range slices.SortedFunc(maps.Keys(a.copies), compareTasks) {
+		if c := a.copies[n]; a.m.now.Before(c.until) {
+			r.Unanswered = append(r.Unanswered, cfwire.JobUnansweredStart{Task: n, Run: c.run, For: c.until.Sub(a.m.now)})
+		}
+	}
 	if a.hasWorker {
 		r.Worker = &cfcore.WorkerState{ID: workerID, Service: "dispatch", Born: a.born, Clock: a.workerClock, Capacity: workerCapacity}
 		if a.m.faults.hideSameID {
@@ -377,7 +403,7 @@
 		return
 	case refusal == cfcore.ExecutorFenced:
 		return
-	case !faults.forgetUncertain && (a.uncertain[key] || a.m.now.Sub(a.startedAt) < cfcore.MaxOrderDelay):
+	case !faults.forgetUncertain && (a.uncertain[key] || a.m.now.Before(a.copies[key.task].until) || a.m.now.Sub(a.startedAt) < cfcore.MaxOrderDelay):
 		a.stopRun(key.task, key.run)
 		return
 	default:
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"cranberryford/pkg/cfjob"
@@ -16,6 +17,10 @@
 	if m.oneIn(2, "long") {
 		m.taskTicks[id] = longTask
 	}
+	if m.scope.longRunning && m.oneIn(1, "long-running") {
+		e.Job.Steps[0].LongRunning = true
+		m.taskTicks[id] = math.MaxInt32
+	}
 	for i, p := range m.planners {
 		// Entries that do not know the newest planner yet send the job to an earlier one.
 		isNewest := i == len(m.planners)-1
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -139,6 +139,7 @@
 		"planners order before they are confirmed":    {agentAndWorkerRestarts, modelFaults{orderUnconfirmed: true}},
 		"agents execute outdated starts":              {heldOrders, modelFaults{executeOutdated: true}},
 		"agents ignore the silence of planners":       {heldOrders, modelFaults{ignoreSilence: true}},
+		"agents hide unanswered starts":               {restartsAndLate, modelFaults{hideUnanswered: true}},
 		"agents forget the results of starts":         {lateReports, modelFaults{forgetResults: true}},
 		"planners apply late reports":                 {lateReports, modelFaults{applyLate: true}},
 		"planners apply reports of an earlier epoch":  {lateReports, modelFaults{applyEarlier: true}},
@@ -147,7 +148,7 @@
 			// The product has faults of its own. A history counts only if its seed gives no
 			// violation without the injected fault.
 			found := false
-			for seed := 1; seed <= 300 && !found; seed++ {
+			for seed := 1; seed <= 3000 && !found; seed++ {
 				found = modelHistory(seed, c.scope, c.faults).violation() != "" && modelHistory(seed, c.scope, modelFaults{}).violation() == ""
 			}
 			NewWithT(t).Expect(found).To(BeTrue())
@@ -158,7 +159,7 @@
 // A start after the record counts even if no end of the task has been acknowledged.
 func TestModelFindsStartsOrderedAfterTheRecord(t *testing.T) {
 	found := false
-	for seed := 1; seed <= 300 && !found; seed++ {
+	for seed := 1; seed <= 3000 && !found; seed++ {
 		m := modelHistory(seed, takeovers, modelFaults{ignoreProgress: true})
 		found = slices.ContainsFunc(m.violations, func(v violation) bool { return v.kind == violationRecorded }) &&
 			modelHistory(seed, takeovers, modelFaults{}).violation() == ""
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -55,6 +55,8 @@
 	lateReports bool
 	// heldOrders let orders arrive late at agents, on a former connection.
 	heldOrders bool
+	// longRunning makes some tasks long-running.
+	longRunning bool
 	// fewTakeovers makes takeovers rare, so that planners are in force long enough to count leases
 	// as expired.
 	fewTakeovers bool
@@ -76,7 +78,7 @@
 	lateReports             = modelScope{slowClocks: true, lateReports: true, workerCuts: true, lateStarts: true}
 	takeoversAndLateReports = modelScope{slowClocks: true, lateReports: true}
 	restartsAndLateReports  = modelScope{slowClocks: true, lateReports: true, agentRestarts: true, lateStarts: true, workerCuts: true}
-	heldOrders              = modelScope{slowClocks: true, heldOrders: true, fewTakeovers: true}
+	heldOrders              = modelScope{slowClocks: true, heldOrders: true, fewTakeovers: true, longRunning: true}
 	lateMessages            = modelScope{slowClocks: true, heldOrders: true, lateReports: true, agentRestarts: true, lateStarts: true, workerCuts: true}
 	allWithLateReports      = modelScope{
 		lateReports: true, heldOrders: true, lateStarts: true, lateStops: true, lateHolds: true, workerRestarts: true, agentRestarts: true,
@@ -108,6 +110,8 @@
 	// forgetUncertain makes agents report a refusal although an earlier attempt got no
 	// answer.
 	forgetUncertain bool
+	// hideUnanswered makes agents report no unanswered starts.
+	hideUnanswered bool
 	// forgetResults makes agents forget the results of starts.
 	forgetResults bool
 	// executeOutdated makes agents execute starts that the planner has possibly given up, and
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -87,6 +87,10 @@
 	// sentAt is when the last start or stop order for the run was sent. It is zero while a
 	// stop has not been sent yet. It is also zero for an adopted run until the first stop.
 	sentAt time.Time
+	// answerDueUntil is until when the last start order can be executed; zero if it has a result. The
+	// agent attempts it for GrantTime after the last contact at most, since its permission to extend
+	// leases then lapses.
+	answerDueUntil time.Time
 	// checkpoint is the last reported checkpoint. Before the first one, it is the
 	// checkpoint that the run was started from. ticket is the ticket in the start order;
 	// empty if there is none.
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -23,7 +23,7 @@
 func (p *Planner) applyNewest(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}}
+		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}, unanswered: map[cfcore.TaskName]unansweredStart{}, heldEnds: map[uint64]time.Time{}}
 		p.addWorker(w)
 	}
 	if !w.isUsable(now, p.cfg.SuspectAfter) {
@@ -36,6 +36,7 @@
 	if until := now.Add(min(m.LongLeases, longLeaseExpiry)); m.LongLeases > 0 && until.After(w.newbornUntil) {
 		w.newbornUntil = until
 	}
+	p.applyUnanswered(now, w, m.Unanswered)
 	// A report of the whole state of an unreachable worker contains the last lists, which are
 	// older than the loss of the contact.
 	isExpired := m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left)
@@ -48,9 +49,7 @@
 	}
 	w.isUnreachable = m.Lost != nil
 	if isExpired {
-		p.expireRuns(now, w)
-		w.hasListed = false
-		delete(p.expectedAgents, agent)
+		p.expireWorker(now, w, m.Lost.Left)
 	}
 	if m.Lost != nil && m.Lost.Left {
 		p.markLeft(w)
@@ -63,6 +62,17 @@
 	}
 }
 
+// expireWorker handles that all leases on a worker have expired, or that it has left.
+func (p *Planner) expireWorker(now time.Time, w *worker, hasLeft bool) {
+	if hasLeft {
+		p.dropRuns(now, w)
+	} else {
+		p.expireRuns(now, w, now)
+	}
+	w.hasListed = false
+	delete(p.expectedAgents, w.agent)
+}
+
 // markLeft records that a worker has left. Later planners need not wait for the worker's
 // agent.
 func (p *Planner) markLeft(w *worker) {
@@ -79,13 +89,14 @@
 	if !s.Born.Equal(w.state.Born) {
 		switch {
 		case s.ID != w.state.ID:
-			p.expireRuns(now, w)
+			clear(w.unanswered)
+			p.dropRuns(now, w)
 		case s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease:
 			w.newbornUntil = now.Add(longLeaseExpiry)
 		}
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
 		w.hasListed, w.hasMoreEnds, w.lastEnd, w.recordedEnd, w.ackedEnd = false, false, 0, 0, 0
-		w.failures = failureStreak{}
+		w.failures, w.heldEnds = failureStreak{}, map[uint64]time.Time{}
 		if w.hasLeft {
 			w.hasLeft = false
 			p.unrecordedAgents[w.agent] = true
@@ -104,15 +115,21 @@
 	switch {
 	case r == nil:
 	case res.Refusal == "":
+		r.answerDueUntil = time.Time{}
 		if r.phase == starting {
 			r.phase, r.startedAt = running, now
 		}
 	case r.phase != running:
 		p.addEvent(Event{Kind: EventDropped, Agent: w.agent, Task: res.Task, Run: res.Run, Refusal: res.Refusal})
-		p.dropRun(r)
+		r.answerDueUntil = time.Time{}
+		if res.Refusal == cfcore.ExecutorNoTicket {
+			r.task.forgetTicket(w)
+		}
+		if !p.renumber(now, r) {
+			p.dropRun(r)
+		}
 		switch res.Refusal {
 		case cfcore.ExecutorNoTicket:
-			r.task.forgetTicket(w)
 			return
 		case cfcore.ExecutorUnhealthy:
 			w.failures.addFailure(now, res.Task.Job)
@@ -200,6 +217,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
+	r.answerDueUntil = time.Time{}
 	r.born = w.state.Born
 	r.listedAt = now
 	if t.step.LongRunning && r.percent < fullPercent && row.Percent >= fullPercent {
@@ -345,23 +363,47 @@
 	if l.MayLackRuns() {
 		return
 	}
+	var kept []*run
 	for r := range w.runs {
 		if r.born.Equal(w.state.Born) || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
 			continue
 		}
+		if now.Before(r.unansweredUntil()) {
+			kept = append(kept, r)
+			continue
+		}
 		p.expireRun(now, r)
 	}
+	for _, r := range kept {
+		p.keep(now, r)
+		if r.phase == starting {
+			p.sendStart(now, r)
+		}
+	}
 }
 
-// expireRuns drops all runs of a worker. The leases on the worker must have expired, or the
-// worker must have left.
-func (p *Planner) expireRuns(now time.Time, w *worker) {
+// dropRuns drops all runs of a worker that has left, or that has another ID.
+func (p *Planner) dropRuns(now time.Time, w *worker) {
 	clear(w.unsettled.running)
 	for r := range w.runs {
 		p.expireRun(now, r)
 	}
 }
 
+// expireRuns drops the runs of a worker whose leases have all expired by the time at, except those
+// that can still start late.
+func (p *Planner) expireRuns(now time.Time, w *worker, at time.Time) {
+	clear(w.unsettled.running)
+	for r := range w.runs {
+		if !r.mayStartLate(at) {
+			p.expireRun(now, r)
+		}
+	}
+	for r := range w.runs {
+		p.keep(now, r)
+	}
+}
+
 // expireRun drops a run that has certainly ended but whose end was not reported.
 func (p *Planner) expireRun(now time.Time, r *run) {
 	p.addRunEvent(EventLost, r, now)
@@ -402,17 +444,17 @@
 	}
 	p.lastExpiryScan = now
 	for _, w := range slices.Clone(p.fleet) {
-		lastContact := w.answeredAt
-		if w.reportedAt.After(lastContact) {
-			lastContact = w.reportedAt
-		}
-		if confirmed.Sub(lastContact) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
+		if confirmed.Sub(w.lastContact()) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
 			continue
 		}
-		p.expireRuns(now, w)
-		p.removeWorker(w)
+		p.expireRuns(now, w, confirmed)
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
+		if len(w.runs) > 0 {
+			w.hasListed = false
+			continue
+		}
+		p.removeWorker(w)
 		gone = append(gone, GoneAgent{Agent: w.agent})
 	}
 	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
--- a/pkg/cfdispatch/unsettled.go
+++ b/pkg/cfdispatch/unsettled.go
@@ -91,6 +91,10 @@
 func (p *Planner) applyEnds(now time.Time, w *worker, ends []cfcore.EndedTask, uncertainEnd uint64) {
 	u := &w.unsettled
 	isPostponed := false
+	if len(ends) >= maxHeldEnds {
+		clear(w.heldEnds)
+		p.ackPending[w] = true
+	}
 	for _, e := range ends {
 		if e.Number <= w.lastEnd {
 			continue
@@ -106,6 +110,7 @@
 				continue
 			}
 			delete(u.ended, e.Number)
+			w.holdEnd(now, e)
 			p.applyEnded(now, w, e)
 		}
 		if isPostponed {
@@ -125,10 +130,12 @@
 			if !p.mustPostpone(now, e) {
 				delete(w.unsettled.ended, n)
 				w.unsettled.applied[n] = true
+				w.holdEnd(now, e.end)
 				p.applyEnded(now, w, e.end)
 			}
 		}
 	}
+	p.adoptUnanswered(now)
 }
 
 // adoptListedRuns applies the listed runs of a job that has just become known.
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -71,6 +71,10 @@
 	// unexpectedStops holds when the stop of each unexpected run was last ordered.
 	unsettled       unsettledRuns
 	unexpectedStops map[runKey]time.Time
+	// unanswered holds the unanswered starts of all incarnations under the worker's ID. heldEnds holds
+	// until when ends are not acknowledged, by their Number.
+	unanswered map[cfcore.TaskName]unansweredStart
+	heldEnds   map[uint64]time.Time
 	// refusedAt is when the worker last refused an order. The order was a start that was
 	// refused for another reason than its ticket, or a stop of a run that the worker does
 	// not have.
@@ -116,6 +120,14 @@
 		now.Sub(w.refusedAt) >= refusalBackoff
 }
 
+// lastContact returns when the agent last reported or was last sent a response.
+func (w *worker) lastContact() time.Time {
+	if w.reportedAt.After(w.answeredAt) {
+		return w.reportedAt
+	}
+	return w.answeredAt
+}
+
 // failureStreak tracks the failures on a worker since its last successful run. Failures are
 // failed and stalled runs, and starts that the worker refused because it is unhealthy.
 type failureStreak struct {
@@ -170,6 +182,7 @@
 func (p *Planner) removeWorker(w *worker) {
 	delete(p.workers, w.agent)
 	delete(p.unrecordedAgents, w.agent)
+	delete(p.ackPending, w)
 	if i, ok := slices.BinarySearchFunc(p.fleet, w.agent, byAgent); ok {
 		p.fleet = slices.Delete(p.fleet, i, i+1)
 	}
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -27,6 +27,8 @@
 	LongLeases time.Duration `cbor:",omitempty"`
 	// Results are the results of orders since the previous report.
 	Results []JobOrderResult `cbor:",omitempty"`
+	// Unanswered are the starts of the last cfcore.MaxOrderDelay with an attempt that got no answer.
+	Unanswered []JobUnansweredStart `cbor:",omitempty"`
 	// Lost is set if the worker does not respond or has left, or if the agent has just
 	// started and has not heard from the worker yet.
 	Lost *JobWorkerUnreachable `cbor:",omitempty"`
@@ -52,6 +54,14 @@
 	Refusal cfcore.ExecutorKind `cbor:",omitempty"`
 }
 
+// JobUnansweredStart is a start with an attempt that got no answer. For is how long the attempt can
+// still be executed, also by the worker's next incarnation under the same ID.
+type JobUnansweredStart struct {
+	Task cfcore.TaskName
+	Run  uint64
+	For  time.Duration
+}
+
 // JobOrders are the planner's orders to an agent.
 type JobOrders struct {
 	Epoch cfcore.Epoch
