--- a/pkg/cfdispatch/tails_test.go
+++ b/pkg/cfdispatch/tails_test.go
@@ -115,3 +115,32 @@
 	}
 	f.Expect(f.workers["a"].speeds).To(HaveKeyWithValue("x", 0))
 }
+
+// The order to pause is lost once. The platform allows interference for 4 s on end, so that the order
+// must be repeated before that.
+func TestLostOrderToPauseIsRepeatedWithin4sOverTarget(t *testing.T) {
+	h := newInterferenceSim(t, 1)
+	h.submit("service", latencyCriticalStep("a", 1))
+	h.submit("x", longBestEffortStep("x", 2))
+	h.advance()
+	h.extraLoad = 0.9
+	start := h.now
+	for len(h.eventsOf(cfdispatch.EventPaused)) == 0 {
+		h.advance()
+	}
+	for _, r := range h.runs["w0"] {
+		r.speedPercent = 100
+	}
+	isPaused := func() bool {
+		for _, r := range h.runs["w0"] {
+			if r.step.BestEffort && r.speedPercent > 0 {
+				return false
+			}
+		}
+		return true
+	}
+	for !isPaused() && h.now.Sub(start) < time.Minute {
+		h.advance()
+	}
+	h.Expect(h.now.Sub(start)).To(BeNumerically("<=", 4*time.Second+simStep))
+}
--- a/pkg/cfdispatch/throttle.go
+++ b/pkg/cfdispatch/throttle.go
@@ -38,8 +38,8 @@
 	// that arrive after this time.
 	maxPause = 1200 * time.Millisecond
 	// speedResendAfter is the time after which an ordered speed is sent again, unless the
-	// run is known to run at this speed.
-	speedResendAfter = 1500 * time.Millisecond
+	// run is known to run at this speed. A lost order to pause is so repeated within the pause.
+	speedResendAfter = minPause - 100*time.Millisecond
 )
 
 // isLatencyCritical reports whether the task has a target for its tail latency.
