Search for workers of best-effort tasks apart from those of others

Callers could wait for a job whose task had room: a best-effort task that found all workers paused made all tasks with the same requirements count as fitting nowhere for the rest of the pass. Only best-effort tasks avoid paused workers, and the key of that memory didn't tell them apart.

The test failed before: 0 tasks started, 1 is expected.

--- a/pkg/cfdispatch/nofit.go
+++ b/pkg/cfdispatch/nofit.go
@@ -15,6 +15,8 @@
 	service     string
 	requirement string
 	priority    int
+	// bestEffort is set for best-effort tasks, which start on no worker with a pause.
+	bestEffort bool
 	// waitsForFreeCPU is set for best-effort tasks that only start where enough CPU is
 	// free. reserving is set if the search is for a worker on which to reserve capacity.
 	// That search counts capacity in use by less urgent tasks as available.
@@ -27,7 +29,7 @@
 
 func (t *task) placementKey(now time.Time) placementKey {
 	k := placementKey{
-		service: t.j.queue.Service, requirement: t.step.Requirement, priority: t.j.queue.Priority,
+		service: t.j.queue.Service, requirement: t.step.Requirement, priority: t.j.queue.Priority, bestEffort: t.step.BestEffort,
 		waitsForFreeCPU: t.waitsForFreeCPU() && !t.j.isStarved(now),
 	}
 	if t.waitsForFreeCPU() && !t.j.mayHarm(now) {
--- a/pkg/cfdispatch/tails_test.go
+++ b/pkg/cfdispatch/tails_test.go
@@ -144,3 +144,41 @@
 	}
 	h.Expect(h.now.Sub(start)).To(BeNumerically("<=", 4*time.Second+simStep))
 }
+
+// pausedSim returns a worker with a latency-critical task over its target and two paused
+// best-effort tasks. Most of its CPU and memory is free.
+func pausedSim(t *testing.T) *interferenceSim {
+	h := newInterferenceSim(t, 1)
+	h.submit("service", latencyCriticalStep("a", 1))
+	h.submit("x", longBestEffortStep("x", 2))
+	h.advance()
+	h.extraLoad = 0.9
+	for len(h.eventsOf(cfdispatch.EventPaused)) == 0 {
+		h.advance()
+	}
+	return h
+}
+
+// A pause bars best-effort tasks from a worker, but not tasks that reserve their CPU.
+func TestPauseDoesNotKeepTasksThatReserveCPUFromStarting(t *testing.T) {
+	for _, hasMonitor := range []bool{false, true} {
+		h := pausedSim(t)
+		plain := newStep(1, 2000)
+		plain.Estimate = 10 * time.Second
+		h.submit("plain", plain)
+		if hasMonitor {
+			// Its objective is earlier.
+			monitor := bestEffortStep("monitor", 1)
+			monitor.LongRunning, monitor.Estimate = true, time.Second
+			h.submit("monitor", monitor)
+		}
+		h.planAndApply()
+		started := 0
+		for _, r := range h.runs["w0"] {
+			if r.start.Task.Job == "plain" {
+				started++
+			}
+		}
+		h.Expect(started).To(Equal(1), "the task that reserves its CPU starts; waiting best-effort task: %v", hasMonitor)
+	}
+}
