Let a job with most tasks of its queue become underserved

The largest job, which the users' rule is about, was never kept free of harmful best-effort tasks if it has more than half of its queue's tasks: the limit held for a single job as well. Found in the review; the test failed before (no event in 60 s).

--- a/pkg/cfdispatch/servicelevel.go
+++ b/pkg/cfdispatch/servicelevel.go
@@ -110,7 +110,7 @@
 	underservedShare = 0.8
 	minUnderserved   = 3 * time.Second
 	// maxUnderservedShare limits the tasks of underserved jobs to a share of the queue's tasks, so
-	// that best-effort tasks have other places.
+	// that best-effort tasks have other places. A single job can have more.
 	maxUnderservedShare = 0.5
 )
 
@@ -136,7 +136,7 @@
 	}
 	for _, j := range jobs {
 		n := j.criticalTasks()
-		if j.level.isUnderserved || j.level.mean >= underservedShare*mean || float64(underserved+n) > maxUnderservedShare*float64(tasks) {
+		if j.level.isUnderserved || j.level.mean >= underservedShare*mean || underserved > 0 && float64(underserved+n) > maxUnderservedShare*float64(tasks) {
 			continue
 		}
 		underserved += n
--- a/pkg/cfdispatch/servicelevel_test.go
+++ b/pkg/cfdispatch/servicelevel_test.go
@@ -70,3 +70,19 @@
 		}
 	}
 }
+
+// The largest job of a queue can have more than half of its tasks. It is the largest tenth of which
+// the platform requires half of the mean.
+func TestHarmedJobWithMostTasksOfItsQueueBecomesUnderserved(t *testing.T) {
+	h := newInterferenceSim(t, 1, "a/x")
+	h.submit("harmed", latencyCriticalStep("a", 3))
+	h.submit("served", latencyCriticalStep("b", 2))
+	h.advance()
+	h.submit("x", longBestEffortStep("x", 4))
+	underserved := 0
+	for range 200 {
+		h.advance()
+		underserved += len(h.eventsOf(cfdispatch.EventUnderserved))
+	}
+	h.Expect(underserved).To(BeNumerically(">", 0))
+}
