Mark no job as underserved that merely lacks workers

A job whose tasks have no worker has a low service level, and took the place of a job that best-effort tasks harm. Keeping them away doesn't help it.

--- a/pkg/cfdispatch/servicelevel.go
+++ b/pkg/cfdispatch/servicelevel.go
@@ -112,6 +112,9 @@
 	// maxUnderservedShare limits the tasks of underserved jobs to a share of the queue's tasks, so
 	// that best-effort tasks have other places. A single job can have more.
 	maxUnderservedShare = 0.5
+	// minOverShare is the share of a job's tasks over their targets below which it is not
+	// underserved: a job whose tasks are not at work gains nothing from free workers.
+	minOverShare = 0.01
 )
 
 // markUnderserved decides which latency-critical jobs of a queue are underserved. The largest come
@@ -136,7 +139,7 @@
 	}
 	for _, j := range jobs {
 		n := j.criticalTasks()
-		if j.level.isUnderserved || j.level.mean >= underservedShare*mean || underserved > 0 && float64(underserved+n) > maxUnderservedShare*float64(tasks) {
+		if j.level.isUnderserved || j.level.overShare < minOverShare || j.level.mean >= underservedShare*mean || underserved > 0 && float64(underserved+n) > maxUnderservedShare*float64(tasks) {
 			continue
 		}
 		underserved += n
--- a/pkg/cfdispatch/servicelevel_test.go
+++ b/pkg/cfdispatch/servicelevel_test.go
@@ -86,3 +86,41 @@
 	}
 	h.Expect(underserved).To(BeNumerically(">", 0))
 }
+
+// underservedJobs plays a harmed job, a served one and others on two workers for 60 s, and returns
+// the jobs that became underserved.
+func underservedJobs(t *testing.T, hasStuckJob bool) []string {
+	h := newInterferenceSim(t, 2, "a/x")
+	if hasStuckJob {
+		// Only worker w0 has the label, and it may run only one of the two tasks.
+		stuck := latencyCriticalStep("c", 2)
+		stuck.Resources.MilliCores, stuck.MaxPerWorker, stuck.Requirement = 1000, 1, "rack-0"
+		h.submit("stuck", stuck)
+		for range 100 {
+			h.advance()
+		}
+	}
+	h.submit("harmed", latencyCriticalStep("a", 3))
+	h.submit("served", latencyCriticalStep("b", 3))
+	for range 100 {
+		h.advance()
+	}
+	h.submit("x", longBestEffortStep("x", 8))
+	var out []string
+	for range 200 {
+		h.advance()
+		for _, e := range h.TakeEvents() {
+			if e.Kind == cfdispatch.EventUnderserved {
+				out = append(out, e.Task.Job)
+			}
+		}
+	}
+	return out
+}
+
+// A job that lacks workers gets nothing from the place of a harmed job among the underserved ones.
+func TestJobThatLacksWorkersDoesNotKeepAHarmedJobFromBecomingUnderserved(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(underservedJobs(t, false)).To(ContainElement("harmed"))
+	g.Expect(underservedJobs(t, true)).To(ContainElement("harmed"))
+}
