End the time over target with the last best-effort task

A task that stayed over its target by its own load, after the last best-effort task beside it had ended, counted as harmed: its job's service level fell, and the log said "beside best-effort tasks".

--- a/pkg/cfdispatch/tails.go
+++ b/pkg/cfdispatch/tails.go
@@ -14,15 +14,14 @@
 // beside best-effort tasks, and adds an event once a run no longer is.
 func (p *Planner) trackTails(now time.Time, critical, bestEffort []*run) {
 	for _, r := range critical {
-		switch isOver := r.isOverTarget(); {
-		case isOver && len(bestEffort) > 0:
-			if r.overSince.IsZero() {
-				r.overSince = now
-			}
-			r.addNeighbours(bestEffort)
-		case !isOver:
+		if len(bestEffort) == 0 || !r.isOverTarget() {
 			p.endOverTarget(now, r)
+			continue
 		}
+		if r.overSince.IsZero() {
+			r.overSince = now
+		}
+		r.addNeighbours(bestEffort)
 	}
 }
 
--- a/pkg/cfdispatch/tails_test.go
+++ b/pkg/cfdispatch/tails_test.go
@@ -182,3 +182,32 @@
 		h.Expect(started).To(Equal(1), "the task that reserves its CPU starts; waiting best-effort task: %v", hasMonitor)
 	}
 }
+
+// A task that stays over its target after the last best-effort task beside it has ended is over it
+// because of its own load.
+func TestTimeOverTargetEndsWithTheLastBestEffortTask(t *testing.T) {
+	h := newInterferenceSim(t, 1)
+	h.submit("service", latencyCriticalStep("a", 1))
+	h.submit("x", longBestEffortStep("x", 1))
+	for range 10 {
+		h.advance()
+	}
+	h.TakeEvents()
+	h.extraLoad = 0.9
+	for range 3 {
+		h.advance()
+	}
+	for k, r := range h.runs["w0"] {
+		if r.step.BestEffort {
+			h.endRun("w0", k, r, cfcore.EndDone)
+		}
+	}
+	for range 30 {
+		h.advance()
+	}
+	h.extraLoad = -0.4
+	h.advance()
+	events := h.eventsOf(cfdispatch.EventWithinTarget)
+	h.Expect(events).To(HaveLen(1))
+	h.Expect(events[0].Took).To(BeNumerically("<=", 5*simStep))
+}
