Keep the mean effect when learned effects are left out

A planner whose learned effects are too large for a record leaves out those nearest to the mean. The next one expected the mean of the rest for them: 6.3 for pairs with an effect of 0.2, so that harmless best-effort tasks would have waited. The record now has the number and the sum of what is left out.

--- a/pkg/cfinterference/headroom.go
+++ b/pkg/cfinterference/headroom.go
@@ -21,8 +21,10 @@
 	// unit of Effect. jobs is indexed by job ID.
 	pairs map[Pair]float64
 	jobs  map[string]jobHeadroom
-	// effectSum is the sum of the effects in pairs.
+	// effectSum is the sum of the effects in pairs. leftOut are those that an earlier model has
+	// learned and that are not in pairs.
 	effectSum float64
+	leftOut   LeftOutEffects
 }
 
 // jobHeadroom is the headroom that remains for the tasks of a job under the job's own load.
@@ -100,7 +102,8 @@
 // meanEffect returns the mean of the learned effects and of priorEffect, which has the weight
 // priorWeightEffect.
 func (m *HeadroomModel) meanEffect() float64 {
-	return (priorEffect*priorWeightEffect + m.effectSum) / (priorWeightEffect + float64(len(m.pairs)))
+	sum := priorEffect*priorWeightEffect + m.effectSum + float64(m.leftOut.Sum)/effectUnit
+	return sum / (priorWeightEffect + float64(len(m.pairs)+m.leftOut.Count))
 }
 
 // setEffect sets the learned effect of a pair, within its limits.
@@ -165,6 +168,15 @@
 type LearnedEffects struct {
 	Images []string
 	Pairs  []LearnedEffect
+	// LeftOut are the effects that are not in Pairs, see KeepStrongest.
+	LeftOut LeftOutEffects `cbor:",omitzero"`
+}
+
+// LeftOutEffects are effects of which only the mean is known.
+type LeftOutEffects struct {
+	Count int
+	// Sum is the sum of the effects in thousandths.
+	Sum int
 }
 
 // LearnedEffect is the effect of one pair. Service and Filler are indexes into
@@ -183,7 +195,7 @@
 
 // Learned returns the learned effects, ordered by the names of the images.
 func (m *HeadroomModel) Learned() *LearnedEffects {
-	out := &LearnedEffects{}
+	out := &LearnedEffects{LeftOut: m.leftOut}
 	indexes := map[string]int{}
 	index := func(image string) int {
 		i, ok := indexes[image]
@@ -212,15 +224,20 @@
 // KeepStrongest leaves out all but the n effects that differ most from the effect of an unknown
 // pair.
 func (l *LearnedEffects) KeepStrongest(n int) {
-	sum := priorEffect * priorWeightEffect * effectUnit
+	sum := priorEffect*priorWeightEffect*effectUnit + float64(l.LeftOut.Sum)
 	for _, e := range l.Pairs {
 		sum += float64(e.Effect)
 	}
-	unknown := sum / (priorWeightEffect + float64(len(l.Pairs)))
+	unknown := sum / (priorWeightEffect + float64(len(l.Pairs)+l.LeftOut.Count))
 	strength := func(e LearnedEffect) float64 { return math.Abs(float64(e.Effect) - unknown) }
 	kept := slices.Clone(l.Pairs)
 	slices.SortStableFunc(kept, func(a, b LearnedEffect) int { return cmp.Compare(strength(b), strength(a)) })
-	kept = kept[:min(n, len(kept))]
+	n = min(n, len(kept))
+	for _, e := range kept[n:] {
+		l.LeftOut.Count++
+		l.LeftOut.Sum += e.Effect
+	}
+	kept = kept[:n]
 	indexes, images := map[int]int{}, []string(nil)
 	index := func(old int) int {
 		i, ok := indexes[old]
@@ -240,6 +257,9 @@
 // Restore loads the effects that an earlier HeadroomModel has learned. It skips pairs with
 // invalid indexes, clamps effects that are out of range, and stops at maxPairs.
 func (m *HeadroomModel) Restore(l *LearnedEffects) {
+	if l.LeftOut.Count >= 0 && l.LeftOut.Sum >= 0 && l.LeftOut.Sum <= l.LeftOut.Count*maxEffect*effectUnit {
+		m.leftOut = l.LeftOut
+	}
 	for _, k := range l.Pairs {
 		if k.Service < 0 || k.Service >= len(l.Images) || k.Filler < 0 || k.Filler >= len(l.Images) || len(m.pairs) >= maxPairs {
 			continue
--- a/pkg/cfinterference/headroom_test.go
+++ b/pkg/cfinterference/headroom_test.go
@@ -178,3 +178,24 @@
 	}
 	g.Expect(m.Effect("watch", "heavy")).To(BeNumerically("~", effect, 0.5))
 }
+
+// Most pairs are nearly harmless, and their records are the ones that are left out.
+func TestKeepStrongestDoesNotMakeHarmlessPairsHarmful(t *testing.T) {
+	g := NewWithT(t)
+	l := &cfinterference.LearnedEffects{Images: []string{"watch"}}
+	for i := range 100 {
+		effect := 200
+		if i < 50 && i%5 == 0 {
+			effect = 8000
+		}
+		l.Images = append(l.Images, fmt.Sprintf("plan-%d", i))
+		l.Pairs = append(l.Pairs, cfinterference.LearnedEffect{Service: 0, Filler: i + 1, Effect: effect})
+	}
+	before := cfinterference.NewHeadroomModel()
+	before.Restore(l)
+	l.KeepStrongest(10)
+	after := cfinterference.NewHeadroomModel()
+	after.Restore(l)
+	g.Expect(after.Effect("watch", "unknown")).To(BeNumerically("~", before.Effect("watch", "unknown"), 0.5))
+	g.Expect(after.Effect("watch", "plan-99")).To(BeNumerically("<", 1.5), "its effect was 0.2")
+}
