Look for underserved jobs only where a task can start, and only if there are any

The check came before cheaper ones, for each worker and task. Queues are taken in the order of their names, so that events have one order.

--- a/pkg/cfdispatch/interference.go
+++ b/pkg/cfdispatch/interference.go
@@ -111,7 +111,7 @@
 // were, t would run there whenever all workers are busy, and the jobs with tasks on the most
 // workers would be harmed the most.
 func (p *Planner) harmsUnderserved(now time.Time, t *task, w *worker) bool {
-	if w.criticalCPU == 0 {
+	if w.criticalCPU == 0 || !p.hasUnderserved {
 		return false
 	}
 	sum := 0.0
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -249,10 +249,7 @@
 	if t.waitsForFreeCPU() && w.overcommit(t) > maxOvercommit && !t.j.isStarved(now) {
 		return false
 	}
-	if t.waitsForFreeCPU() && !t.j.mayHarm(now) && p.harmsUnderserved(now, t, w) {
-		return false
-	}
-	return p.isEligible(now, t, w)
+	return p.isEligible(now, t, w) && (!t.waitsForFreeCPU() || t.j.mayHarm(now) || !p.harmsUnderserved(now, t, w))
 }
 
 // isEligible reports whether a worker meets all conditions for running a task except free
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -233,8 +233,10 @@
 	// zero lastScan makes them due.
 	changed  bool
 	lastScan time.Time
-	// levelsUpdatedAt is when the service levels of jobs were last updated.
+	// levelsUpdatedAt is when the service levels of jobs were last updated. hasUnderserved is set if
+	// a job was underserved then.
 	levelsUpdatedAt time.Time
+	hasUnderserved  bool
 	// pendingStops are the runs that the planner has decided to stop since the last call of
 	// TakeOrders. lastResendScan is when runs were last scanned for orders to repeat.
 	pendingStops   []*run
--- a/pkg/cfdispatch/servicelevel.go
+++ b/pkg/cfdispatch/servicelevel.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -69,8 +70,10 @@
 			}
 		}
 	}
-	for _, jobs := range queues {
-		p.markUnderserved(now, jobs)
+	p.hasUnderserved = false
+	for _, name := range slices.Sorted(maps.Keys(queues)) {
+		p.markUnderserved(now, queues[name])
+		p.hasUnderserved = p.hasUnderserved || slices.ContainsFunc(queues[name], func(j *job) bool { return j.level.isUnderserved })
 	}
 }
 
@@ -118,7 +121,7 @@
 )
 
 // markUnderserved decides which latency-critical jobs of a queue are underserved. The largest come
-// first, since they have tasks on the most workers.
+// first: the platform's requirement is about them.
 func (p *Planner) markUnderserved(now time.Time, jobs []*job) {
 	slices.SortFunc(jobs, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(b.criticalTasks(), a.criticalTasks()), cmp.Compare(a.ID, b.ID))
