--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -215,7 +215,7 @@
 		case cfdispatch.EventUnexpected:
 			l.Str("Reason", e.Reason).Time("Born", e.Born)
 			c.Scope.Counter("runs_unexpected").Inc(1)
-		case cfdispatch.EventWithinTarget:
+		case cfdispatch.EventOverTarget:
 			l.Str("Image", e.Image).Strs("Neighbours", e.Neighbours)
 			c.Scope.Timer("over_target").Record(e.Took)
 		case cfdispatch.EventPaused:
--- a/pkg/cfdispatch/events.go
+++ b/pkg/cfdispatch/events.go
@@ -35,9 +35,9 @@
 	// quarantine the worker gets no starts. There is no event if a refused start or a
 	// stalled run leads to the quarantine.
 	EventQuarantined EventKind = "worker quarantined: runs of different jobs failed in a row"
-	// EventWithinTarget is the end of the time for which a latency-critical run was over its
+	// EventOverTarget is a time, now over, for which a latency-critical run was over its
 	// target beside best-effort tasks.
-	EventWithinTarget EventKind = "tail latency was over its target beside best-effort tasks"
+	EventOverTarget EventKind = "tail latency was over its target beside best-effort tasks"
 	// EventPaused and EventResumed are the pause of all best-effort tasks on a worker, and its end.
 	EventPaused  EventKind = "best-effort tasks paused: a tail latency is over its target"
 	EventResumed EventKind = "best-effort tasks resumed"
--- a/pkg/cfdispatch/interference.go
+++ b/pkg/cfdispatch/interference.go
@@ -99,28 +99,27 @@
 }
 
 const (
-	// minCandidateCost is the headroom that a best-effort task must take to count as harmful.
-	minCandidateCost = 0.15
-	// maxUnderservedCost is the expected number of tasks of underserved jobs over their targets on
-	// a worker beyond which it gets no further harmful best-effort task.
-	maxUnderservedCost = 0.3
+	// minHarmfulLoss is the headroom that a best-effort task must take to count as harmful.
+	minHarmfulLoss = 0.15
+	// maxUnderservedRisk is the sum of tailRisk of the tasks of underserved jobs on a worker beyond
+	// which it gets no further harmful best-effort task.
+	maxUnderservedRisk = 0.3
 )
 
 // harmsUnderserved reports whether the best-effort task t would bring or keep tasks of underserved
 // jobs on worker w over their targets. Such a worker is not merely a worse place for t: if it
-// were, t would run there whenever all workers are busy, and the jobs with tasks on the most
-// workers would be harmed the most.
+// were, t would run there whenever all workers are busy.
 func (p *Planner) harmsUnderserved(now time.Time, t *task, w *worker) bool {
 	if w.criticalCPU == 0 || !p.hasUnderserved {
 		return false
 	}
 	sum := 0.0
 	p.expectHeadrooms(now, t, w, func(r *run, h, candidate float64) {
-		if r.task.j.level.isUnderserved && candidate >= minCandidateCost {
+		if r.task.j.level.isUnderserved && candidate >= minHarmfulLoss {
 			sum += tailRisk(h - candidate)
 		}
 	})
-	return sum > maxUnderservedCost
+	return sum > maxUnderservedRisk
 }
 
 // imageCost is the headroom that each latency-critical task with a given image loses to
--- a/pkg/cfdispatch/nofit.go
+++ b/pkg/cfdispatch/nofit.go
@@ -23,7 +23,7 @@
 	waitsForFreeCPU bool
 	reserving       bool
 	// image is that of a best-effort task, which decides where it harms underserved jobs. It is
-	// empty if the task starts anyway, see mayHarm.
+	// empty if the task starts anyway, see mayStartDespiteHarm.
 	image string
 }
 
@@ -32,7 +32,7 @@
 		service: t.j.queue.Service, requirement: t.step.Requirement, priority: t.j.queue.Priority, bestEffort: t.step.BestEffort,
 		waitsForFreeCPU: t.waitsForFreeCPU() && !t.j.isStarved(now),
 	}
-	if t.waitsForFreeCPU() && !t.j.mayHarm(now) {
+	if t.waitsForFreeCPU() && !t.j.mayStartDespiteHarm(now) {
 		k.image = t.step.Image
 	}
 	return k
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -168,7 +168,8 @@
 // delay of the report on the job's last run.
 const harmAfter = 2 * time.Second
 
-// markStarving records that no worker has enough free CPU for a best-effort task of a job.
+// markStarving records that no worker can start a best-effort task of a job: they lack free CPU, are
+// paused, or have underserved jobs that the task would harm.
 // It does nothing while the job has a live run.
 func (j *job) markStarving(now time.Time) {
 	if j.liveRuns == 0 && j.starvingSince.IsZero() {
@@ -180,8 +181,8 @@
 // run. The next task of such a job starts without waiting for free CPU.
 func (j *job) isStarved(now time.Time) bool { return j.hasStarvedFor(now, starveAfter) }
 
-// mayHarm reports whether the next task of a job starts even if it harms underserved jobs.
-func (j *job) mayHarm(now time.Time) bool { return j.hasStarvedFor(now, harmAfter) }
+// mayStartDespiteHarm reports whether the next task of a job starts even if it harms underserved jobs.
+func (j *job) mayStartDespiteHarm(now time.Time) bool { return j.hasStarvedFor(now, harmAfter) }
 
 func (j *job) hasStarvedFor(now time.Time, d time.Duration) bool {
 	return j.liveRuns == 0 && !j.starvingSince.IsZero() && now.Sub(j.starvingSince) >= d
@@ -243,13 +244,13 @@
 		return false
 	}
 	// A new run is not paused before the next report.
-	if t.step.BestEffort && !w.pausedAt.IsZero() && !t.j.mayHarm(now) {
+	if t.step.BestEffort && !w.pausedAt.IsZero() && !t.j.mayStartDespiteHarm(now) {
 		return false
 	}
 	if t.waitsForFreeCPU() && w.overcommit(t) > maxOvercommit && !t.j.isStarved(now) {
 		return false
 	}
-	return p.isEligible(now, t, w) && (!t.waitsForFreeCPU() || t.j.mayHarm(now) || !p.harmsUnderserved(now, t, w))
+	return p.isEligible(now, t, w) && (!t.waitsForFreeCPU() || t.j.mayStartDespiteHarm(now) || !p.harmsUnderserved(now, t, w))
 }
 
 // isEligible reports whether a worker meets all conditions for running a task except free
--- a/pkg/cfdispatch/servicelevel_test.go
+++ b/pkg/cfdispatch/servicelevel_test.go
@@ -124,3 +124,17 @@
 	g.Expect(underservedJobs(t, false)).To(ContainElement("harmed"))
 	g.Expect(underservedJobs(t, true)).To(ContainElement("harmed"))
 }
+
+// A gang of best-effort tasks has capacity on the worker, and waits for as long as the job there is
+// underserved.
+func TestBestEffortGangStartsDespiteUnderservedJobs(t *testing.T) {
+	h := underservedSim(t)
+	running, start := len(h.runs["w0"]), h.now
+	gang := bestEffortStep("x", 2)
+	gang.Gang = true
+	h.submit("gang", gang)
+	for len(h.runs["w0"]) == running && h.now.Sub(start) < time.Minute {
+		h.advance()
+	}
+	h.Expect(h.now.Sub(start)).To(BeNumerically("<=", 3*time.Second+simStep))
+}
--- a/pkg/cfdispatch/tails.go
+++ b/pkg/cfdispatch/tails.go
@@ -41,7 +41,7 @@
 	}
 	slices.Sort(r.neighbours)
 	p.addEvent(Event{
-		Kind: EventWithinTarget, Agent: r.w.agent, Task: r.task.name, Run: r.id, Took: now.Sub(r.overSince),
+		Kind: EventOverTarget, Agent: r.w.agent, Task: r.task.name, Run: r.id, Took: now.Sub(r.overSince),
 		Image: r.task.step.Image, Neighbours: r.neighbours,
 	})
 	r.overSince, r.neighbours = time.Time{}, nil
--- a/pkg/cfdispatch/tails_test.go
+++ b/pkg/cfdispatch/tails_test.go
@@ -36,7 +36,7 @@
 	}
 	h.extraLoad = -0.4
 	h.advance()
-	events := h.eventsOf(cfdispatch.EventWithinTarget)
+	events := h.eventsOf(cfdispatch.EventOverTarget)
 	h.Expect(events).To(HaveLen(1))
 	h.Expect(events[0].Task.Job).To(Equal("service"))
 	h.Expect(events[0].Took).To(BeNumerically("~", 3*simStep, simStep))
@@ -207,7 +207,7 @@
 	}
 	h.extraLoad = -0.4
 	h.advance()
-	events := h.eventsOf(cfdispatch.EventWithinTarget)
+	events := h.eventsOf(cfdispatch.EventOverTarget)
 	h.Expect(events).To(HaveLen(1))
 	h.Expect(events[0].Took).To(BeNumerically("<=", 5*simStep))
 }
--- a/pkg/cfdispatch/throttle.go
+++ b/pkg/cfdispatch/throttle.go
@@ -28,9 +28,9 @@
 	// already. A new planner claims leadership 1 s after the last message of the old one. The
 	// remaining 0.2 s are for the agents' reports to arrive.
 	takeoverGap = 1200 * time.Millisecond
-	// minPause is the minimum duration of a pause. Only after this time do the reported tail
-	// latencies show the effect of the pause: they cover half a second, and the order and
-	// the next report have to be delivered. A longer pause delays the best-effort tasks, which
+	// minPause is the minimum duration of a pause. Until then, the reported tail latencies don't
+	// show the effect of the pause: they cover half a second, and the order has to be delivered.
+	// A longer pause delays the best-effort tasks, which
 	// then run beside more latency-critical tasks later.
 	minPause = 800 * time.Millisecond
 	// maxPause limits a pause if the tail latency stays over its target although the
