--- a/integration/jobs/soak_test.go
+++ b/integration/jobs/soak_test.go
@@ -335,8 +335,8 @@
 	}, time.Millisecond},
 }
 
-// firstHeldSeed is the first seed whose soaks choose from faults with connections that are held back. Those of smaller seeds lack
-// newer ones, so that the seeds keep their choices.
+// firstHeldSeed is the first seed whose soaks hold connections back. Soaks of a smaller seed lack the
+// newer faults, so that the seed keeps its choices.
 const firstHeldSeed = 800
 
 // firstReplacedSeed is the first seed whose soaks replace workers by others with new IDs.
