Check with the present worker before following a heartbeat of another one

Later, a late check-in of a former worker was still taken for the present one: if the former has the later start time (its clock was set back), or while the present one, whose goodbye has no acknowledgement, goes on for seconds. The planner then dropped the runs of the present worker and started their tasks elsewhere.

A heartbeat with another ID waits until the next call to the present worker returns. If that worker answers, the heartbeat was a late one.

Tests that failed before: TestLateCheckInOfAFormerWorkerWhileThePresentOneLeaves, TestLateCheckInOfAFormerWorkerWithALaterStartTime ("former" was reported), TestWorkerThatEndsSecondsAfterItsGoodbyeIsGone (Left was false).

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -92,6 +92,10 @@
 	// hasAnswered is set once a worker has answered a call of this instance of the agent. Before,
 	// the heartbeat can be a late one of a former worker.
 	hasAnswered bool
+	// successor is the state in the heartbeat of another worker, if hasSuccessor is set. It can be a
+	// late one of a former worker. The next call to the present worker decides that.
+	successor    cfcore.WorkerState
+	hasSuccessor bool
 	// formerBorn is the start time of the previous incarnation.
 	formerBorn time.Time
 	// workerClock is the newest reading of the worker's clock.
@@ -216,11 +220,22 @@
 // handleHeartbeat records the worker's state. It ignores a heartbeat that arrives after a
 // newer one or comes from an earlier incarnation. If the time of day was set back, a new
 // incarnation has an earlier start time than the one before. Its answers to calls show it then,
-// or its heartbeat if the one before has left or is leaving.
+// or its heartbeat if the one before has left or is leaving. A heartbeat with another ID, or of a
+// leaving worker's predecessor, waits for the next call to the present worker, which can show that it
+// is a late one.
 func (c *control) handleHeartbeat(s cfcore.WorkerState) {
 	if c.hasWorker && (s.Born.Equal(c.formerBorn) || s.Born.Before(c.worker.Born) && !c.hasLeft && !c.isLeaving) {
 		return
 	}
+	if c.hasWorker && c.hasAnswered && !c.hasLeft && (s.ID != c.worker.ID || s.Born.Before(c.worker.Born)) {
+		c.successor, c.hasSuccessor, c.nextHoldAt = s, true, 0
+		return
+	}
+	c.applyHeartbeat(s)
+}
+
+// applyHeartbeat records the state in a heartbeat that is not a late one of a former worker.
+func (c *control) applyHeartbeat(s cfcore.WorkerState) {
 	sameIncarnation := c.hasWorker && s.Born.Equal(c.worker.Born)
 	if sameIncarnation && s.Sequence <= c.worker.Sequence {
 		return
@@ -262,7 +277,7 @@
 	// A call to the previous incarnation is not waited for: until a call with a token of the new
 	// session, the new incarnation executes late starts of the previous one.
 	c.hasLeft, c.answeredAt, c.nextHoldAt, c.holdInFlight = false, c.bootClock.Now(), 0, false
-	c.isLeaving = false
+	c.isLeaving, c.hasSuccessor = false, false
 	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
 }
 
@@ -295,13 +310,24 @@
 	}
 }
 
-// checkGoodbye ends the wait for the end of a worker that still answers calls long after its
-// goodbye, unless it is draining.
-func (c *control) checkGoodbye() {
-	if c.isLeaving && !c.worker.Draining && c.bootClock.Now()-c.leavingSince > goodbyeTimeout {
-		c.Log.Warn().Str("Worker", c.worker.ID).Time("Born", c.worker.Born).Msg("goodbye ignored: the worker still answers and is not draining")
-		c.isLeaving = false
+// settleSuccessor decides on the heartbeat of another worker once a call to the present one has
+// returned. If the present one has answered, that heartbeat was a late one of a former worker.
+func (c *control) settleSuccessor(hasAnswered bool) {
+	if !c.hasSuccessor {
+		return
 	}
+	c.hasSuccessor = false
+	if hasAnswered {
+		c.Log.Info().Str("Worker", c.successor.ID).Time("Born", c.successor.Born).Msg("late heartbeat of a former worker ignored")
+		return
+	}
+	c.applyHeartbeat(c.successor)
+}
+
+// isEnding reports whether the worker is about to shut down. One that still answers long after a
+// goodbye and is not draining is probably not: the goodbye was a late one.
+func (c *control) isEnding() bool {
+	return c.isLeaving && (c.worker.Draining || c.bootClock.Now()-c.leavingSince <= goodbyeTimeout)
 }
 
 // handleMessage handles a message of an entry, which is either a list of entries or orders.
--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -142,3 +142,77 @@
 	g.Expect(r.Lost).To(BeNil())
 	g.Expect(r.Worker.ID).To(Equal("w"))
 }
+
+// answeredControl returns the control of an agent whose worker has answered a call.
+func answeredControl() (*control, *fakeBootClock) {
+	a, _ := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	a.bootClock, a.grantedAt, a.answeredAt, a.leaseFrom = &clock, time.Hour, time.Hour, time.Hour
+	a.hasWorker = false
+	a.handleHeartbeat(workerState(born))
+	answer(a)
+	return a, &clock
+}
+
+// answer lets the present worker answer a call.
+func answer(a *control) {
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: a.worker.ID, token: a.fence.token(a.epoch),
+		lists: cfcore.RunLists{Born: born, Clock: time.Minute + time.Second},
+	})
+}
+
+// A late check-in of a former worker arrives while the present one, whose goodbye is not
+// acknowledged, still runs its tasks. The agent has restarted since the former one was there.
+func TestLateCheckInOfAFormerWorkerWhileThePresentOneLeaves(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := answeredControl()
+	g.Expect(a.takeReport().Worker.ID).To(Equal("w"))
+	a.handleWorkerLeft("w")
+	former := workerState(born.Add(-time.Minute))
+	former.ID = "former"
+	a.handleHeartbeat(former)
+	if w := a.takeReport().Worker; w != nil {
+		g.Expect(w.ID).To(Equal("w"), "former worker reported; it has answered no call")
+	}
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: "former", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "421"),
+	})
+	if l := a.takeReport().Lost; l != nil {
+		g.Expect(l.Left).To(BeFalse(), "the present worker still runs its tasks")
+	}
+}
+
+// The heartbeat that says draining was missed; the worker ends 2 s after its goodbye.
+func TestWorkerThatEndsSecondsAfterItsGoodbyeIsGone(t *testing.T) {
+	g := NewWithT(t)
+	a, clock := answeredControl()
+	a.handleWorkerLeft("w")
+	*clock += fakeBootClock(goodbyeTimeout + time.Millisecond)
+	answer(a)
+	*clock += fakeBootClock(time.Second)
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: "w", err: cferror.Wrap("hold", cfcore.ExecutorOutcomeUnknown, syscall.ECONNREFUSED),
+	})
+	g.Expect(a.takeReport().Lost).To(HaveField("Left", BeTrue()))
+}
+
+// The time of day was set back, so that the former worker has the later start time. The agent has
+// restarted since, and the present worker has answered it.
+func TestLateCheckInOfAFormerWorkerWithALaterStartTime(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := answeredControl()
+	g.Expect(a.takeReport().Worker.ID).To(Equal("w"))
+	former := workerState(born.Add(3 * time.Second))
+	former.ID = "former"
+	a.handleHeartbeat(former)
+	if w := a.takeReport().Worker; w != nil {
+		g.Expect(w.ID).To(Equal("w"), "former worker reported; it has answered no call")
+	}
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: "former", err: cferror.New("hold", cfcore.ExecutorOtherIncarnation, "421"),
+	})
+	if l := a.takeReport().Lost; l != nil {
+		g.Expect(l.Left).To(BeFalse(), "the present worker still runs its tasks")
+	}
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -26,7 +26,7 @@
 	h := cfcore.HoldOptions{Until: c.leaseUntil()}
 	if !c.holdFailed {
 		h.LastSeen = c.lastRecorded
-		if c.hasLists && c.lastListed <= c.lastRecorded && !c.isLeaving {
+		if c.hasLists && c.lastListed <= c.lastRecorded && !c.isEnding() && !c.hasSuccessor {
 			h.Wait = c.cfg.HoldWait
 		}
 	}
@@ -54,18 +54,19 @@
 		if cferror.Is(ev.err, cfcore.ExecutorOtherIncarnation) || c.isLeaving && errors.Is(ev.err, syscall.ECONNREFUSED) {
 			c.markGone(ev.worker)
 		}
+		c.settleSuccessor(false)
 		c.Log.Debug().Err(ev.err).Msg("call for the worker's run lists failed")
 		c.Scope.Counter("holds_failed").Inc(1)
 		return
 	}
 	c.applyLists(ev.lists, ev.token)
-	c.checkGoodbye()
+	c.settleSuccessor(true)
 	// A call that was sent before a restart was noticed contains a time on the earlier clock.
 	if ev.lists.Born.Equal(c.worker.Born) && ev.until <= ev.lists.Clock+c.cfg.Lease.Lease {
 		c.leasedUntil = max(c.leasedUntil, ev.until)
 	}
 	// A worker that lists ends which the planner does not record answers without waiting.
-	if c.isLeaving {
+	if c.isEnding() {
 		c.nextHoldAt = c.bootClock.Now() + failedHoldRetryDelay
 	} else if c.lastListed > c.lastRecorded || ev.lists.Incomplete {
 		c.nextHoldAt = c.bootClock.Now() + holdRetryDelay
@@ -134,7 +135,7 @@
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: r.refusal})
 		return
 	}
-	if c.hasWorker && s.Born.Equal(c.worker.Born) && !c.hasLeft && (c.worker.Draining || c.isLeaving) {
+	if c.hasWorker && s.Born.Equal(c.worker.Born) && !c.hasLeft && (c.worker.Draining || c.isEnding()) {
 		// The worker gets no more starts. Once it has answered the stop, the planner can start
 		// the task elsewhere.
 		c.stopRun(ctx, cfwire.JobStop{Task: s.Task, Run: s.Run})
