Wait for the worker of an agent's new instance, not only for a report

A report of a new instance without a worker, sent between a check-in and the first answer, made the planner take the former instance's worker as reachable and give it starts.

--- a/pkg/cfdispatch/outdated.go
+++ b/pkg/cfdispatch/outdated.go
@@ -15,12 +15,12 @@
 )
 
 // BeginInstance marks that an agent has another instance, with sequence numbers of its own. The
-// worker counts as unreachable until that instance reports: the instance cannot tell whether a start
+// worker counts as unreachable until that instance reports it: the instance cannot tell whether a start
 // that names none of its reports is outdated.
 func (p *Planner) BeginInstance(agent string) {
 	delete(p.lastReports, agent)
 	if w := p.workers[agent]; w != nil {
-		w.isUnreachable = true
+		w.isUnreachable, w.awaitsInstance = true, true
 	}
 }
 
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -46,7 +46,8 @@
 		}
 		p.applyLists(now, w, &l, m.UncertainEnd)
 	}
-	w.isUnreachable = m.Lost != nil
+	w.awaitsInstance = w.awaitsInstance && m.Worker == nil
+	w.isUnreachable = m.Lost != nil || w.awaitsInstance
 	if isExpired {
 		p.expireRuns(now, w)
 		w.hasListed = false
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -23,9 +23,10 @@
 	// they arrived.
 	hasMoreEnds bool
 	listedAt    time.Time
-	// isUnreachable is set while the agent reports that the worker does not respond, and until
-	// a new instance of the agent reports.
-	isUnreachable bool
+	// isUnreachable is set while the agent reports that the worker does not respond, and while
+	// awaitsInstance is set: a new instance of the agent has not reported the worker yet.
+	isUnreachable  bool
+	awaitsInstance bool
 	// isRecorded is set once the agent is on record in the store. The agent gets no starts
 	// before, since only agents on record are known to later planners.
 	isRecorded bool
