--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -46,8 +46,7 @@
 		}
 		p.applyLists(now, w, &l, m.UncertainEnd)
 	}
-	w.awaitsInstance = w.awaitsInstance && m.Worker == nil
-	w.isUnreachable = m.Lost != nil || w.awaitsInstance
+	w.updateReachability(m)
 	if isExpired {
 		p.expireRuns(now, w)
 		w.hasListed = false
@@ -64,6 +63,12 @@
 	}
 }
 
+// updateReachability records whether the worker responds to its agent.
+func (w *worker) updateReachability(m *cfwire.JobReport) {
+	w.awaitsInstance = w.awaitsInstance && m.Worker == nil
+	w.isUnreachable = m.Lost != nil || w.awaitsInstance
+}
+
 // markLeft records that a worker has left. Later planners need not wait for the worker's
 // agent.
 func (p *Planner) markLeft(w *worker) {
