--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -92,8 +92,6 @@
 
 func TestModelWithLateAnswers(t *testing.T) { checkModel(t, lateAnswers) }
 
-// An agent that restarts takes a late check-in of the former worker for one of the present worker, and
-// then for gone, see KNOWN-RED.txt.
 func TestModelWithLateCheckIns(t *testing.T) { checkModel(t, lateCheckIns) }
 
 func TestModelWithLeavingWorkers(t *testing.T) { checkModel(t, leaves) }
