Bind a task to the worker that can still execute a start of it

Cause: a worker that restarts under its ID executes starts of its former incarnation, up to 12 s after they were sent, until its agent has reached it. The planner counted the task as free once the run, or one of its attempts, had ended or was lost, and started it elsewhere, or had its end acknowledged.

Change, one rule: from its sending, a start without an answer binds its task to the worker until its copies are too old, whoever sent it and whatever else ended; only the agent's list or another ID unbinds it. Agents list such starts, those in flight included. The planner decides by the bindings alone where a task may start, and has no end acknowledged meanwhile. A planner that is new together with an agent's instance goes by the agent's record, which says whether it has late starts.

A call that acknowledges ends can be late as well: it then forgets the end of an orphaned run that no planner has seen. Such a call and a start are never unanswered together.

--- /dev/null
+++ b/internal/cfjobagent/acknowledgement.go
@@ -0,0 +1,95 @@
+package cfjobagent
+
+import (
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfwire"
+)
+
+// ackDelay is how long no end is acknowledged after a call to the worker that got no answer: the next
+// one possibly gets none either.
+const ackDelay = 5 * time.Second
+
+// ackWindow is how long after an answered call for the run lists the next one may acknowledge ends: it is
+// then likely to get an answer as well.
+const ackWindow = 20 * time.Millisecond
+
+// acknowledgement is the state of the acknowledgement of ends. The worker, or its next incarnation
+// under the same ID, can execute an unanswered call that acknowledges ends, and a start, late: it then
+// forgets the end of a run that the agent has never seen. There is therefore never such a call while a start
+// has no answer, and the other way round.
+type acknowledgement struct {
+	// to is the number of the last end that an answered call has acknowledged.
+	to uint64
+	// inFlight is set while a call that acknowledges ends is in flight. waiting are the starts that wait
+	// for its answer.
+	inFlight bool
+	waiting  []cfwire.JobStart
+	// until is until when an unanswered call that acknowledges ends can be executed.
+	until time.Duration
+	// answeredAt is when a call for the run lists was last answered, and unansweredAt when a call to the
+	// worker last got no answer; zero if none did.
+	answeredAt   time.Duration
+	unansweredAt time.Duration
+}
+
+// mayAcknowledge reports whether ends may be acknowledged, by a call within ackWindow after an answered one.
+func (c *control) mayAcknowledge(now time.Duration) bool {
+	a := &c.acknowledgement
+	return !c.holdFailed && c.lastRecorded > a.to && len(c.unanswered.starts) == 0 && (a.unansweredAt == 0 || now-a.unansweredAt >= ackDelay)
+}
+
+// acknowledgesNow reports whether the next call is to acknowledge ends.
+func (c *control) acknowledgesNow(now time.Duration) bool {
+	return c.mayAcknowledge(now) && now-c.acknowledgement.answeredAt <= ackWindow
+}
+
+// handleAcknowledged handles the outcome of a call for the run lists, which possibly acknowledged ends.
+func (c *control) handleAcknowledged(ev holdReturned, isUnanswered bool) {
+	a := &c.acknowledgement
+	if isUnanswered {
+		a.unansweredAt = c.bootClock.Now()
+	}
+	if ev.err == nil {
+		a.answeredAt = c.bootClock.Now()
+	}
+	if ev.lastSeen == 0 {
+		return
+	}
+	switch {
+	case isUnanswered && ev.worker == c.worker.ID:
+		a.until = max(a.until, ev.sentAt+cfcore.MaxOrderDelay)
+		c.reportAll = true
+		c.Log.Warn().Err(ev.err).Str("Worker", ev.worker).Uint64("LastSeen", ev.lastSeen).Msg("call that acknowledged ends got no answer: the worker gets no starts until it can be executed no more")
+		c.Scope.Counter("acknowledgements_unanswered").Inc(1)
+	case ev.err == nil && ev.incarnation == c.fence.currentIncarnation():
+		a.to = max(a.to, ev.lastSeen)
+	}
+}
+
+// withholdsStarts reports whether the worker must get no starts, since it can still execute a call that
+// acknowledges ends.
+func (c *control) withholdsStarts() bool { return c.bootClock.Now() < c.acknowledgement.until }
+
+// withholdStart reports whether a start is not sent now because of a call that acknowledges ends. The
+// start waits for the answer to that call, or is refused if there was none.
+func (c *control) withholdStart(s cfwire.JobStart) bool {
+	if c.acknowledgement.inFlight {
+		c.acknowledgement.waiting = append(c.acknowledgement.waiting, s)
+		return true
+	}
+	if c.withholdsStarts() {
+		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
+		return true
+	}
+	return false
+}
+
+// reset handles another incarnation of the worker.
+func (a *acknowledgement) reset(hasOtherID bool) {
+	a.to, a.inFlight = 0, false
+	if hasOtherID {
+		a.until = 0
+	}
+}
--- /dev/null
+++ b/internal/cfjobagent/acknowledgement_test.go
@@ -0,0 +1,58 @@
+package cfjobagent
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfwire"
+)
+
+var startOfJ = cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7}
+
+// The worker's next incarnation can execute both late: the end of a run that only it knows is forgotten.
+func TestNoStartWhileAnAcknowledgementIsUnanswered(t *testing.T) {
+	g := NewWithT(t)
+	a, w, clock := newStartingControl()
+	w.holds = make(chan cfcore.HoldOptions, 1)
+	a.lastRecorded, a.acknowledgement.answeredAt = 3, a.bootClock.Now()
+	a.requestRunLists(t.Context())
+	g.Expect((<-w.holds).LastSeen).To(BeEquivalentTo(3))
+	a.startRun(t.Context(), startOfJ)
+	g.Expect(a.takeReport().Unanswered).To(BeEmpty(), "it waits for the answer")
+	<-a.events
+	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: 3, sentAt: a.bootClock.Now(), err: errUnanswered})
+	r := a.takeReport()
+	g.Expect(r.WithholdsStarts).To(BeTrue())
+	g.Expect(r.Results).To(Equal([]cfwire.JobOrderResult{{Task: startOfJ.Task, Run: 7, Refusal: cfcore.ExecutorRefused}}))
+	*clock += fakeBootClock(cfcore.MaxOrderDelay)
+	g.Expect(a.takeReport().WithholdsStarts).To(BeFalse())
+}
+
+func TestStartIsSentOnceTheAcknowledgementIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	a, w, _ := newStartingControl()
+	w.holds = make(chan cfcore.HoldOptions, 1)
+	a.lastRecorded, a.acknowledgement.answeredAt = 3, a.bootClock.Now()
+	a.requestRunLists(t.Context())
+	a.startRun(t.Context(), startOfJ)
+	<-w.holds
+	a.handleEvents(t, 1)
+	g.Expect(a.takeReport().Unanswered).To(HaveLen(1))
+}
+
+func TestNoAcknowledgementWhileAStartIsUnanswered(t *testing.T) {
+	g := NewWithT(t)
+	a, w, clock := newStartingControl()
+	w.refusal = cfcore.ExecutorOutcomeUnknown
+	a.startRun(t.Context(), startOfJ)
+	a.handleEvents(t, orderAttempts+1)
+	a.lastRecorded = 3
+	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeFalse())
+	*clock += fakeBootClock(cfcore.MaxOrderDelay + time.Second)
+	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeFalse(), "no lists since then")
+	a.unanswered.settle(a.bootClock.Now())
+	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeTrue())
+}
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -141,6 +141,10 @@
 	// uncertain holds the starts with an unanswered attempt that the worker can still
 	// carry out.
 	uncertain map[orderKey]bool
+	// unanswered holds the starts, of all incarnations of the worker, that it can still execute.
+	unanswered unansweredStarts
+	// acknowledgement is the state of the acknowledgement of ends.
+	acknowledgement acknowledgement
 	// startResults holds the results of starts within about the last resultMemory.
 	startResults       map[orderKey]startResult
 	resultsForgottenAt time.Duration
@@ -168,6 +172,7 @@
 	c.workerClockAt = c.bootClock.Now()
 	c.leaseFrom = c.workerClockAt
 	c.answeredAt, c.startedAt = c.workerClockAt, c.workerClockAt
+	c.unanswered = newUnansweredStarts(c.startedAt)
 	return c
 }
 
@@ -212,6 +217,13 @@
 		c.handleMessage(ctx, ev.link, ev.message)
 	case holdReturned:
 		c.handleHoldReturned(ev)
+		c.startWaiting(ctx)
+	case attemptUnanswered:
+		if ev.worker == c.worker.ID {
+			c.unanswered.addAttempt(ev.start, ev.at)
+			c.acknowledgement.unansweredAt = c.bootClock.Now()
+			c.reportAll = true
+		}
 	case orderReturned:
 		c.handleOrderReturned(ctx, ev)
 	}
@@ -267,6 +279,11 @@
 // the new incarnation orders for the previous one. id and clock belong to the new one.
 func (c *control) resetWorker(id string, clock time.Duration) {
 	c.fence.beginIncarnation()
+	hasOtherID := c.hasWorker && c.worker.ID != id
+	if hasOtherID {
+		c.unanswered.forget()
+	}
+	c.acknowledgement.reset(hasOtherID)
 	c.formerBorn = c.worker.Born
 	c.longLeasesUntil = 0
 	if c.hasWorker && c.worker.ID == id && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
@@ -483,6 +500,8 @@
 	c.lastReport = max(c.lastReport+1, uint64(now))
 	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now)}
 	c.results = nil
+	c.unanswered.addTo(r, now)
+	r.WithholdsStarts = c.withholdsStarts()
 	if c.isRequestDue() {
 		c.addGrantRequest(r, now)
 	}
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -44,12 +44,23 @@
 		incarnation uint64
 		until       time.Duration
 		token       cfcore.FencingToken
+		// sentAt is when the call was sent. It acknowledged the ends up to lastSeen.
+		sentAt   time.Duration
+		lastSeen uint64
+	}
+	// attemptUnanswered is an attempt to start a run that got no answer. It was sent to the worker at
+	// the time at.
+	attemptUnanswered struct {
+		worker string
+		start  startKey
+		at     time.Duration
 	}
 	// orderReturned is the outcome of an order to start or stop a run.
 	orderReturned struct {
-		key   orderKey
-		token cfcore.FencingToken
-		err   error
+		key    orderKey
+		worker string
+		token  cfcore.FencingToken
+		err    error
 		// lists are the run lists after the order. They are valid if hasLists is set.
 		// They are requested only if they are needed to determine the state of the run.
 		lists    cfcore.RunLists
@@ -57,13 +68,14 @@
 	}
 )
 
-func (heartbeat) isEvent()       {}
-func (workerLeft) isEvent()      {}
-func (seedsChanged) isEvent()    {}
-func (linkDown) isEvent()        {}
-func (messageReceived) isEvent() {}
-func (holdReturned) isEvent()    {}
-func (orderReturned) isEvent()   {}
+func (heartbeat) isEvent()         {}
+func (workerLeft) isEvent()        {}
+func (seedsChanged) isEvent()      {}
+func (linkDown) isEvent()          {}
+func (messageReceived) isEvent()   {}
+func (holdReturned) isEvent()      {}
+func (attemptUnanswered) isEvent() {}
+func (orderReturned) isEvent()     {}
 
 // orderKey identifies an order to start a run or, if stop is set, to stop it. born
 // identifies the incarnation of the worker: it is the time when that incarnation started.
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -117,10 +117,13 @@
 }
 
 // After a failed call the worker has possibly restarted with the same ID. Its ends are then
-// numbered anew.
+// numbered anew. Soon after an unanswered call, and long after an answered one, the next one possibly
+// gets no answer either.
 func TestCallAfterAFailedOneAcknowledgesNoEnds(t *testing.T) {
 	g := NewWithT(t)
 	a, w := newTestControl()
+	clock := fakeBootClock(time.Hour)
+	a.bootClock = &clock
 	a.handleHeartbeat(workerState(born))
 	a.lastRecorded = 57
 	w.holds = make(chan cfcore.HoldOptions, 1)
@@ -130,6 +133,13 @@
 	g.Expect((<-w.holds).LastSeen).To(BeZero())
 	a.handleEvent(t.Context(), <-a.events)
 	a.requestRunLists(t.Context())
+	g.Expect((<-w.holds).LastSeen).To(BeZero())
+	a.handleEvent(t.Context(), <-a.events)
+	clock += fakeBootClock(ackDelay)
+	a.requestRunLists(t.Context())
+	g.Expect((<-w.holds).LastSeen).To(BeZero())
+	a.handleEvent(t.Context(), <-a.events)
+	a.requestRunLists(t.Context())
 	g.Expect((<-w.holds).LastSeen).To(BeEquivalentTo(57))
 }
 
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -17,23 +17,24 @@
 // requestRunLists keeps one call for the worker's run lists in flight. The call also
 // extends the leases if the planner permits it, and acknowledges recorded ends. It acknowledges
 // none after a failed call: if the worker has restarted with the same ID meanwhile, the
-// numbers of its ends have started anew.
+// numbers of its ends have started anew. See also acknowledgement.
 func (c *control) requestRunLists(ctx context.Context) {
 	now := c.bootClock.Now()
 	if c.holdInFlight || !c.hasWorker || c.hasLeft || now < c.nextHoldAt {
 		return
 	}
 	h := cfcore.HoldOptions{Until: c.leaseUntil()}
-	if !c.holdFailed {
-		h.LastSeen = c.lastRecorded
-		if c.hasLists && c.lastListed <= c.lastRecorded && !c.isEnding() && !c.hasSuccessor {
-			h.Wait = c.cfg.HoldWait
-		}
+	switch {
+	case c.acknowledgesNow(now):
+		h.LastSeen, c.acknowledgement.inFlight = c.lastRecorded, true
+	case c.mayAcknowledge(now):
+	case !c.holdFailed && c.hasLists && c.lastListed <= c.acknowledgement.to && !c.isEnding() && !c.hasSuccessor:
+		h.Wait = c.cfg.HoldWait
 	}
 	c.holdInFlight = true
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
-		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until}
+		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until, sentAt: now, lastSeen: h.LastSeen}
 		ev.token, ev.err = c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) (err error) {
 			ev.lists, err = c.Executor.Hold(ctx, o, h)
 			return err
@@ -44,11 +45,13 @@
 
 // handleHoldReturned handles the outcome of a call for the worker's run lists.
 func (c *control) handleHoldReturned(ev holdReturned) {
+	c.handleAcknowledged(ev, cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(ev.err, syscall.ECONNREFUSED))
 	if ev.incarnation != c.fence.currentIncarnation() {
 		// Another call, to the present incarnation, is in flight or due.
 		return
 	}
 	c.holdInFlight, c.holdFailed, c.nextHoldAt = false, ev.err != nil, 0
+	c.acknowledgement.inFlight = false
 	if ev.err != nil {
 		c.nextHoldAt = c.bootClock.Now() + c.failedHoldRetryDelay()
 		if cferror.Is(ev.err, cfcore.ExecutorOtherIncarnation) || c.isLeaving && errors.Is(ev.err, syscall.ECONNREFUSED) {
@@ -59,7 +62,9 @@
 		c.Scope.Counter("holds_failed").Inc(1)
 		return
 	}
-	c.applyLists(ev.lists, ev.token)
+	if c.applyLists(ev.lists, ev.token) {
+		c.unanswered.settle(ev.sentAt)
+	}
 	c.settleSuccessor(true)
 	// A call that was sent before a restart was noticed contains a time on the earlier clock.
 	if ev.lists.Born.Equal(c.worker.Born) && ev.until <= ev.lists.Clock+c.cfg.Lease.Lease {
@@ -68,8 +73,17 @@
 	// A worker that lists ends which the planner does not record answers without waiting.
 	if c.isEnding() {
 		c.nextHoldAt = c.bootClock.Now() + failedHoldRetryDelay
-	} else if c.lastListed > c.lastRecorded || ev.lists.Incomplete {
-		c.nextHoldAt = c.bootClock.Now() + holdRetryDelay
+	} else if now := c.bootClock.Now(); c.lastListed > c.acknowledgement.to && !c.mayAcknowledge(now) || ev.lists.Incomplete {
+		c.nextHoldAt = now + holdRetryDelay
+	}
+}
+
+// startWaiting sends the starts that have waited for the answer to a call that acknowledged ends.
+func (c *control) startWaiting(ctx context.Context) {
+	waiting := c.acknowledgement.waiting
+	c.acknowledgement.waiting = nil
+	for _, s := range waiting {
+		c.startRun(ctx, s)
 	}
 }
 
@@ -85,7 +99,8 @@
 // call that was sent to the current incarnation: if another one has answered it, the worker has
 // restarted. The first run lists of an incarnation or an epoch must come from a call of the
 // current session, because only then the worker refuses all orders that are missing in the lists.
-func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) {
+// applyLists reports whether it has recorded the lists.
+func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) bool {
 	if !l.Born.Equal(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
 		c.resetWorker(c.worker.ID, l.Clock)
@@ -93,7 +108,7 @@
 	}
 	c.answeredAt, c.hasAnswered = c.bootClock.Now(), true
 	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
-		return
+		return false
 	}
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
@@ -109,6 +124,7 @@
 		c.uncertainEnd, c.moreUncertainEnds = c.lastListed, l.MoreEnds
 	}
 	c.reportAll = true
+	return true
 }
 
 // logMalformedRow logs and counts run lists with a malformed row. It logs the error of the
@@ -149,12 +165,24 @@
 		// result. The planner then repeats the order or stops the run.
 		return
 	}
+	if c.withholdStart(s) {
+		return
+	}
 	c.inFlight[key] = true
+	start := startKey{task: s.Task, run: s.Run}
+	c.unanswered.begin(start, c.bootClock.Now())
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until}
 	go func() {
-		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error { return c.Executor.Start(ctx, o, run) })
-		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, token: token, err: err}, worker, incarnation, cferror.Is(err, cfcore.ExecutorStale)))
+		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error {
+			sentAt := c.bootClock.Now()
+			err := c.Executor.Start(ctx, o, run)
+			if cferror.Is(err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(err, syscall.ECONNREFUSED) {
+				c.post(ctx, attemptUnanswered{worker: worker, start: start, at: sentAt})
+			}
+			return err
+		})
+		c.post(ctx, c.withRunLists(ctx, orderReturned{key: key, worker: worker, token: token, err: err}, worker, incarnation, cferror.Is(err, cfcore.ExecutorStale)))
 	}()
 }
 
@@ -207,6 +235,9 @@
 // next report.
 func (c *control) handleOrderReturned(ctx context.Context, ev orderReturned) {
 	delete(c.inFlight, ev.key)
+	if !ev.key.stop {
+		c.unanswered.end(startKey{task: ev.key.task, run: ev.key.run})
+	}
 	if !ev.key.born.Equal(c.worker.Born) {
 		return
 	}
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -164,6 +164,12 @@
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
 		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, entrySeenAt: map[string]time.Time{},
 	}
+	marksAge := c.Clock.Now().Sub(c.stored.MarkedAt).Abs()
+	for a := range c.stored.Agents {
+		if !c.stored.HasLateStarts(a) && marksAge <= cfdispatch.RecordsValidFor {
+			c.plan.SetAnswered(a)
+		}
+	}
 	c.restoreLearned()
 	for _, e := range c.stored.Jobs {
 		c.addInheritedJob(e)
--- a/internal/cfjobentry/plannerbatch.go
+++ b/internal/cfjobentry/plannerbatch.go
@@ -19,6 +19,10 @@
 // the end.
 const batchInterval = 40 * time.Millisecond
 
+// markInterval is the time between two records that say that records are valid, see
+// cfdispatch.RecordsValidFor.
+const markInterval = time.Second
+
 // maxRecordBytes bounds the value of a record. The platform allows 256 KiB for a record.
 const maxRecordBytes = 250 << 10
 
@@ -77,6 +81,31 @@
 		c.plan.recordingAgents = append(c.plan.recordingAgents, agent)
 		c.plan.extraRecords = append(c.plan.extraRecords, r)
 	}
+	c.recordLateStarts(now)
+}
+
+// recordLateStarts records which agents have late starts, by the zero time. A later planner then
+// waits until these can be executed no more if it finds another instance of the agent.
+func (c *control) recordLateStarts(now time.Time) {
+	if now.Sub(c.plan.markedAt) >= markInterval {
+		c.plan.markedAt = now
+		if r, err := c.codec.RecordsMark(now); err == nil {
+			c.plan.extraRecords = append(c.plan.extraRecords, r)
+		}
+	}
+	for _, a := range c.plan.TakeAgentRecords(now) {
+		c.Log.Info().Str("Agent", a.Agent).Bool("HasLateStarts", a.HasLateStarts).Uint64("Epoch", uint64(c.plan.epoch)).Msg("record of an agent changes: its worker can, or can no longer, execute starts that got no answer")
+		c.Scope.Counter("agents_late_recorded").Inc(1)
+		r, err := c.codec.Agent(a.Agent, now)
+		if a.HasLateStarts {
+			r, err = c.codec.LateAgent(a.Agent)
+		}
+		if err != nil {
+			c.Log.Error().Err(err).Str("Agent", a.Agent).Msg("record of an agent cannot be encoded")
+			continue
+		}
+		c.plan.extraRecords = append(c.plan.extraRecords, r)
+	}
 }
 
 // dropAgent drops the record of an agent whose worker can have no runs any more. A record
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -24,6 +24,8 @@
 	// whose records go into the next batch.
 	recordedAgents  map[string]bool
 	recordingAgents []string
+	// markedAt is when the mark of valid records was last renewed.
+	markedAt time.Time
 	// othersUntil is the time on the boot clock until which an earlier planner possibly gives
 	// orders.
 	othersUntil time.Duration
--- a/pkg/cfcore/executor.go
+++ b/pkg/cfcore/executor.go
@@ -178,10 +178,13 @@
 // Session returns the session of the agent whose orders have the token.
 func (t FencingToken) Session() uint64 { return uint64(t) & MaxSession }
 
+// MaxExecutionDelay is the maximum time, according to the platform, after which a worker executes an
+// order that it has not answered.
+const MaxExecutionDelay = 12 * time.Second
+
 // MaxOrderDelay is the maximum time from the sending of an order to its execution, if the
-// sender gets no response. It is the sum of 12 s, the maximum according to the platform, and
-// 3 s for the sender's timeout.
-const MaxOrderDelay = 15 * time.Second
+// sender gets no response. It includes 3 s for the sender's timeout.
+const MaxOrderDelay = MaxExecutionDelay + 3*time.Second
 
 // MaxLease is the longest lease that a worker grants, counted from the order that extends it.
 const MaxLease = 10 * time.Second
--- /dev/null
+++ b/pkg/cfdispatch/binding.go
@@ -0,0 +1,223 @@
+package cfdispatch
+
+import (
+	"slices"
+	"time"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfwire"
+)
+
+// maxHeldEnds is the number of listed ends from which a worker gets no more starts while the
+// acknowledgement of an end is held back. The platform's workers list 500 ends at most.
+const maxHeldEnds = 400
+
+// maxBinding bounds the time from the sending of a start until its run has certainly ended, if it got no
+// answer.
+const maxBinding = cfcore.MaxOrderDelay + longLeaseExpiry
+
+// binding binds a task to a worker: a start of the task got no answer there, and the worker, or its next
+// incarnation under the same ID, can still execute it. Until then, the task starts on no other worker, and
+// its ends are not acknowledged. Whatever else ends meanwhile, only an agent's report or another ID of
+// the worker removes the binding before the time until.
+type binding struct {
+	task  cfcore.TaskName
+	w     *worker
+	run   uint64
+	until time.Time
+	// instance is the instance of the agent that sent the start, see worker.instance.
+	instance int
+	// isLate is set if an attempt got no answer, or if one has been in flight for long.
+	isLate bool
+	// refusedIn is when the incarnation of the worker started that refuses the run; zero if there is none.
+	refusedIn time.Time
+}
+
+// bindings are the bindings of all tasks.
+type bindings struct {
+	byTask map[cfcore.TaskName][]*binding
+	// unknown holds the agents whose workers can still execute starts of earlier planners that this
+	// planner does not know of, and until when. Tasks of inherited jobs can be bound to these workers.
+	unknown map[string]time.Time
+	// answered holds the agents that had no late start according to their records.
+	answered map[string]bool
+	// recordedLate holds the agents that are recorded to have late starts and have not reported yet.
+	recordedLate map[string]bool
+}
+
+func newBindings(agents []string, until time.Time) bindings {
+	b := bindings{byTask: map[cfcore.TaskName][]*binding{}, unknown: map[string]time.Time{}, answered: map[string]bool{}, recordedLate: map[string]bool{}}
+	for _, a := range agents {
+		b.unknown[a], b.recordedLate[a] = until, true
+	}
+	return b
+}
+
+// bind binds a task to a worker, or extends the binding.
+func (b *bindings) bind(n cfcore.TaskName, w *worker, run uint64, instance int, until time.Time) *binding {
+	k := runKey{task: n, run: run}
+	x := w.bindings[k]
+	if x == nil {
+		x = &binding{task: n, w: w, run: run}
+		b.byTask[n], w.bindings[k] = append(b.byTask[n], x), x
+	}
+	x.instance = max(x.instance, instance)
+	if until.After(x.until) {
+		x.until = until
+	}
+	return x
+}
+
+// removeIf removes the bindings to a worker for which match returns true.
+func (b *bindings) removeIf(w *worker, match func(*binding) bool) {
+	for k, x := range w.bindings {
+		if !match(x) {
+			continue
+		}
+		delete(w.bindings, k)
+		xs := slices.DeleteFunc(b.byTask[k.task], func(y *binding) bool { return y == x })
+		if b.byTask[k.task] = xs; len(xs) == 0 {
+			delete(b.byTask, k.task)
+		}
+	}
+}
+
+// expireBindings removes the bindings that have expired by the time now, and the agents with unknown
+// starts that have expired by the time confirmed.
+func (p *Planner) expireBindings(now, confirmed time.Time) {
+	b := &p.bindings
+	for _, w := range p.fleet {
+		b.removeIf(w, func(x *binding) bool { return now.After(x.until) })
+	}
+	for a, until := range b.unknown {
+		if confirmed.After(until) {
+			delete(b.unknown, a)
+		}
+	}
+}
+
+// unbindWorker removes the bindings to a worker that has another ID now.
+func (b *bindings) unbindWorker(w *worker) {
+	delete(b.unknown, w.agent)
+	b.removeIf(w, func(*binding) bool { return true })
+}
+
+// applyReport applies an agent's list of unanswered starts. The list has all starts that its instance has
+// sent, so that the others are not bound any more.
+func (b *bindings) applyReport(now time.Time, w *worker, m *cfwire.JobReport) {
+	if until, ok := b.unknown[w.agent]; ok {
+		if limit := now.Add(m.UnknownStarts); m.UnknownStarts == 0 || b.answered[w.agent] {
+			delete(b.unknown, w.agent)
+		} else if limit.Before(until) {
+			b.unknown[w.agent] = limit
+		}
+	}
+	listed := map[*binding]bool{}
+	for _, s := range m.Unanswered {
+		x := b.bind(s.Task, w, s.Run, w.instance, now.Add(min(s.For, maxBinding)))
+		x.isLate, listed[x] = s.IsLate, true
+	}
+	b.removeIf(w, func(x *binding) bool {
+		return !listed[x] && (x.instance == w.instance || m.UnknownStarts == 0)
+	})
+}
+
+// bindLost binds the task of a run that is given up before its start had a result. The agent can attempt
+// the start as long as it may extend leases.
+func (p *Planner) bindLost(r *run) {
+	if r.awaitsResult {
+		p.bindings.bind(r.task.name, r.w, r.id, r.instance, r.w.lastContact().Add(p.cfg.GrantTime+maxBinding)).isLate = true
+	}
+	r.awaitsResult = false
+}
+
+// confirmStart handles that the start of a run has a result, or that the worker lists the run. An earlier
+// instance of the agent possibly made more attempts than this one knows of.
+func (p *Planner) confirmStart(r *run) {
+	if r.instance != r.w.instance {
+		p.bindLost(r)
+	}
+	r.awaitsResult = false
+}
+
+// boundWorker reports whether a task can start on one worker at most, because of starts without an answer.
+// The first result is that worker, or nil if the task cannot start. A gang does not start as long as one of
+// its members is bound.
+func (p *Planner) boundWorker(t *task) (*worker, bool) {
+	if t.step.Duplicable || len(p.bindings.byTask) == 0 {
+		return nil, false
+	}
+	if t.step.Gang {
+		return nil, p.isBound(t.name)
+	}
+	var w *worker
+	for _, x := range p.bindings.byTask[t.name] {
+		if w != nil && w != x.w {
+			return nil, true
+		}
+		w = x.w
+	}
+	return w, w != nil
+}
+
+// isBound reports whether a task, or another member of its gang, is bound to a worker.
+func (p *Planner) isBound(n cfcore.TaskName) bool {
+	if len(p.bindings.byTask[n]) > 0 {
+		return true
+	}
+	j := p.jobs[n.Job]
+	if j == nil || n.Step >= len(j.Steps) || !j.Steps[n.Step].Gang {
+		return false
+	}
+	for other := range p.bindings.byTask {
+		if other.Job == n.Job && other.Occurrence == n.Occurrence && other.Step == n.Step {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsUnknownStarts reports whether a task of a step possibly has a start without an answer that this
+// planner does not know of. Long-running tasks do not wait for it, as they must not be away for long.
+func (p *Planner) awaitsUnknownStarts(j *job, s int) bool {
+	step := &j.Steps[s]
+	return j.inherited && len(p.bindings.unknown) > 0 && !step.LongRunning && !step.Duplicable
+}
+
+// runNumberFor returns the number of a task's next run on a worker. If the worker can still execute a start
+// of the task, the next run has the same number: a worker executes only one start of a run.
+func (p *Planner) runNumberFor(t *task, w *worker) uint64 {
+	id := uint64(0)
+	for _, x := range p.bindings.byTask[t.name] {
+		if x.w == w && x.run > t.lastRun && !x.refusedIn.Equal(w.state.Born) && !slices.Contains(t.failedRuns, x.run) {
+			id = max(id, x.run)
+		}
+	}
+	if id == 0 || t.step.Duplicable || t.step.Gang {
+		return p.newRunNumber()
+	}
+	return id
+}
+
+// markRefused remembers that the present incarnation of a worker refuses a run.
+func (b *bindings) markRefused(n cfcore.TaskName, w *worker, run uint64) {
+	if x := w.bindings[runKey{task: n, run: run}]; x != nil {
+		x.refusedIn = w.state.Born
+	}
+}
+
+// acknowledgeable returns the number of the last recorded end on a worker that may be acknowledged. Ends
+// are held back while the worker can still execute a start: an end that is not acknowledged may be
+// followed by another start.
+func (p *Planner) acknowledgeable(w *worker) uint64 {
+	if p.mayExecuteStarts(w) {
+		return w.ackedEnd
+	}
+	return w.recordedEnd
+}
+
+// holdsManyEnds reports whether the worker lists so many ends, because none is acknowledged, that its
+// lists will soon be full.
+func (p *Planner) holdsManyEnds(w *worker) bool {
+	return w.listedEnds >= maxHeldEnds && p.mayExecuteStarts(w)
+}
--- a/pkg/cfdispatch/gang.go
+++ b/pkg/cfdispatch/gang.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"cranberryford/pkg/cfcore"
 )
 
 // startGang starts all members of a gang with the same run number, or none of them. Some
@@ -14,6 +16,9 @@
 	if st.remaining < j.Steps[s].Count || slices.ContainsFunc(st.tasks, func(t *task) bool { return t != nil && len(t.runs) > 0 }) {
 		return
 	}
+	if p.isBound(cfcore.TaskName{Job: j.ID, Occurrence: o.index, Step: s}) {
+		return
+	}
 	id := p.newRunNumber()
 	var placed []*run
 	if j.Steps[s].SameRack {
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -69,7 +69,7 @@
 
 // sendStart adds the start order of a run to the agent's orders.
 func (p *Planner) sendStart(now time.Time, r *run) {
-	r.sentAt = now
+	r.sentAt, r.awaitsResult, r.instance = now, true, r.w.instance
 	o := p.ordersFor(r.w)
 	o.Starts = append(o.Starts, cfwire.JobStart{
 		Worker: r.w.state.ID, Born: r.w.state.Born, Task: r.task.name, Run: r.id,
@@ -135,12 +135,14 @@
 	p.sendPendingStops(now)
 	p.resendOrders(now)
 	for w := range p.ackPending {
-		if w.recordedEnd > w.ackedEnd {
+		if last := p.acknowledgeable(w); last > w.ackedEnd {
 			o := p.ordersFor(w)
-			o.RecordedEnd, o.Born, w.ackedEnd = w.recordedEnd, w.state.Born, w.recordedEnd
+			o.RecordedEnd, o.Born, w.ackedEnd = last, w.state.Born, last
+		}
+		if w.ackedEnd >= w.recordedEnd {
+			delete(p.ackPending, w)
 		}
 	}
-	clear(p.ackPending)
 	out := p.orders
 	p.orders = map[string]*Orders{}
 	return out
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -45,7 +45,7 @@
 				continue
 			}
 			for s := range o.steps {
-				if j.stepReady(o, s) {
+				if j.stepReady(o, s) && !p.awaitsUnknownStarts(j, s) {
 					p.startStep(now, j, o, s)
 				}
 			}
@@ -139,20 +139,29 @@
 		}
 		w := p.chooseWorker(now, t)
 		if w == nil {
-			if t.waitsForFreeCPU() {
-				t.j.markStarving(now)
-				return
-			}
-			if !p.reserve(now, t) {
+			if !p.waitForWorker(now, t) {
 				return
 			}
 			continue
 		}
 		t.waitingSince, t.j.starvingSince = time.Time{}, time.Time{}
-		p.start(now, t, w, p.newRunNumber())
+		p.start(now, t, w, p.runNumberFor(t, w))
 	}
 }
 
+// waitForWorker handles that no worker can start a task. It reports whether later tasks of the step can
+// possibly start.
+func (p *Planner) waitForWorker(now time.Time, t *task) bool {
+	if _, isBound := p.boundWorker(t); isBound {
+		return true
+	}
+	if t.waitsForFreeCPU() {
+		t.j.markStarving(now)
+		return false
+	}
+	return p.reserve(now, t)
+}
+
 // waitsForFreeCPU reports whether the task starts only on a worker with enough free CPU,
 // although it reserves no CPU. Best-effort tasks do, unless they are long-running: if other
 // long-running tasks used the CPU, the wait would not end.
@@ -190,6 +199,12 @@
 
 // chooseWorker returns the best worker for a task, or nil.
 func (p *Planner) chooseWorker(now time.Time, t *task) *worker {
+	if w, ok := p.boundWorker(t); ok {
+		if w == nil || !p.canStart(now, t, w) {
+			return nil
+		}
+		return w
+	}
 	k := t.placementKey(now)
 	if p.fitsNowhere(k, t) {
 		return nil
@@ -263,7 +278,7 @@
 // isEligibleWithoutTicket reports whether a worker meets all conditions for running a task
 // except free capacity and the ticket.
 func (p *Planner) isEligibleWithoutTicket(now time.Time, t *task, w *worker) bool {
-	if !w.isUsable(now, p.cfg.SuspectAfter) || w.state.Service != t.j.queue.Service {
+	if !w.isUsable(now, p.cfg.SuspectAfter) || p.holdsManyEnds(w) || w.state.Service != t.j.queue.Service {
 		return false
 	}
 	if now.Before(w.failures.quarantinedUntil) {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -87,6 +87,10 @@
 	// sentAt is when the last start or stop order for the run was sent. It is zero while a
 	// stop has not been sent yet. It is also zero for an adopted run until the first stop.
 	sentAt time.Time
+	// awaitsResult is set while the last start order has no result and the run is not listed. instance is
+	// the instance of the agent that it was sent to.
+	awaitsResult bool
+	instance     int
 	// checkpoint is the last reported checkpoint. Before the first one, it is the
 	// checkpoint that the run was started from. ticket is the ticket in the start order;
 	// empty if there is none.
@@ -210,10 +214,10 @@
 	// expectedUntil, see ExpireLeases. By then, the leases of all runs that earlier planners
 	// started have expired.
 	expectedUntil time.Time
+	// silentAgents are the agents that have not reported until expectedUntil and are still on record.
+	silentAgents map[string]bool
 	// storeReadAt is a time: the planner has all jobs that were stored before it.
 	storeReadAt time.Time
-	// gone are the agents whose workers have left since the last call of ExpireLeases.
-	gone []GoneAgent
 	// unrecordedJobs holds the jobs whose progress must be recorded, by ID.
 	unrecordedJobs map[string]*job
 	// durationRatios and headroomModel hold what the planner has learned, see Learned.
@@ -253,21 +257,27 @@
 	// unrecordedAgents are the agents that are not on record yet.
 	ackPending       map[*worker]bool
 	unrecordedAgents map[string]bool
+	bindings         bindings
+	// recordingSince is when TakeAgentRecords was first called.
+	recordingSince time.Time
 }
 
 // New returns the planner of an epoch. Earlier planners may have sent starts to the given
 // agents. The new planner therefore starts no task of an inherited job until it has the
 // run lists of these agents. The wait ends at expectedUntil at the latest. By then, the
-// leases of all runs that earlier planners started must have expired.
+// leases of all runs that earlier planners started must have expired, except those of starts without an
+// answer (see bindings).
 func New(cfg Settings, agents []string, expectedUntil time.Time) *Planner {
 	p := &Planner{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, expectedAgents: map[string]bool{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, expectedAgents: map[string]bool{}, silentAgents: map[string]bool{},
 		expectedUntil: expectedUntil, unrecordedJobs: map[string]*job{}, durationRatios: queueRatios{}, headroomModel: cfinterference.NewHeadroomModel(), orders: map[string]*Orders{},
 		open: map[string]*job{}, ackPending: map[*worker]bool{}, unrecordedAgents: map[string]bool{}, noFit: map[placementKey][]cfcore.Resources{}, changed: true,
 	}
 	for _, a := range agents {
 		p.expectedAgents[a] = true
 	}
+	// The last start of an earlier planner was sent before the last lease that it allowed began.
+	p.bindings = newBindings(agents, expectedUntil.Add(maxBinding-cfg.LeaseTime))
 	return p
 }
 
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -23,16 +23,18 @@
 func (p *Planner) applyNewest(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}}
+		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{}}
+		w.isRecordedLate = p.bindings.recordedLate[agent]
 		p.addWorker(w)
 	}
 	if !w.isUsable(now, p.cfg.SuspectAfter) {
 		p.changed = true
 	}
-	w.reportedAt = now
+	w.reportedAt, w.withholdsStarts = now, m.WithholdsStarts
 	if m.Worker != nil {
 		p.updateWorker(now, w, *m.Worker)
 	}
+	p.bindings.applyReport(now, w, m)
 	if until := now.Add(min(m.LongLeases, longLeaseExpiry)); m.LongLeases > 0 && until.After(w.newbornUntil) {
 		w.newbornUntil = until
 	}
@@ -61,6 +63,7 @@
 	for _, r := range m.Results {
 		p.applyResult(now, w, r)
 	}
+	p.bindings.applyReport(now, w, m)
 }
 
 // updateReachability records whether the worker responds to its agent.
@@ -73,7 +76,7 @@
 // agent.
 func (p *Planner) markLeft(w *worker) {
 	if !w.hasLeft {
-		p.gone = append(p.gone, GoneAgent{Agent: w.agent, HasLeft: true})
+		w.isGone = true
 	}
 	w.isRecorded, w.hasLeft = false, true
 	delete(p.unrecordedAgents, w.agent)
@@ -86,14 +89,17 @@
 		switch {
 		case s.ID != w.state.ID:
 			p.expireRuns(now, w)
+			if w.state.ID != "" {
+				p.bindings.unbindWorker(w)
+			}
 		case s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease:
 			w.newbornUntil = now.Add(longLeaseExpiry)
 		}
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
 		w.hasListed, w.hasMoreEnds, w.lastEnd, w.recordedEnd, w.ackedEnd = false, false, 0, 0, 0
-		w.failures = failureStreak{}
+		w.failures, w.listedEnds = failureStreak{}, 0
 		if w.hasLeft {
-			w.hasLeft = false
+			w.hasLeft, w.isGone = false, false
 			p.unrecordedAgents[w.agent] = true
 		}
 	}
@@ -108,14 +114,19 @@
 func (p *Planner) applyResult(now time.Time, w *worker, res cfwire.JobOrderResult) {
 	r := p.findRun(w, res.Task, res.Run)
 	switch {
+	case r == nil && res.Refusal != "":
+		p.bindings.markRefused(res.Task, w, res.Run)
 	case r == nil:
 	case res.Refusal == "":
+		p.confirmStart(r)
 		if r.phase == starting {
 			r.phase, r.startedAt = running, now
 		}
 	case r.phase != running:
 		p.addEvent(Event{Kind: EventDropped, Agent: w.agent, Task: res.Task, Run: res.Run, Refusal: res.Refusal})
+		p.confirmStart(r)
 		p.dropRun(r)
+		p.bindings.markRefused(res.Task, w, res.Run)
 		switch res.Refusal {
 		case cfcore.ExecutorNoTicket:
 			r.task.forgetTicket(w)
@@ -145,6 +156,7 @@
 // start.
 func (p *Planner) dropRun(r *run) {
 	p.changed = true
+	p.bindLost(r)
 	r.w.removeRun(r)
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
@@ -164,7 +176,7 @@
 	if !w.hasListed {
 		w.tailsUnchecked = true
 	}
-	w.hasListed, w.hasMoreEnds, w.listedAt = true, l.MoreEnds, now
+	w.hasListed, w.hasMoreEnds, w.listedAt, w.listedEnds = true, l.MoreEnds, now, len(l.Ended)
 	// A row that is left out can name a run of an inherited task.
 	if p.expectedAgents[w.agent] && !l.MayLackRuns() {
 		delete(p.expectedAgents, w.agent)
@@ -206,6 +218,7 @@
 		p.markStarted(now, t.j)
 		p.addRunEvent(EventAdopted, r, now)
 	}
+	p.confirmStart(r)
 	if r.phase == starting {
 		r.phase = running
 	}
@@ -367,6 +380,11 @@
 func (p *Planner) expireRuns(now time.Time, w *worker) {
 	clear(w.unsettled.running)
 	for r := range w.runs {
+		if r.task.step.LongRunning {
+			// A long-running task must not be away for long, and the agent has possibly never
+			// received the order.
+			r.awaitsResult = false
+		}
 		p.expireRun(now, r)
 	}
 }
@@ -404,40 +422,72 @@
 // until confirmed is after expectedUntil for the run lists of the agents that were passed to
 // New. After that, ExpireLeases also returns, once, those agents that have not reported.
 func (p *Planner) ExpireLeases(now, confirmed time.Time) []GoneAgent {
-	gone := p.gone
-	p.gone = nil
 	if now.Sub(p.lastExpiryScan) < scanInterval {
-		return gone
+		return nil
 	}
+	var gone []GoneAgent
 	p.lastExpiryScan = now
+	p.expireBindings(now, confirmed)
 	for _, w := range slices.Clone(p.fleet) {
-		lastContact := w.answeredAt
-		if w.reportedAt.After(lastContact) {
-			lastContact = w.reportedAt
+		if w.isGone && !p.mayExecuteStarts(w) {
+			w.isGone = false
+			gone = append(gone, GoneAgent{Agent: w.agent, HasLeft: true})
 		}
-		if confirmed.Sub(lastContact) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
+		if confirmed.Sub(w.lastContact()) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
 			continue
 		}
 		p.expireRuns(now, w)
-		p.removeWorker(w)
 		delete(p.expectedAgents, w.agent)
 		p.changed = true
+		if p.mayExecuteStarts(w) {
+			w.hasListed = false
+			continue
+		}
+		p.removeWorker(w)
 		gone = append(gone, GoneAgent{Agent: w.agent})
 	}
 	if len(p.expectedAgents) > 0 && confirmed.After(p.expectedUntil) {
-		for a := range p.expectedAgents {
-			w := p.workers[a]
-			if w != nil && (!w.hasListed || w.hasMoreEnds) {
-				// The agent has extended leases with this planner's permission, or the worker will
-				// list more ends, possibly of tasks that are done.
-				continue
-			}
-			if w == nil {
-				gone = append(gone, GoneAgent{Agent: a})
-			}
-			delete(p.expectedAgents, a)
-			p.changed = true
+		p.giveUpExpectedAgents()
+	}
+	return append(gone, p.takeSilentAgents()...)
+}
+
+// giveUpExpectedAgents ends the wait for agents that have not reported.
+func (p *Planner) giveUpExpectedAgents() {
+	for a := range p.expectedAgents {
+		w := p.workers[a]
+		if w != nil && (!w.hasListed || w.hasMoreEnds) {
+			// The agent has extended leases with this planner's permission, or the worker will
+			// list more ends, possibly of tasks that are done.
+			continue
+		}
+		if w == nil {
+			p.silentAgents[a] = true
+		}
+		delete(p.expectedAgents, a)
+		p.changed = true
+	}
+}
+
+// takeSilentAgents returns the agents that have not reported and whose workers can execute no starts of
+// earlier planners any more.
+func (p *Planner) takeSilentAgents() []GoneAgent {
+	var gone []GoneAgent
+	for a := range p.silentAgents {
+		if _, ok := p.bindings.unknown[a]; ok && p.workers[a] == nil {
+			continue
+		}
+		delete(p.silentAgents, a)
+		if p.workers[a] == nil {
+			gone = append(gone, GoneAgent{Agent: a})
 		}
 	}
 	return gone
 }
+
+// mayExecuteStarts reports whether a worker, or its next incarnation under the same ID, can still execute
+// starts that got no answer. Its agent then stays on record, so that later planners learn of them.
+func (p *Planner) mayExecuteStarts(w *worker) bool {
+	_, ok := p.bindings.unknown[w.agent]
+	return ok || len(w.bindings) > 0
+}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -31,8 +31,9 @@
 	// before, since only agents on record are known to later planners.
 	isRecorded bool
 	// hasLeft is set from the worker's announcement that it leaves until its next
-	// incarnation.
+	// incarnation. isGone is set if the agent is still on record after that.
 	hasLeft bool
+	isGone  bool
 	// reportedAt is when the agent's last report arrived. answeredAt is when the agent was last
 	// sent a response that lets it extend leases.
 	reportedAt time.Time
@@ -73,6 +74,16 @@
 	// unexpectedStops holds when the stop of each unexpected run was last ordered.
 	unsettled       unsettledRuns
 	unexpectedStops map[runKey]time.Time
+	// instance counts the instances of the agent. bindings are those to the worker. listedEnds is the number
+	// of ends in its last lists.
+	instance   int
+	bindings   map[runKey]*binding
+	listedEnds int
+	// isRecordedLate is set if the agent is recorded to have late starts, since lateRecordedAt.
+	isRecordedLate bool
+	lateRecordedAt time.Time
+	// withholdsStarts is set while the agent refuses all starts.
+	withholdsStarts bool
 	// refusedAt is when the worker last refused an order. The order was a start that was
 	// refused for another reason than its ticket, or a stop of a run that the worker does
 	// not have.
@@ -115,7 +126,15 @@
 // isUsable reports whether the worker may get starts now.
 func (w *worker) isUsable(now time.Time, suspectAfter time.Duration) bool {
 	return w.hasListed && w.isRecorded && !w.isUnreachable && !w.state.Draining && now.Sub(w.reportedAt) < suspectAfter &&
-		now.Sub(w.refusedAt) >= refusalBackoff
+		now.Sub(w.refusedAt) >= refusalBackoff && !w.withholdsStarts
+}
+
+// lastContact returns when the agent last reported or was last sent a response.
+func (w *worker) lastContact() time.Time {
+	if w.reportedAt.After(w.answeredAt) {
+		return w.reportedAt
+	}
+	return w.answeredAt
 }
 
 // failureStreak tracks the failures on a worker since its last successful run. Failures are
@@ -172,6 +191,7 @@
 func (p *Planner) removeWorker(w *worker) {
 	delete(p.workers, w.agent)
 	delete(p.unrecordedAgents, w.agent)
+	delete(p.ackPending, w)
 	if i, ok := slices.BinarySearchFunc(p.fleet, w.agent, byAgent); ok {
 		p.fleet = slices.Delete(p.fleet, i, i+1)
 	}
--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -22,6 +22,8 @@
 	prefixWorker   = "worker/"
 	keyPlanner     = "planner"
 	keyLearned     = "learnt"
+	// keyRecordsMark is the key of the record that says when the planner last recorded anything.
+	keyRecordsMark = "mark"
 )
 
 // Outcome says how a job ended, unless it was cancelled (see Cancellation).
@@ -192,6 +194,17 @@
 	return c.record(prefixWorker+agent, at)
 }
 
+// LateAgent returns the record of an agent whose worker can execute starts that got no answer, see
+// StoreState.HasLateStarts.
+func (c Codec) LateAgent(agent string) (cfcore.KeyedRecord, error) {
+	return c.Agent(agent, time.Unix(0, 0))
+}
+
+// RecordsMark returns a record that says when the planner last recorded anything.
+func (c Codec) RecordsMark(at time.Time) (cfcore.KeyedRecord, error) {
+	return c.record(keyRecordsMark, at)
+}
+
 // DropAgent returns a record that deletes the record of an agent.
 func (c Codec) DropAgent(agent string) cfcore.KeyedRecord {
 	return cfcore.KeyedRecord{Key: prefixWorker + agent}
--- a/pkg/cfjob/storestate.go
+++ b/pkg/cfjob/storestate.go
@@ -60,6 +60,8 @@
 	// Agents holds the agents whose workers can run tasks. It maps the name of each agent to
 	// the creation time of its record.
 	Agents map[string]time.Time
+	// MarkedAt is when a planner last recorded anything, by the clock of its entry.
+	MarkedAt time.Time
 	// Planner is the claim with the highest epoch.
 	Planner Claim
 	// Learned is the encoded data that planners have learned about tasks.
@@ -113,6 +115,13 @@
 		return Change{}, s.applyAgent(name, r.Value)
 	case keyPlanner:
 		return s.applyClaim(r.Value)
+	case keyRecordsMark:
+		var at *time.Time
+		if err := decodeInto(s.codec, &at, r.Value); err != nil || at == nil {
+			return Change{}, err
+		}
+		s.MarkedAt = *at
+		return Change{}, nil
 	case keyLearned:
 		s.Learned = r.Value
 		return Change{}, nil
@@ -251,6 +260,10 @@
 	return nil
 }
 
+// HasLateStarts reports whether the worker of a recorded agent possibly executes starts that got no
+// answer. The record of such an agent has no time.
+func (s *StoreState) HasLateStarts(agent string) bool { return s.Agents[agent].Unix() <= 0 }
+
 // applyAgent applies the record of an agent. A value that cannot be decoded counts as the
 // zero time: a new planner that does not wait for the run lists of this agent could start
 // tasks that still run there.
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -27,6 +27,13 @@
 	LongLeases time.Duration `cbor:",omitempty"`
 	// Results are the results of orders since the previous report.
 	Results []JobOrderResult `cbor:",omitempty"`
+	// Unanswered are all starts with an attempt that has got no answer and can still be executed.
+	Unanswered []JobUnansweredStart `cbor:",omitempty"`
+	// UnknownStarts is set if the worker can still execute starts of an earlier instance of the agent. It
+	// is the time after which their runs have certainly ended.
+	UnknownStarts time.Duration `cbor:",omitempty"`
+	// WithholdsStarts is set while the agent refuses all starts, see cfjobagent.
+	WithholdsStarts bool `cbor:",omitempty"`
 	// Lost is set if the worker does not respond or has left, or if the agent has just
 	// started and has not heard from the worker yet.
 	Lost *JobWorkerUnreachable `cbor:",omitempty"`
@@ -52,6 +59,17 @@
 	Refusal cfcore.ExecutorKind `cbor:",omitempty"`
 }
 
+// JobUnansweredStart is a start with an attempt that has got no answer. The worker, or its next
+// incarnation under the same ID, can still execute the attempt. For is the time after which the run has
+// certainly ended even then.
+type JobUnansweredStart struct {
+	Task cfcore.TaskName
+	Run  uint64
+	For  time.Duration
+	// IsLate is set if an attempt got no answer, or if one has been in flight for long.
+	IsLate bool `cbor:",omitempty"`
+}
+
 // JobOrders are the planner's orders to an agent.
 type JobOrders struct {
 	Epoch cfcore.Epoch
