--- a/pkg/cfdispatch/unsettled_test.go
+++ b/pkg/cfdispatch/unsettled_test.go
@@ -159,3 +159,33 @@
 	f.learnJob()
 	f.Expect(f.HasLiveRuns("j")).To(BeFalse())
 }
+
+// A worker lists ends of a job that the planner has not read yet, and then is gone. The ends of
+// these runs are known all the same.
+func TestPostponedEndsOutlastTheirWorker(t *testing.T) {
+	for name, disrupt := range map[string]func(f *fleet, w *fakeWorker){
+		"the worker remains": func(*fleet, *fakeWorker) {},
+		"the worker restarts with its ID": func(f *fleet, w *fakeWorker) {
+			w.state.Born, w.state.Clock, w.ended = f.now, 0, nil
+		},
+		"another worker replaces the worker": func(f *fleet, w *fakeWorker) {
+			w.state.ID, w.state.Born, w.state.Clock, w.ended = "w2", f.now, 0, nil
+		},
+		"the worker leaves, and another one follows": func(f *fleet, w *fakeWorker) {
+			f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &w.state, Lost: &cfwire.JobWorkerUnreachable{Left: true}})
+			w.state.ID, w.state.Born, w.state.Clock, w.ended = "w2", f.now, 0, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := takeOverUnknownJob(t)
+			f.endRuns("j", cfcore.EndDone)
+			f.now = f.now.Add(200 * time.Millisecond)
+			disrupt(f, f.workers["a"])
+			f.report()
+			f.MarkAgentRecorded("a")
+			f.learnJob()
+			f.Expect(f.runPlanner()).To(BeEmpty(), "both tasks are done")
+			f.Expect(f.outcome("j")).To(Equal(cfjob.OutcomeCompleted))
+		})
+	}
+}
