Agents: a failed call does not end the present worker

A late check-in of a former worker waits until the next call to the present one has returned. Any error of that call made the agent follow the check-in, also a 503 or a lost answer. It reported the former worker, and the planner started the tasks of the present one elsewhere at once. The present one's start time became that of a former incarnation, so that the agent ignored its check-ins.

- The check-in is followed once the present worker is gone: it answers 421, or its port refuses connections after a goodbye.
Otherwise the agent asks again, until the leases have expired.
- A worker is reported once it has answered a call itself.
Before, the answer of another one counted.
- Unanswered starts are forgotten once a worker with another ID has answered, not at its check-in.
- formerBorn is set to the start time of a worker that is known to be gone only.

TestUnansweredStartsOfAnotherIDAreForgotten let a check-in alone forget the starts. It now expects that they are kept until the other worker has answered, and forgotten then.

--- a/integration/jobs/checkin_test.go
+++ b/integration/jobs/checkin_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cranberryford/platform/standin"
 )
 
 // checkInGap is below the interval of the platform's check-ins, which is 1.5 s.
@@ -71,4 +73,33 @@
 		f.expectCompleted(wideJob, 30*time.Second)
 		f.expectNoOverlap()
 	})
+	// One failed call to the present worker then made the agent report the former one.
+	DescribeTable("does not end the runs of the present one when calls to it fail",
+		func(goodbye bool, age time.Duration) {
+			f := newFleet(3, 3)
+			f.submitWideJob("5s")
+			agent := f.heartbeatAddrs[0]
+			if goodbye {
+				req, err := http.NewRequest(http.MethodDelete, "http://"+agent.String()+"/instances/w-0", nil)
+				Expect(err).NotTo(HaveOccurred())
+				resp, err := http.DefaultClient.Do(req)
+				Expect(err).NotTo(HaveOccurred())
+				_ = resp.Body.Close()
+			}
+			f.workers[0].SetFault(func(p string) standin.OrderFault {
+				if p == "/hold" {
+					return standin.OrderFault{Fault: standin.Down}
+				}
+				return standin.OrderFault{}
+			})
+			time.Sleep(350 * time.Millisecond)
+			sendLateCheckIn(agent, "w-former", time.Now().Add(-age))
+			time.Sleep(150 * time.Millisecond)
+			f.workers[0].SetFault(nil)
+			f.expectCompleted(wideJob, 30*time.Second)
+			f.expectNoOverlap()
+		},
+		Entry("after a goodbye that was not acknowledged or of a former life", true, time.Minute),
+		Entry("and the time of day was set back", false, 10*time.Second),
+	)
 })
--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -58,7 +58,7 @@
 		return
 	}
 	switch {
-	case isUnanswered && ev.worker == c.worker.ID:
+	case isUnanswered && c.mayBePresent(ev.worker):
 		a.until = max(a.until, ev.sentAt+cfcore.MaxOrderDelay)
 		c.reportAll = true
 		c.Log.Warn().Err(ev.err).Str("Worker", ev.worker).Uint64("LastSeen", ev.lastSeen).Msg("call that acknowledged ends got no answer: the worker gets no starts until it can be executed no more")
@@ -87,9 +87,4 @@
 }
 
 // reset handles another incarnation of the worker.
-func (a *acknowledgement) reset(hasOtherID bool) {
-	a.to, a.inFlight = 0, false
-	if hasOtherID {
-		a.until = 0
-	}
-}
+func (a *acknowledgement) reset() { a.to, a.inFlight = 0, false }
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -89,14 +89,14 @@
 	isLeaving    bool
 	leavingSince time.Duration
 	hasLeft      bool
-	// hasAnswered is set once a worker has answered a call of this instance of the agent. Before,
-	// the heartbeat can be a late one of a former worker.
-	hasAnswered bool
+	// answeredID is the ID of the last worker that has answered a call of this instance of the
+	// agent; empty if none has. It can still be there when worker is another one.
+	answeredID string
 	// successor is the state in the heartbeat of another worker, if hasSuccessor is set. It can be a
-	// late one of a former worker. The next call to the present worker decides that.
+	// late one of a former worker. The calls to the present worker decide that.
 	successor    cfcore.WorkerState
 	hasSuccessor bool
-	// formerBorn is the start time of the previous incarnation.
+	// formerBorn is the start time of the last incarnation that is known to be gone.
 	formerBorn time.Time
 	// workerClock is the newest reading of the worker's clock.
 	workerClock time.Duration
@@ -219,7 +219,7 @@
 		c.handleHoldReturned(ev)
 		c.startWaiting(ctx)
 	case attemptUnanswered:
-		if ev.worker == c.worker.ID {
+		if c.mayBePresent(ev.worker) {
 			c.unanswered.addAttempt(ev.start, ev.at)
 			c.acknowledgement.unansweredAt = c.bootClock.Now()
 			c.reportAll = true
@@ -233,13 +233,12 @@
 // newer one or comes from an earlier incarnation. If the time of day was set back, a new
 // incarnation has an earlier start time than the one before. Its answers to calls show it then,
 // or its heartbeat if the one before has left or is leaving. A heartbeat with another ID, or of a
-// leaving worker's predecessor, waits for the next call to the present worker, which can show that it
-// is a late one.
+// leaving worker's predecessor, waits until calls show whether the present worker is gone.
 func (c *control) handleHeartbeat(s cfcore.WorkerState) {
 	if c.hasWorker && (s.Born.Equal(c.formerBorn) || s.Born.Before(c.worker.Born) && !c.hasLeft && !c.isLeaving) {
 		return
 	}
-	if c.hasWorker && c.hasAnswered && !c.hasLeft && (s.ID != c.worker.ID || s.Born.Before(c.worker.Born)) {
+	if c.hasWorker && c.hasAnswered() && !c.hasLeft && (s.ID != c.worker.ID || s.Born.Before(c.worker.Born)) {
 		c.successor, c.hasSuccessor, c.nextHoldAt = s, true, 0
 		return
 	}
@@ -279,13 +278,10 @@
 // the new incarnation orders for the previous one. id and clock belong to the new one.
 func (c *control) resetWorker(id string, clock time.Duration) {
 	c.fence.beginIncarnation()
-	hasOtherID := c.hasWorker && c.worker.ID != id
-	if hasOtherID {
-		c.unanswered.forget()
+	c.acknowledgement.reset()
+	if !c.hasWorker || c.hasLeft || c.hasAnswered() && c.worker.ID == id {
+		c.formerBorn = c.worker.Born
 	}
-	c.acknowledgement.reset(hasOtherID)
-	c.formerBorn = c.worker.Born
-	c.longLeasesUntil = 0
 	if c.hasWorker && c.worker.ID == id && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
 	}
@@ -311,13 +307,31 @@
 	c.nextHoldAt = 0
 }
 
+// hasAnswered reports whether the worker has answered a call of this instance of the agent. Before,
+// its heartbeat can be a late one of a former worker.
+func (c *control) hasAnswered() bool { return c.answeredID != "" && c.answeredID == c.worker.ID }
+
+// recordAnswer records that the worker has answered a call. Calls name the worker's ID, so that the
+// one that answered before is gone if it had another ID, and its orders are refused.
+func (c *control) recordAnswer() {
+	if c.answeredID != "" && !c.hasAnswered() {
+		c.unanswered.forget()
+		c.acknowledgement.until, c.longLeasesUntil = 0, 0
+	}
+	c.answeredAt, c.answeredID = c.bootClock.Now(), c.worker.ID
+}
+
+// mayBePresent reports whether the worker with the given ID can still execute orders: it is the present
+// one, or no other worker has answered since.
+func (c *control) mayBePresent(id string) bool { return id == c.worker.ID || id == c.answeredID }
+
 // markGone records that the worker with the given ID is gone. It ignores the ID of another worker.
 // If no worker has answered this instance of the agent, the heartbeat can be a late one of a former
 // worker. The present one then possibly has runs that an earlier instance started.
 func (c *control) markGone(id string) {
 	switch {
 	case !c.hasWorker || c.worker.ID != id:
-	case !c.hasAnswered:
+	case !c.hasAnswered():
 		c.Log.Info().Str("Worker", id).Msg("heartbeat ignored: its sender is gone and has answered no call")
 		c.hasWorker, c.isLeaving = false, false
 	default:
@@ -328,17 +342,22 @@
 }
 
 // settleSuccessor decides on the heartbeat of another worker once a call to the present one has
-// returned. If the present one has answered, that heartbeat was a late one of a former worker.
+// returned. If the present one has answered, that heartbeat was a late one of a former worker. A call
+// that failed for another reason than that the worker is gone decides nothing until the leases have
+// expired: the worker possibly still runs its tasks.
 func (c *control) settleSuccessor(hasAnswered bool) {
 	if !c.hasSuccessor {
 		return
 	}
-	c.hasSuccessor = false
 	if hasAnswered {
+		c.hasSuccessor = false
 		c.Log.Info().Str("Worker", c.successor.ID).Time("Born", c.successor.Born).Msg("late heartbeat of a former worker ignored")
 		return
 	}
-	c.applyHeartbeat(c.successor)
+	if _, unreachable := c.unansweredFor(); c.hasLeft || !c.hasWorker || unreachable && c.leasesExpired() {
+		c.hasSuccessor = false
+		c.applyHeartbeat(c.successor)
+	}
 }
 
 // isEnding reports whether the worker is about to shut down. One that still answers long after a
@@ -505,7 +524,7 @@
 	if c.isRequestDue() {
 		c.addGrantRequest(r, now)
 	}
-	if c.reportAll && c.hasWorker && c.hasAnswered {
+	if c.reportAll && c.hasWorker && c.hasAnswered() {
 		w := c.worker
 		r.Worker = &w
 		if c.hasLists {
--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -216,3 +216,123 @@
 		g.Expect(l.Left).To(BeFalse(), "the present worker still runs its tasks")
 	}
 }
+
+var (
+	errOtherIncarnation = cferror.New("hold", cfcore.ExecutorOtherIncarnation, "421")
+	errUnhealthy        = cferror.New("hold", cfcore.ExecutorUnhealthy, "503")
+	errRefused          = cferror.Wrap("hold", cfcore.ExecutorOutcomeUnknown, syscall.ECONNREFUSED)
+)
+
+// fail makes a call to a worker fail.
+func fail(a *control, id string, err error) {
+	a.handleHoldReturned(holdReturned{incarnation: a.fence.currentIncarnation(), worker: id, sentAt: a.bootClock.Now(), err: err})
+}
+
+// formerState is the state in a check-in of a former worker.
+func formerState(born time.Time) cfcore.WorkerState {
+	s := workerState(born)
+	s.ID = "former"
+	return s
+}
+
+// A late check-in of a former worker and one failed call to the present one made the agent report the
+// former one. The planner then started the tasks of the present one elsewhere.
+func TestFailedCallDoesNotEndThePresentWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves bool
+		born   time.Time
+		err    error
+	}{
+		"goodbye, then unhealthy":                {leaves: true, born: born.Add(-time.Minute), err: errUnhealthy},
+		"goodbye, then no answer":                {leaves: true, born: born.Add(-time.Minute), err: errUnanswered},
+		"a later start time, then unhealthy":     {born: born.Add(time.Second), err: errUnhealthy},
+		"a later start time, then no answer":     {born: born.Add(time.Second), err: errUnanswered},
+		"a later start time, then a refused one": {born: born.Add(time.Second), err: errRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, clock := answeredControl()
+			g.Expect(a.takeReport().Worker.ID).To(Equal("w"))
+			if c.leaves {
+				a.handleWorkerLeft("w")
+			}
+			a.handleHeartbeat(formerState(c.born))
+			fail(a, "w", c.err)
+			a.reportAll = true
+			g.Expect(a.takeReport().Worker.ID).To(Equal("w"))
+			g.Expect(a.nextHoldAt).To(BeNumerically("<=", a.bootClock.Now()+holdRetryDelay), "the agent asks again")
+			*clock += fakeBootClock(holdRetryDelay)
+			answer(a)
+			g.Expect(a.hasSuccessor).To(BeFalse())
+			s := workerState(born)
+			s.Sequence, s.Draining = 2, true
+			a.handleHeartbeat(s)
+			g.Expect(a.takeReport().Worker.Draining).To(BeTrue(), "its check-ins count")
+		})
+	}
+}
+
+// A new worker at the same address answers calls for the one before with 421.
+func TestNewWorkerIsFollowedOnceThePresentOneIsGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves bool
+		err    error
+	}{
+		"other incarnation":                       {err: errOtherIncarnation},
+		"goodbye, then other incarnation":         {leaves: true, err: errOtherIncarnation},
+		"goodbye, then its port refuses the call": {leaves: true, err: errRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := answeredControl()
+			if c.leaves {
+				a.handleWorkerLeft("w")
+			}
+			next := formerState(born.Add(time.Minute))
+			next.ID = "next"
+			a.handleHeartbeat(next)
+			fail(a, "w", errUnhealthy)
+			g.Expect(a.worker.ID).To(Equal("w"))
+			fail(a, "w", c.err)
+			g.Expect(a.worker.ID).To(Equal("next"))
+			a.handleHeartbeat(workerState(born))
+			g.Expect(a.worker.ID).To(Equal("next"), "a late check-in of the worker that is gone")
+			a.takeReport()
+			a.reportAll = true
+			g.Expect(a.takeReport().Worker).To(BeNil(), "it has answered no call")
+			a.handleHoldReturned(holdReturned{
+				incarnation: a.fence.currentIncarnation(), worker: "next", token: a.fence.token(a.epoch),
+				lists: cfcore.RunLists{Born: next.Born, Clock: time.Second},
+			})
+			g.Expect(a.takeReport().Worker.ID).To(Equal("next"))
+		})
+	}
+}
+
+// A worker that answers nothing until its leases have expired can come back if only its channels were
+// reset.
+func TestSilentWorkerIsReplacedOnceItsLeasesHaveExpired(t *testing.T) {
+	g := NewWithT(t)
+	a, clock := answeredControl()
+	a.unanswered.unknownUntil = 0
+	attempt := attemptUnanswered{worker: "w", start: startKey{task: cfcore.TaskName{Job: "j"}, run: 7}, at: a.bootClock.Now()}
+	a.handleEvent(t.Context(), attempt)
+	a.handleHeartbeat(formerState(born.Add(time.Second)))
+	*clock += fakeBootClock(leaseExpiry(a.cfg.Lease.Lease))
+	fail(a, "w", errUnanswered)
+	g.Expect(a.worker.ID).To(Equal("w"))
+	*clock += fakeBootClock(time.Millisecond)
+	fail(a, "w", errUnanswered)
+	g.Expect(a.worker.ID).To(Equal("former"))
+	r := a.takeReport()
+	g.Expect(r.Worker).To(BeNil(), "it has answered no call")
+	g.Expect(r.Unanswered).To(HaveLen(1), "the worker before can still execute it")
+	fail(a, "former", errOtherIncarnation)
+	g.Expect(a.takeReport().Lost).To(HaveField("Left", BeFalse()))
+	a.handleHeartbeat(workerState(born))
+	answer(a)
+	r = a.takeReport()
+	g.Expect(r.Lost).To(BeNil())
+	g.Expect(r.Worker.ID).To(Equal("w"), "the worker before is used again")
+	g.Expect(r.Unanswered).To(HaveLen(1))
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -101,12 +101,12 @@
 // current session, because only then the worker refuses all orders that are missing in the lists.
 // applyLists reports whether it has recorded the lists.
 func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) bool {
+	c.recordAnswer()
 	if !l.Born.Equal(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
 		c.resetWorker(c.worker.ID, l.Clock)
 		c.worker.Born, c.worker.Clock, c.worker.Sequence = l.Born, l.Clock, 0
 	}
-	c.answeredAt, c.hasAnswered = c.bootClock.Now(), true
 	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
 		return false
 	}
--- a/internal/cfjobagent/unanswered_test.go
+++ b/internal/cfjobagent/unanswered_test.go
@@ -66,18 +66,27 @@
 	g.Expect(r.Unanswered).To(BeEmpty())
 }
 
-// A worker with another ID refuses the orders for the previous one.
+// A worker with another ID refuses the orders for the previous one. Its heartbeat can be a late one of a
+// former worker.
 func TestUnansweredStartsOfAnotherIDAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	a, _, _ := newStartingControl()
+	answer(a)
 	attempt := attemptUnanswered{worker: "w", start: startKey{task: cfcore.TaskName{Job: "j"}, run: 7}, at: a.bootClock.Now()}
 	a.handleEvent(t.Context(), attempt)
 	g.Expect(a.takeReport().Unanswered).To(HaveLen(1))
 	s := workerState(born.Add(time.Minute))
 	s.ID = "x"
 	a.handleHeartbeat(s)
-	a.handleEvent(t.Context(), attempt)
+	g.Expect(a.takeReport().Unanswered).To(HaveLen(1), "no proof that the previous worker is gone")
+	fail(a, "w", errOtherIncarnation)
+	g.Expect(a.worker.ID).To(Equal("x"))
+	a.handleHoldReturned(holdReturned{
+		incarnation: a.fence.currentIncarnation(), worker: "x", token: a.fence.token(a.epoch), lists: cfcore.RunLists{Born: s.Born, Clock: time.Second},
+	})
 	g.Expect(a.takeReport().Unanswered).To(BeEmpty())
+	a.handleEvent(t.Context(), attempt)
+	g.Expect(a.takeReport().Unanswered).To(BeEmpty(), "the outcome of an order for the previous worker")
 }
 
 func TestRestartedAgentReportsThatStartsAreUnknown(t *testing.T) {
