Entries: no promise to the former planner of a named one

An entry that the store rejects learns from others of a newer planner. It compared the epoch of polls with the claim that it had read, so that it promised to the former planner not to claim. A former planner that the store rejects as well then kept its authority beside the newer one.

--- FAIL: TestNoPromiseToTheFormerPlannerOfANamedOne (0.00s) --- FAIL: TestNoPromiseToTheFormerPlannerOfANamedOne/poll_of_the_former_planner (0.00s) late_test.go:71: Expected <bool>: true to equal <bool>: false

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -180,7 +180,7 @@
 			c.plannerSeenAt = c.Clock.Now()
 		}
 	case pollReceived:
-		if ev.poll.Epoch >= c.stored.Planner.Epoch {
+		if ev.poll.Epoch >= c.newestClaim().Epoch {
 			c.plannerSeenAt = c.Clock.Now()
 		}
 		c.answerPoll(ev)
--- a/internal/cfjobentry/late_test.go
+++ b/internal/cfjobentry/late_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
@@ -47,6 +48,32 @@
 	}
 }
 
+// An entry that the store rejects learns of a newer planner from another entry. Its promise to the
+// former planner, which the store rejects as well, kept that one in force beside the newer one.
+func TestNoPromiseToTheFormerPlannerOfANamedOne(t *testing.T) {
+	for name, test := range map[string]struct {
+		epoch    cfcore.Epoch
+		promises bool
+	}{
+		"poll of the former planner": {epoch: 3},
+		"poll of the named planner":  {epoch: 4, promises: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, clock := newTestControl(t)
+			c.stored.Planner = cfjob.Claim{Epoch: 3, Instance: "former", Address: netip.MustParseAddrPort("127.0.0.1:8")}
+			c.peerClaim = cfjob.Claim{Epoch: 4, Address: netip.MustParseAddrPort("127.0.0.1:9")}
+			*clock += fakeBootClock(storeFreshFor)
+			seenAt := c.plannerSeenAt
+			peer := &otherEntry{g: g, opts: cfwire.Options{Codec: c.Codec, Clock: c.Clock, Self: cfwire.Peer{Role: cfwire.RolePeer, Name: "x"}}}
+			c.Clock.(*clockwork.FakeClock).Advance(time.Second)
+			c.handleEvent(t.Context(), pollReceived{conn: peer.connect(t, nil), poll: &cfwire.JobPoll{Epoch: test.epoch}})
+			g.Expect(c.noClaimBefore > 0).To(Equal(test.promises))
+			g.Expect(c.plannerSeenAt.After(seenAt)).To(Equal(test.promises))
+		})
+	}
+}
+
 // The store and another entry deliver configurations in two goroutines. The older one's event can
 // be queued after the newer one's. A planner that applies it starts tasks on workers of a service
 // to which the queue no longer leads.
--- a/internal/cfjobentry/polls.go
+++ b/internal/cfjobentry/polls.go
@@ -148,7 +148,7 @@
 // continue.
 func (c *control) answerPoll(ev pollReceived) {
 	c.recordPeerVersion(ev.conn, ev.poll.Config)
-	if ev.poll.Epoch < c.stored.Planner.Epoch {
+	if ev.poll.Epoch < c.newestClaim().Epoch {
 		return
 	}
 	promise := !c.storeWorks()
