Agents: sessions stay below those of the next instance

Each call without an answer began a session, also one whose connection was refused or reset at once. With up to 20 such calls a second and 4 sessions a second, the session ran ahead of the time of day. The agent's next instance started below it. A worker that had restarted under its ID then executed late starts after its first lists.

- An agent starts 16 sessions (4 s) ahead and stays below that lead later.
If sessions begin faster, orders are withheld until the next one can begin.
- A refused connection has delivered nothing and ends no session.

What remains: the time of day is set back between two instances, or an agent is restarted twice within 2 s while orders get no answer.

TestListsOfAnEndedSessionAreNotCurrent guards the withholding.

--- a/internal/cfjobagent/fence.go
+++ b/internal/cfjobagent/fence.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"cranberryford/pkg/cfcore"
@@ -11,10 +13,14 @@
 )
 
 const (
-	// sessionInterval is the time that one session number stands for. An agent starts with the
-	// number of the present time, which is normally higher than those of its earlier
-	// incarnations.
-	sessionInterval = 256 * time.Millisecond
+	// sessionInterval is the time that one session number stands for. An agent starts
+	// startSessionLead ahead of the number of the present time, and later stays below that lead.
+	// The number is therefore higher than those of its earlier incarnations, unless the time of
+	// day was set back or the agent was restarted twice within youngSessions intervals.
+	sessionInterval  = 256 * time.Millisecond
+	startSessionLead = 16
+	// youngSessions is how many sessions can begin while the agent is still that far ahead.
+	youngSessions = startSessionLead / 2
 	// maxSessionLead bounds how far session numbers are ahead of the present time.
 	maxSessionLead = 1 << 20
 	// orderAttempts bounds the number of attempts of one order.
@@ -24,7 +30,8 @@
 // fence issues the fencing tokens of orders. A worker can execute an unanswered order much
 // later, even after a restart with the same ID, which resets the worker's token. A new
 // session therefore begins after each unanswered order. Once the worker has answered an
-// order of the new session, it refuses the orders of all earlier ones.
+// order of the new session, it refuses the orders of all earlier ones. If sessions begin faster
+// than time passes, orders are withheld.
 type fence struct {
 	clock clockwork.Clock
 	mu    sync.Mutex
@@ -32,12 +39,19 @@
 	// handleRefusal increased it; 0 if the worker has not refused the session's orders.
 	session uint64
 	raise   uint64
+	// hasEnded is set if the session has ended and the next one cannot begin yet.
+	hasEnded bool
+	// first is the first session, which began at startedAt. It rises by the steps of handleRefusal.
+	first     uint64
+	startedAt time.Time
 	// incarnation counts the incarnations of the worker that the agent has seen.
 	incarnation uint64
 }
 
 func newFence(clock clockwork.Clock) *fence {
-	return &fence{clock: clock, session: sessionAt(clock.Now())}
+	now := clock.Now()
+	first := sessionAt(now) + startSessionLead
+	return &fence{clock: clock, session: first, first: first, startedAt: now}
 }
 
 func sessionAt(t time.Time) uint64 { return uint64(t.UnixMilli() / sessionInterval.Milliseconds()) }
@@ -54,10 +68,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if t.Session() == f.session {
-		f.session = max(f.session+1, sessionAt(f.clock.Now()))
+		f.hasEnded = true
+		f.beginSession()
 	}
 }
 
+// beginSession begins the next session if the session has ended, and reports whether orders can be
+// sent. The limit rises with a steady clock, which does not follow changes of the time of day.
+func (f *fence) beginSession() bool {
+	if !f.hasEnded {
+		return true
+	}
+	elapsed := uint64(f.clock.Since(f.startedAt) / sessionInterval)
+	if f.session >= f.first+max(elapsed-min(elapsed, 1), youngSessions) {
+		return false
+	}
+	f.session, f.hasEnded = max(f.session+1, f.first+elapsed-min(elapsed, startSessionLead)), false
+	return true
+}
+
 // currentIncarnation returns the number of the worker's incarnation.
 func (f *fence) currentIncarnation() uint64 {
 	f.mu.Lock()
@@ -70,22 +99,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.incarnation++
-	f.session = max(f.session+1, sessionAt(f.clock.Now()))
+	f.hasEnded = true
+	f.beginSession()
 }
 
 // tokenFor returns the token for an order to an incarnation. It reports false if the worker has
-// another incarnation since.
+// another incarnation since, or if the next session cannot begin yet.
 func (f *fence) tokenFor(incarnation uint64, epoch cfcore.Epoch) (cfcore.FencingToken, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return cfcore.NewFencingToken(epoch, f.session), f.incarnation == incarnation
+	canSend := f.incarnation == incarnation && f.beginSession()
+	return cfcore.NewFencingToken(epoch, f.session), canSend
 }
 
 // isCurrent reports whether t belongs to the current session.
 func (f *fence) isCurrent(t cfcore.FencingToken) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return t.Session() == f.session
+	return t.Session() == f.session && !f.hasEnded
 }
 
 // handleRefusal handles that the worker has refused t as too low. If t belongs to the current
@@ -99,7 +130,9 @@
 		return
 	}
 	f.raise = max(1, 2*f.raise)
+	before := f.session
 	f.session = max(f.session, min(f.session+f.raise, sessionAt(f.clock.Now())+maxSessionLead))
+	f.first += f.session - before
 }
 
 // handleAnswer handles that the worker has accepted t.
@@ -115,14 +148,14 @@
 // order that the worker refused because a newer session has begun meanwhile, and an order
 // that got no answer if retryUnanswered is set. It makes no attempt once the worker has
 // another incarnation than the given one. send returns the token of the last attempt and its
-// error. After an unanswered attempt, only a success or cfcore.ExecutorStale replaces that
+// error. A refused connection has delivered nothing and ends no session. After an unanswered attempt, only a success or cfcore.ExecutorStale replaces that
 // attempt's error: another refusal does not prove that the attempt had no effect.
 func (f *fence) send(worker string, incarnation uint64, epoch cfcore.Epoch, retryUnanswered bool, attempt func(cfcore.Order) error) (cfcore.FencingToken, error) {
 	var unanswered error
 	for n := 1; ; n++ {
 		token, ok := f.tokenFor(incarnation, epoch)
 		if !ok {
-			return token, cferror.New("send order", cfcore.ExecutorOutcomeUnknown, "worker %s has restarted", worker)
+			return token, cferror.New("send order", cfcore.ExecutorOutcomeUnknown, "worker %s has restarted, or too many orders got no answer", worker)
 		}
 		o := cfcore.Order{Worker: worker, Token: token}
 		err := attempt(o)
@@ -131,7 +164,9 @@
 			f.handleAnswer(o.Token)
 			return o.Token, err
 		case cferror.Is(err, cfcore.ExecutorOutcomeUnknown):
-			f.endSession(o.Token)
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				f.endSession(o.Token)
+			}
 			unanswered = err
 			if retryUnanswered && n < orderAttempts {
 				continue
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -1,6 +1,7 @@
 package cfjobagent
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,6 +117,68 @@
 	g.Expect(f.token(1).Session()).To(BeNumerically("<=", sessionAt(clock.Now())+maxSessionLead))
 }
 
+// Calls whose connections are reset fail at once. Their sessions ran ahead of the time, and the next
+// incarnation of the agent started below them: a worker that had restarted then executed late starts.
+func TestSessionsStayBelowThoseOfTheNextIncarnationOfTheAgent(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	f := newFence(clock)
+	clock.Advance((startSessionLead + 1) * sessionInterval)
+	reset := cferror.Wrap("hold", cfcore.ExecutorOutcomeUnknown, syscall.ECONNRESET)
+	var attempts int
+	send := func(result error) error {
+		_, err := f.send("w", 0, 1, false, func(o cfcore.Order) error {
+			attempts++
+			g.Expect(newFence(clock).token(1)).To(BeNumerically(">", o.Token))
+			return result
+		})
+		return err
+	}
+	for range 300 {
+		before, sent := f.token(1), attempts
+		g.Expect(send(reset)).To(HaveOccurred())
+		if attempts > sent {
+			g.Expect(f.hasEnded || f.token(1) > before).To(BeTrue(), "a call without an answer ends its session")
+		}
+		clock.Advance(failedHoldRetryDelay)
+	}
+	g.Expect(attempts).To(BeNumerically(">", 10), "calls go on")
+	clock.Advance(sessionInterval)
+	g.Expect(send(nil)).To(Succeed())
+}
+
+// Otherwise late orders of the ended session would be executed after the answer.
+func TestListsOfAnEndedSessionAreNotCurrent(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	f := newFence(clock)
+	for range 2 * startSessionLead {
+		f.endSession(f.token(1))
+	}
+	g.Expect(f.hasEnded).To(BeTrue())
+	g.Expect(f.isCurrent(f.token(1))).To(BeFalse())
+	token, ok := f.tokenFor(0, 1)
+	g.Expect(ok).To(BeFalse(), "no order before the next session")
+	clock.Advance(startSessionLead * sessionInterval)
+	next, ok := f.tokenFor(0, 1)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(next).To(BeNumerically(">", token))
+	g.Expect(f.isCurrent(next)).To(BeTrue())
+}
+
+func TestRefusedConnectionEndsNoSession(t *testing.T) {
+	g := NewWithT(t)
+	f := newFence(clockwork.NewFakeClock())
+	before := f.token(1)
+	for range 100 {
+		_, err := f.send("w", 0, 1, false, func(cfcore.Order) error { return errRefused })
+		g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	}
+	g.Expect(f.token(1)).To(Equal(before))
+	_, err := f.send("w", 0, 1, false, func(cfcore.Order) error { return nil })
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // After a failed call the worker has possibly restarted with the same ID. Its ends are then
 // numbered anew. Soon after an unanswered call, and long after an answered one, the next one possibly
 // gets no answer either.
