Agents: count long leases after a late check-in of a former life

The first check-in of a restarted agent can be a late one of the worker's former life with the same ID. Calls then extended leases by the clock of that life, and the worker granted 10 s. The agent counted long leases only for a life younger than 25 s. It now also does if the life's clock is behind the one that calls used.

What remains: an agent that is lost between such a call and its report.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -132,9 +132,8 @@
 	workerClockAt time.Duration
 	// leaseFrom is the workerClockAt from which leases were last extended.
 	leaseFrom time.Duration
-	// longLeasesUntil is set when the worker has just restarted with the same ID. Until then,
-	// leases can last longer than Lease.Lease: late calls for the earlier incarnation extend them
-	// by its clock.
+	// longLeasesUntil is set when the worker has restarted with the same ID, see
+	// mayHaveLongLeases. Until then, leases can last longer than Lease.Lease.
 	longLeasesUntil time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
@@ -282,7 +281,7 @@
 	if !c.hasWorker || c.hasLeft || c.hasAnswered() && c.worker.ID == id {
 		c.formerBorn = c.worker.Born
 	}
-	if c.hasWorker && c.worker.ID == id && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+	if c.mayHaveLongLeases(id, clock) {
 		c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
 	}
 	c.workerClock, c.lists, c.hasLists, c.lastRecorded, c.lastListed = 0, cfcore.RunLists{}, false, 0, 0
@@ -307,6 +306,13 @@
 	c.nextHoldAt = 0
 }
 
+// mayHaveLongLeases reports whether calls with a time on the clock of an earlier incarnation possibly
+// extend the leases of the one that id and clock belong to: late calls for an earlier one with the same
+// ID, or calls that were sent before the agent learned of this one.
+func (c *control) mayHaveLongLeases(id string, clock time.Duration) bool {
+	return c.hasWorker && c.worker.ID == id && (clock < cfcore.MaxOrderDelay+cfcore.MaxLease || clock < c.workerClock)
+}
+
 // hasAnswered reports whether the worker has answered a call of this instance of the agent. Before,
 // its heartbeat can be a late one of a former worker.
 func (c *control) hasAnswered() bool { return c.answeredID != "" && c.answeredID == c.worker.ID }
--- a/internal/cfjobagent/restart_test.go
+++ b/internal/cfjobagent/restart_test.go
@@ -170,3 +170,31 @@
 		})
 	}
 }
+
+// The first check-in that a restarted agent gets can be a late one of the worker's former life with the
+// same ID. Calls then extend leases by the clock of that life, which is ahead.
+func TestLeasesExtendedByTheClockOfAFormerLifeExpireLater(t *testing.T) {
+	for name, learn := range map[string]func(a *control, lists cfcore.RunLists, until time.Duration){
+		"an answer shows it": func(a *control, lists cfcore.RunLists, until time.Duration) {
+			a.handleHoldReturned(holdReturned{
+				incarnation: a.fence.currentIncarnation(), worker: "w", token: a.fence.token(a.epoch), until: until, lists: lists,
+			})
+		},
+		"a check-in shows it": func(a *control, _ cfcore.RunLists, _ time.Duration) { a.handleHeartbeat(workerState(born)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := newTestControl()
+			clock := fakeBootClock(time.Hour)
+			a.bootClock, a.grantedAt, a.answeredAt, a.leaseFrom, a.startedAt = &clock, time.Hour, time.Hour, time.Hour, time.Hour
+			former := workerState(born.Add(-time.Hour))
+			former.Clock = time.Hour
+			a.handleHeartbeat(former)
+			until := a.leaseUntil()
+			g.Expect(until).To(Equal(time.Hour + a.cfg.Lease.Lease))
+			learn(a, cfcore.RunLists{Born: born, Clock: time.Minute}, until)
+			g.Expect(a.worker.Born).To(Equal(born))
+			g.Expect(a.takeReport().LongLeases).To(Equal(leaseExpiry(cfcore.MaxLease)))
+		})
+	}
+}
