Agents: a start before the first answer does not stay in flight

Since the check-in of another worker forgets no starts, the outcome of a start to the worker before was ignored if no worker had answered the agent yet. The start then counted as unanswered for good.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -333,7 +333,9 @@
 
 // mayBePresent reports whether the worker with the given ID can still execute orders: it is the present
 // one, or no other worker has answered since.
-func (c *control) mayBePresent(id string) bool { return id == c.worker.ID || id == c.answeredID }
+func (c *control) mayBePresent(id string) bool {
+	return id == c.worker.ID || id == c.answeredID || c.answeredID == ""
+}
 
 // markGone records that the worker with the given ID is gone. It ignores the ID of another worker.
 // If no worker has answered this instance of the agent, the heartbeat can be a late one of a former
@@ -364,7 +366,7 @@
 		c.Log.Info().Str("Worker", c.successor.ID).Time("Born", c.successor.Born).Msg("late heartbeat of a former worker ignored")
 		return
 	}
-	if _, unreachable := c.unansweredFor(); c.hasLeft || !c.hasWorker || unreachable && c.leasesExpired() {
+	if _, unreachable := c.unansweredFor(); c.hasLeft || unreachable && c.leasesExpired() {
 		c.hasSuccessor = false
 		c.applyHeartbeat(c.successor)
 	}
--- a/internal/cfjobagent/unanswered_test.go
+++ b/internal/cfjobagent/unanswered_test.go
@@ -89,6 +89,30 @@
 	g.Expect(a.takeReport().Unanswered).To(BeEmpty(), "the outcome of an order for the previous worker")
 }
 
+// No worker has answered this instance of the agent, so that the one which the start was for can be the
+// present one. Its start must not stay in flight for good either.
+func TestStartsBeforeTheFirstAnswerAreListedUntilTheyExpire(t *testing.T) {
+	g := NewWithT(t)
+	a, _, clock := newStartingControl()
+	key := startKey{task: cfcore.TaskName{Job: "j"}, run: 7}
+	a.unanswered.begin(key, a.bootClock.Now())
+	x := workerState(born.Add(time.Minute))
+	x.ID = "x"
+	a.handleHeartbeat(x)
+	a.handleEvent(t.Context(), attemptUnanswered{worker: "w", start: key, at: a.bootClock.Now()})
+	a.handleOrderReturned(t.Context(), orderReturned{key: orderKey{task: key.task, run: 7, born: born}, worker: "w", err: errUnanswered})
+	answered := func() *cfwire.JobReport {
+		a.handleHoldReturned(holdReturned{
+			worker: "x", incarnation: a.fence.currentIncarnation(), token: a.fence.token(a.epoch), sentAt: a.bootClock.Now(),
+			lists: cfcore.RunLists{Born: x.Born, Clock: time.Duration(*clock)},
+		})
+		return a.takeReport()
+	}
+	g.Expect(answered().Unanswered).To(HaveLen(1))
+	*clock += fakeBootClock(cfcore.MaxOrderDelay)
+	g.Expect(answered().Unanswered).To(BeEmpty())
+}
+
 func TestRestartedAgentReportsThatStartsAreUnknown(t *testing.T) {
 	g := NewWithT(t)
 	a, _, clock := newStartingControl()
