Revert "Agents: a restarted agent counts long leases of a young worker"

An agent cannot tell a restart from its first start, so that tasks of a worker that is lost in its first seconds started again later than the spec "the planner restarts long-running tasks on another worker when their worker is gone but its agent runs" permits (8 s).

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -132,7 +132,7 @@
 	workerClockAt time.Duration
 	// leaseFrom is the workerClockAt from which leases were last extended.
 	leaseFrom time.Duration
-	// longLeasesUntil is set when the worker has possibly restarted with the same ID, see
+	// longLeasesUntil is set when the worker has restarted with the same ID, see
 	// mayHaveLongLeases. Until then, leases can last longer than Lease.Lease.
 	longLeasesUntil time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
@@ -308,13 +308,9 @@
 
 // mayHaveLongLeases reports whether calls with a time on the clock of an earlier incarnation possibly
 // extend the leases of the one that id and clock belong to: late calls for an earlier one with the same
-// ID, possibly of an earlier instance of the agent, or calls that were sent before the agent learned of
-// this one.
+// ID, or calls that were sent before the agent learned of this one.
 func (c *control) mayHaveLongLeases(id string, clock time.Duration) bool {
-	const lateCalls = cfcore.MaxOrderDelay + cfcore.MaxLease
-	hasFormer := c.hasWorker && c.worker.ID == id
-	isNew := c.answeredID == "" && c.bootClock.Now()-c.startedAt < lateCalls
-	return (hasFormer || isNew) && clock < lateCalls || hasFormer && clock < c.workerClock
+	return c.hasWorker && c.worker.ID == id && (clock < cfcore.MaxOrderDelay+cfcore.MaxLease || clock < c.workerClock)
 }
 
 // hasAnswered reports whether the worker has answered a call of this instance of the agent. Before,
--- a/internal/cfjobagent/restart_test.go
+++ b/internal/cfjobagent/restart_test.go
@@ -146,22 +146,17 @@
 		id     string
 		clock  time.Duration
 		expiry time.Duration
-		// age is how long the agent has run.
-		age time.Duration
 	}{
-		"restarted with the same ID":                   {known: true, id: "w", clock: time.Second, expiry: 10600 * time.Millisecond, age: time.Hour},
-		"another worker":                               {known: true, id: "x", clock: time.Second, expiry: 5400 * time.Millisecond, age: time.Hour},
-		"not known before":                             {id: "w", clock: time.Second, expiry: 5400 * time.Millisecond, age: time.Hour},
-		"restarted, and found out after a long outage": {known: true, id: "w", clock: time.Minute, expiry: 5400 * time.Millisecond, age: time.Hour},
-		"not known to a restarted agent":               {id: "w", clock: time.Second, expiry: 10600 * time.Millisecond},
-		"after the check-in of a former worker":        {known: true, id: "x", clock: time.Second, expiry: 10600 * time.Millisecond},
-		"not known to a restarted agent, and old":      {id: "w", clock: time.Minute, expiry: 5400 * time.Millisecond},
+		"restarted with the same ID":                   {known: true, id: "w", clock: time.Second, expiry: 10600 * time.Millisecond},
+		"another worker":                               {known: true, id: "x", clock: time.Second, expiry: 5400 * time.Millisecond},
+		"not known before":                             {id: "w", clock: time.Second, expiry: 5400 * time.Millisecond},
+		"restarted, and found out after a long outage": {known: true, id: "w", clock: time.Minute, expiry: 5400 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			a, _ := newTestControl()
 			clock := fakeBootClock(time.Hour)
-			a.bootClock, a.startedAt = &clock, time.Hour-c.age
+			a.bootClock = &clock
 			if c.known {
 				a.handleHeartbeat(workerState(born))
 			}
