Planner: count long leases of a worker that returns after its removal

A worker that was lost is removed once its leases have expired. If it returned under the same ID, it counted as another worker: the planner didn't count the leases of 10 s that a late call for the former life leaves on it. The planner now remembers the ID of the removed worker.

What remains: the agent's worker is new to the planner as well, since another planner removed it.

Before, with the new cases:

--- FAIL: TestLeasesOfARestartedWorkerExpireLater (0.00s) the_worker_was_removed,_the_agent_reports_that_leases_expired incarnation_test.go:116: after 200ms Expected ["j.0@b"] to be empty the_worker_was_removed,_the_agent_is_silent incarnation_test.go:116: after 7.6s Expected ["j.0@b"] to be empty

--- a/pkg/cfdispatch/incarnation_test.go
+++ b/pkg/cfdispatch/incarnation_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -77,17 +78,29 @@
 // Before the agent learns of a restart with the same ID, it extends leases by the clock of
 // the previous incarnation. The worker limits them to cfcore.MaxLease.
 func TestLeasesOfARestartedWorkerExpireLater(t *testing.T) {
-	for name, lost := range map[string]*cfwire.JobWorkerUnreachable{
-		"the agent is silent":                   nil,
-		"the agent reports that leases expired": {LeasesExpired: true},
+	for name, c := range map[string]struct {
+		lost *cfwire.JobWorkerUnreachable
+		// removed is set if the planner has removed the worker before it restarts.
+		removed bool
+	}{
+		"the agent is silent":                                           {},
+		"the agent reports that leases expired":                         {lost: &cfwire.JobWorkerUnreachable{LeasesExpired: true}},
+		"the worker was removed, the agent is silent":                   {removed: true},
+		"the worker was removed, the agent reports that leases expired": {removed: true, lost: &cfwire.JobWorkerUnreachable{LeasesExpired: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, newPlanner(), "a", "b")
-			a := f.workers["a"]
+			a, lost := f.workers["a"], c.lost
 			f.now = f.now.Add(time.Second)
+			if c.removed {
+				f.now = f.now.Add(settings.LeaseExpiryTime())
+				f.report("b")
+				f.Expect(f.ExpireLeases(f.now, f.now)).To(ConsistOf(cfdispatch.GoneAgent{Agent: "a"}))
+			}
 			a.state.Born, a.state.Clock = f.now, 0
 			f.workers["b"].state.Draining = true
 			f.report()
+			f.MarkAgentRecorded("a")
 			f.add("j", newStep(1, 100))
 			f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
 			f.workers["b"].state.Draining = false
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -203,6 +203,8 @@
 	// lastReports holds, by agent, the sequence number of the newest applied report. It outlasts
 	// the worker, which is removed once its leases have expired.
 	lastReports map[string]uint64
+	// removedIDs holds, by agent, the ID of the worker that was removed last, which can return.
+	removedIDs map[string]string
 	// runCount is the number of run numbers assigned so far.
 	runCount uint64
 	// copyCount is the number of second runs started so far.
@@ -269,7 +271,7 @@
 // answer (see bindings).
 func New(cfg Settings, agents []string, expectedUntil time.Time) *Planner {
 	p := &Planner{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, expectedAgents: map[string]bool{}, silentAgents: map[string]bool{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, removedIDs: map[string]string{}, expectedAgents: map[string]bool{}, silentAgents: map[string]bool{},
 		expectedUntil: expectedUntil, unrecordedJobs: map[string]*job{}, durationRatios: queueRatios{}, headroomModel: cfinterference.NewHeadroomModel(), orders: map[string]*Orders{},
 		open: map[string]*job{}, ackPending: map[*worker]bool{}, unrecordedAgents: map[string]bool{}, noFit: map[placementKey][]cfcore.Resources{}, changed: true,
 	}
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -190,6 +190,7 @@
 
 func (p *Planner) removeWorker(w *worker) {
 	delete(p.workers, w.agent)
+	p.removedIDs[w.agent] = w.state.ID
 	delete(p.unrecordedAgents, w.agent)
 	delete(p.ackPending, w)
 	if i, ok := slices.BinarySearchFunc(p.fleet, w.agent, byAgent); ok {
