Agents: check-ins of a worker that was taken for gone count

The start time of a worker that registers again counted as that of a former incarnation.

--- FAIL: TestCheckInsOfAWorkerThatWasTakenForGoneCount (0.00s) late_test.go:354: Expected <bool>: false to be true

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -253,6 +253,9 @@
 	if !sameIncarnation {
 		c.Log.Info().Str("Worker", s.ID).Time("Born", s.Born).Str("Service", s.Service).Msg("worker registered")
 		c.resetWorker(s.ID, s.Clock)
+		if c.formerBorn.Equal(s.Born) {
+			c.formerBorn = time.Time{}
+		}
 	}
 	if sameIncarnation && s.Draining != c.worker.Draining {
 		c.Log.Info().Str("Worker", s.ID).Bool("Draining", s.Draining).Dur("Remaining", s.Remaining).Msg("worker has started or stopped draining")
--- a/internal/cfjobagent/fence.go
+++ b/internal/cfjobagent/fence.go
@@ -147,9 +147,10 @@
 // send calls attempt with the fields of an order, up to orderAttempts times. It repeats an
 // order that the worker refused because a newer session has begun meanwhile, and an order
 // that got no answer if retryUnanswered is set. It makes no attempt once the worker has
-// another incarnation than the given one. send returns the token of the last attempt and its
-// error. A refused connection has delivered nothing and ends no session. After an unanswered attempt, only a success or cfcore.ExecutorStale replaces that
-// attempt's error: another refusal does not prove that the attempt had no effect.
+// another incarnation than the given one, or before the next session can begin. send returns the token of the last attempt and its
+// error. A refused connection has delivered nothing and ends no session. After an unanswered
+// attempt, only a success or cfcore.ExecutorStale replaces that attempt's error: another refusal
+// does not prove that the attempt had no effect.
 func (f *fence) send(worker string, incarnation uint64, epoch cfcore.Epoch, retryUnanswered bool, attempt func(cfcore.Order) error) (cfcore.FencingToken, error) {
 	var unanswered error
 	for n := 1; ; n++ {
--- a/internal/cfjobagent/late_test.go
+++ b/internal/cfjobagent/late_test.go
@@ -336,3 +336,20 @@
 	g.Expect(r.Worker.ID).To(Equal("w"), "the worker before is used again")
 	g.Expect(r.Unanswered).To(HaveLen(1))
 }
+
+// A late goodbye, or a port that refuses connections for a moment, made the agent ignore its worker's later
+// check-ins: its start time counted as that of a former incarnation.
+func TestCheckInsOfAWorkerThatWasTakenForGoneCount(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := newTestControl()
+	s := workerState(born)
+	a.handleHeartbeat(s)
+	a.handleWorkerLeft("w")
+	fail(a, "w", errRefused)
+	g.Expect(a.hasWorker).To(BeFalse())
+	s.Sequence++
+	a.handleHeartbeat(s)
+	s.Sequence, s.Draining = s.Sequence+1, true
+	a.handleHeartbeat(s)
+	g.Expect(a.worker.Draining).To(BeTrue())
+}
