--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -232,7 +232,7 @@
 			AddReportEntry(filepath.Base(name), string(data))
 		}
 		// A spec can fail before it has checked for conflicts.
-		AddReportEntry("conflicts", strings.Join(standin.RunConflicts(f.runs()), "\n"))
+		AddReportEntry("conflicts", strings.Join(f.conflicts(), "\n"))
 	}
 	for _, p := range append(f.entries, f.agents...) {
 		p.signal(syscall.SIGCONT)
@@ -374,7 +374,16 @@
 // after a run that was acknowledged as done.
 func (f *fleet) expectNoOverlap() {
 	GinkgoHelper()
-	Expect(standin.RunConflicts(f.runs())).To(BeEmpty())
+	Expect(f.conflicts()).To(BeEmpty())
+}
+
+// conflicts describes the conflicts between the runs of all workers.
+func (f *fleet) conflicts() []string {
+	var out []string
+	for _, c := range standin.Conflicts(f.runs()) {
+		out = append(out, c.String())
+	}
+	return out
 }
 
 // expiredRuns returns the number of runs that ended because their lease expired.
