--- a/integration/jobs/cut_test.go
+++ b/integration/jobs/cut_test.go
@@ -11,7 +11,7 @@
 	"cranberryford/platform/standin"
 )
 
-func agentIP(agent int) netip.Addr { return netip.AddrFrom4([4]byte{127, 60, 0, byte(100 + agent)}) }
+func agentIP(agent int) netip.Addr { return localAddr(100 + agent) }
 
 // cutLinks cuts or restores the links from an address to the given entries.
 func (f *fleet) cutLinks(from netip.Addr, cut bool, entries ...int) {
--- a/integration/jobs/fleet_test.go
+++ b/integration/jobs/fleet_test.go
@@ -103,11 +103,17 @@
 	proxies *proxies
 }
 
+// localAddr returns an address of this process's own network, so that the fleets of several test
+// processes do not take each other's ports.
+func localAddr(lastByte int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 60, byte(os.Getpid()), byte(lastByte)})
+}
+
 // freeAddr returns an address with a free port. Within a fleet, it returns each port at most
 // once. The parameter is the last byte of the address.
 func (f *fleet) freeAddr(lastByte int) netip.AddrPort {
 	for {
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 60, 0, byte(lastByte)}), uint16(firstPort+f.portOffset))
+		a := netip.AddrPortFrom(localAddr(lastByte), uint16(firstPort+f.portOffset))
 		f.portOffset++
 		l, err := net.Listen("tcp", a.String())
 		if err == nil {
@@ -226,15 +232,16 @@
 // the conflicts between runs to the report.
 func (f *fleet) close() {
 	if CurrentSpecReport().Failed() {
-		files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
-		for _, name := range files {
-			data, _ := os.ReadFile(name)
-			AddReportEntry(filepath.Base(name), string(data))
-		}
+		f.reportLogs()
 		// A spec can fail before it has checked for conflicts.
 		AddReportEntry("conflicts", strings.Join(f.conflicts(), "\n"))
 	}
-	for _, p := range append(f.entries, f.agents...) {
+	var exited []string
+	for _, p := range append(slices.Clone(f.entries), f.agents...) {
+		if code := p.session.ExitCode(); code >= 0 {
+			exited = append(exited, fmt.Sprintf("%s: %d", filepath.Base(p.settingsFile), code))
+			continue
+		}
 		p.signal(syscall.SIGCONT)
 		p.kill()
 	}
@@ -244,6 +251,7 @@
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
+	Expect(exited).To(BeEmpty(), "processes that have exited by themselves, with their exit codes")
 }
 
 var client = &http.Client{Timeout: 4 * time.Second}
@@ -429,7 +437,7 @@
 				Message string `json:"message"`
 				Epoch   int
 			}
-			if json.Unmarshal([]byte(line), &l) == nil && l.Message == "this entry is the planner" {
+			if strings.Contains(line, "this entry is the planner") && json.Unmarshal([]byte(line), &l) == nil && l.Message == "this entry is the planner" {
 				if e := fmt.Sprintf("%06d", l.Epoch); e > maxEpoch {
 					planner, maxEpoch = i, e
 				}
