Job tests: an agent that freezes around a worker's restart

What: two directed specs. In one, the agent freezes before its unanswered starts time out and repeats them once it continues; in the other, it freezes before it notices that the worker has restarted.

--- a/integration/jobs/late_test.go
+++ b/integration/jobs/late_test.go
@@ -99,6 +99,36 @@
 	}
 }
 
+// repeatAfterFreeze leaves starts unanswered and does not execute them. The agent freezes before its calls
+// time out, and the worker restarts with the same ID. The tasks have ended elsewhere when the agent
+// continues.
+func repeatAfterFreeze(f *fleet) {
+	f.workers[0].SetFault(func(path string) standin.OrderFault {
+		if path == "/run-start" {
+			return standin.OrderFault{Fault: standin.Silent}
+		}
+		return standin.OrderFault{}
+	})
+	time.Sleep(300 * time.Millisecond)
+	freeze(f.agents[0])
+	f.workers[0].SetFault(nil)
+	f.workers[0].Restart()
+	time.Sleep(10 * time.Second)
+	thaw(f.agents[0])
+	time.Sleep(2 * time.Second)
+}
+
+// startBeforeNotice restarts the worker, whose next incarnation executes starts that its agent sends before
+// it notices the restart. The agent freezes then, and returns before the longest possible lease expires.
+func startBeforeNotice(f *fleet) {
+	f.workers[0].Restart()
+	time.Sleep(30 * time.Millisecond)
+	freeze(f.agents[0])
+	time.Sleep(9600 * time.Millisecond)
+	thaw(f.agents[0])
+	time.Sleep(2 * time.Second)
+}
+
 func noFault(*process) {}
 
 var _ = DescribeTable("accepted jobs are completed once although a worker executes orders late, when",
@@ -125,6 +155,8 @@
 	Entry("the worker restarts with the same ID and its agent restarts", startAfterAbsence(kill, restart, 500*time.Millisecond)),
 	Entry("the worker restarts with the same ID and its agent is down for 8 s", startAfterAbsence(kill, restart, 8*time.Second)),
 	Entry("the worker restarts with the same ID and its agent freezes for 8 s", startAfterAbsence(freeze, thaw, 8*time.Second)),
+	Entry("the worker restarts with the same ID and its agent freezes before it repeats starts", repeatAfterFreeze),
+	Entry("the worker restarts with the same ID and its agent freezes before it notices the restart", startBeforeNotice),
 	Entry("the worker is down for 7 s and returns with the same ID", func(f *fleet) {
 		f.delayOrders("/run-start", 1, 9*time.Second, 12*time.Second, 300*time.Millisecond)
 		f.workers[0].Crash()
