--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -30,10 +30,11 @@
 
 // modelCall is an order whose last attempt was not answered.
 type modelCall struct {
-	key     modelOrderKey
-	token   cfcore.FencingToken
-	until   time.Duration
-	attempt int
+	key         modelOrderKey
+	incarnation int
+	token       cfcore.FencingToken
+	until       time.Duration
+	attempt     int
 	// sentAt is when the last attempt was sent. dueAt is when the agent gives up waiting for an answer.
 	sentAt, dueAt time.Time
 }
@@ -56,6 +57,7 @@
 	m      *model
 	name   string
 	worker *modelWorker
+	modelIncarnations
 
 	// session is the number of the agent's session, see internal/cfjobagent.
 	epoch     cfcore.Epoch
@@ -120,6 +122,9 @@
 // carried out late.
 func (a *modelAgent) answers(kind string, late bool, call func()) bool {
 	l := a.m.links[a.name]
+	if a.worker.isDown() {
+		return false
+	}
 	if !a.m.now.Before(l.disturbedUntil) {
 		return true
 	}
@@ -181,11 +186,7 @@
 // advance handles a heartbeat, orders without an answer and the regular call for the run
 // lists.
 func (a *modelAgent) advance() {
-	if !a.m.now.Before(a.m.links[a.name].disturbedUntil) && !a.m.now.Before(a.checkInAt) {
-		a.hasWorker = true
-		a.observeBorn(a.worker.born)
-		a.recordClock(a.worker.clock())
-	}
+	a.getCheckIn()
 	a.applyLateAnswers()
 	calls := a.calls
 	a.calls = nil
@@ -193,7 +194,7 @@
 		switch {
 		case a.m.now.Before(c.dueAt):
 			a.calls = append(a.calls, c)
-		case c.key.stop || c.attempt >= startAttempts || !c.key.born.Equal(a.born):
+		case c.key.stop || c.attempt >= startAttempts || c.incarnation != a.incarnation:
 			a.endSession(c.token)
 			a.addCopy(c)
 			a.handleOrder(c.key, c.token, cfcore.ExecutorOutcomeUnknown)
@@ -213,18 +214,19 @@
 	} else if a.mayAcknowledge() {
 		lastSeen = a.lastRecorded
 	}
-	token, until, w, born := a.token(), a.leaseUntil(), a.worker, a.born
+	token, until, w, born, incarnation := a.token(), a.leaseUntil(), a.worker, a.born, a.incarnation
 	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(born, token, until, lastSeen) })
 	if a.holdFailed {
 		a.holdDueAt, a.holdToken = a.m.now.Add(orderTimeout), token
 		a.markUnanswered(lastSeen)
+		a.handleHoldFailure()
 		return
 	}
 	l, refusal := w.hold(born, token, until, lastSeen)
 	sentAt := a.m.now
 	a.holdInFlight, a.ackInFlight = true, lastSeen > 0
 	a.answer(func() {
-		if !born.Equal(a.born) {
+		if incarnation != a.incarnation {
 			return
 		}
 		a.holdInFlight, a.ackInFlight = false, false
@@ -233,6 +235,7 @@
 			a.leaveWorker(born)
 		}
 		if refusal != "" {
+			a.handleHoldFailure()
 			return
 		}
 		if l.Born.Equal(a.born) {
@@ -241,6 +244,7 @@
 		if a.applyLists(l, token) {
 			a.settleCopies(sentAt)
 		}
+		a.settleSuccessor(true)
 		if l.Born.Equal(a.born) {
 			a.leasedUntil = max(a.leasedUntil, until)
 		}
@@ -272,17 +276,6 @@
 	}
 }
 
-// getLateCheckIn lets the agent, which has just started, get a check-in of the former incarnation
-// of the worker before the next one of the present one.
-func (a *modelAgent) getLateCheckIn() {
-	if a.worker.formerBorn.IsZero() {
-		return
-	}
-	a.m.tracef("%s: the restarted agent gets a check-in of the former incarnation", a.name)
-	a.hasWorker, a.checkInAt = true, a.m.now.Add(a.m.ticks(2, "next check-in"))
-	a.observeBorn(a.worker.formerBorn)
-}
-
 // leaveWorker records that an incarnation of the worker is gone.
 func (a *modelAgent) leaveWorker(born time.Time) {
 	switch {
@@ -296,17 +289,22 @@
 }
 
 // observeBorn clears the state of the previous incarnation if the worker is a new one.
-func (a *modelAgent) observeBorn(born time.Time) {
-	if !born.After(a.born) {
-		return
+func (a *modelAgent) observeBorn(born time.Time, clock time.Duration) {
+	if born.After(a.born) || !born.Equal(a.born) && a.m.scope.playsFormerLives() {
+		a.resetWorker(born, clock)
 	}
+}
+
+// resetWorker clears the state of the previous incarnation.
+func (a *modelAgent) resetWorker(born time.Time, clock time.Duration) {
 	a.endSession(a.token())
 	if !a.born.IsZero() && a.hasNewIDs() {
 		clear(a.copies.starts)
 		a.copies.unknownUntil, a.ackUntil = time.Time{}, time.Time{}
 	}
+	a.modelIncarnations = modelIncarnations{incarnation: a.incarnation + 1, formerBorn: a.born}
 	a.longLeases = time.Time{}
-	if !a.born.IsZero() && !a.m.scope.newIDs && a.worker.clock() < cfcore.MaxOrderDelay+cfcore.MaxLease {
+	if a.hasWorker && !a.born.IsZero() && !a.m.scope.newIDs && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		a.longLeases = a.m.now.Add(agentLeaseExpiry(cfcore.MaxLease))
 	}
 	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
@@ -324,10 +322,10 @@
 
 // applyLists records run lists that a call returned.
 func (a *modelAgent) applyLists(l cfcore.RunLists, token cfcore.FencingToken) bool {
-	if l.Born.Before(a.born) {
+	if l.Born.Before(a.born) && !a.m.scope.playsFormerLives() {
 		return false
 	}
-	a.observeBorn(l.Born)
+	a.observeBorn(l.Born, l.Clock)
 	a.answeredAt, a.hasAnswered = a.m.now, true
 	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return false
@@ -388,6 +386,10 @@
 		a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: refusal})
 		return
 	}
+	if a.hasWorker && s.Born.Equal(a.born) && !a.hasLeft && a.isEnding() {
+		a.stopRun(s.Task, s.Run)
+		return
+	}
 	until := a.leaseUntil()
 	if !a.hasWorker || !s.Born.Equal(a.born) || a.hasLeft || until == 0 {
 		return
@@ -402,7 +404,7 @@
 	}
 	a.inFlight[key] = true
 	a.beginCopy(key)
-	a.sendStart(modelCall{key: key, token: a.token(), until: until, attempt: 1, sentAt: a.m.now})
+	a.sendStart(modelCall{key: key, incarnation: a.incarnation, token: a.token(), until: until, attempt: 1, sentAt: a.m.now})
 }
 
 func (a *modelAgent) sendStart(c modelCall) {
@@ -413,8 +415,7 @@
 		return w.start(c.key.born, c.token, c.key.task, c.key.run, c.until)
 	}
 	if !a.answers(fmt.Sprintf("start of run %x of %s", c.key.run, taskString(c.key.task)), a.m.scope.lateStarts, func() { start() }) {
-		c.dueAt = a.m.now.Add(orderTimeout)
-		a.calls = append(a.calls, c)
+		a.awaitAnswer(c)
 		return
 	}
 	refusal := cfcore.ExecutorUnhealthy
@@ -434,7 +435,7 @@
 
 // stopRun sends the worker an order to stop a run.
 func (a *modelAgent) stopRun(n cfcore.TaskName, run uint64) {
-	c := modelCall{key: modelOrderKey{task: n, run: run, stop: true, born: a.born}, token: a.token()}
+	c := modelCall{key: modelOrderKey{task: n, run: run, stop: true, born: a.born}, incarnation: a.incarnation, token: a.token()}
 	if a.inFlight[c.key] || !a.hasWorker || a.hasLeft {
 		return
 	}
@@ -442,8 +443,7 @@
 	w := a.worker
 	stop := func() cfcore.ExecutorKind { return w.stop(c.key.born, c.token, n, run) }
 	if !a.answers(fmt.Sprintf("stop of run %x of %s", run, taskString(n)), a.m.scope.lateStops, func() { stop() }) {
-		c.dueAt = a.m.now.Add(orderTimeout)
-		a.calls = append(a.calls, c)
+		a.awaitAnswer(c)
 		return
 	}
 	a.handleOrder(c.key, c.token, stop())
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -132,14 +132,17 @@
 		a.leaveWorker(w.born)
 		m.links[a.name] = &modelLink{disturbedUntil: m.now.Add(m.ticks(5, "gone")), disturbance: loseCalls}
 		w.restart()
-	case (kind == 2 || kind == 3) && s.workerRestarts:
-		w.restart()
+	case (kind == 2 || kind == 3) && s.workerRestarts && !w.isDown():
+		w.crash()
 	case kind == 4 && s.agentRestarts:
 		m.agents[i] = newModelAgent(m, w)
 		m.tracef("agent %s restarts", a.name)
 		if s.lateCheckIns && m.oneIn(1, "late check-in") {
 			m.agents[i].getLateCheckIn()
 		}
+		if s.formerCheckIns && m.oneIn(1, "late check-in") {
+			m.agents[i].getCheckInOfFormerLife()
+		}
 	case kind == 5 && s.storeOutages:
 		m.storeDownUntil = m.now.Add(m.ticks(6, "outage"))
 		m.tracef("store refuses records until %.1f", m.storeDownUntil.Sub(epochStart).Seconds())
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -78,6 +78,14 @@
 	// largeProgress lets jobs have checkpoints so large that a batch cannot hold two. Which of two jobs
 	// comes first is not reproducible.
 	largeProgress bool
+	// longLeases lets workers be older than the longest lease at the start, and check-ins be as rare as
+	// on the platform: calls with a time on the clock of a former incarnation give long leases.
+	longLeases bool
+	// formerCheckIns let check-ins of all former incarnations arrive at any time, and lateGoodbyes let
+	// a goodbye arrive of which the incarnation is not known.
+	formerCheckIns, lateGoodbyes bool
+	// bornSetBack lets a new incarnation have an earlier start time than a former one.
+	bornSetBack bool
 }
 
 // The scopes of the tests.
@@ -555,6 +563,7 @@
 		}
 		m.injectFault()
 		m.injectDisruption()
+		m.injectFormerLife()
 		m.advance()
 	}
 	return m
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -29,6 +29,10 @@
 	born time.Time
 	// formerBorn is when the former incarnation started; zero if there was none.
 	formerBorn time.Time
+	// startedAt is when the worker's clock started. downUntil is when the next incarnation starts;
+	// zero while the worker is up. formerLives holds a late check-in of each former incarnation.
+	startedAt, downUntil time.Time
+	formerLives          []modelCheckIn
 	// fencingToken is the highest token of an order so far.
 	fencingToken cfcore.FencingToken
 	// leaseUntil is when the leases of all runs expire, on the worker's clock. lapsed is set
@@ -61,8 +65,11 @@
 const maxListedEnds = 2
 
 func (w *modelWorker) restart() {
-	w.formerBorn = w.born
-	w.born, w.fencingToken, w.leaseUntil, w.lapsed = w.m.now, 0, 0, true
+	if !w.born.IsZero() {
+		w.formerBorn, w.formerLives = w.born, append(w.formerLives, w.checkIn())
+	}
+	w.setBorn()
+	w.fencingToken, w.leaseUntil, w.lapsed, w.downUntil = 0, 0, true, time.Time{}
 	w.runs, w.highestRun = map[cfcore.TaskName]*modelRun{}, map[cfcore.TaskName]uint64{}
 	w.ended, w.endCount, w.stalledUntil, w.unhealthyUntil = nil, 0, time.Time{}, time.Time{}
 	w.orphanedEnds = map[uint64]bool{}
@@ -70,7 +77,7 @@
 }
 
 func (w *modelWorker) clock() time.Duration {
-	d := w.m.now.Sub(w.born)
+	d := w.m.now.Sub(w.startedAt)
 	if w.m.scope.slowClocks {
 		d = time.Duration(float64(d) / slowClockFactor)
 	}
@@ -91,6 +98,9 @@
 // advance advances the runs by one tick. It ends runs that are done, and all runs once their
 // leases have expired.
 func (w *modelWorker) advance() {
+	if w.isDown() && !w.m.now.Before(w.downUntil) {
+		w.restart()
+	}
 	if lapsed := w.clock() >= w.leaseUntil; lapsed != w.lapsed {
 		w.lapsed = lapsed
 		if lapsed {
@@ -176,6 +186,9 @@
 
 // hold extends leases, forgets acknowledged ends and lists the runs.
 func (w *modelWorker) hold(born time.Time, token cfcore.FencingToken, until time.Duration, lastSeen uint64) (cfcore.RunLists, cfcore.ExecutorKind) {
+	if w.isDown() {
+		return cfcore.RunLists{}, cfcore.ExecutorOutcomeUnknown
+	}
 	if w.isOther(born) {
 		return cfcore.RunLists{}, cfcore.ExecutorOtherIncarnation
 	}
@@ -205,6 +218,9 @@
 
 // start carries out a start order.
 func (w *modelWorker) start(born time.Time, token cfcore.FencingToken, n cfcore.TaskName, run uint64, until time.Duration) cfcore.ExecutorKind {
+	if w.isDown() {
+		return cfcore.ExecutorOutcomeUnknown
+	}
 	if w.isOther(born) {
 		return cfcore.ExecutorOtherIncarnation
 	}
@@ -243,6 +259,9 @@
 
 // stop carries out a stop order.
 func (w *modelWorker) stop(born time.Time, token cfcore.FencingToken, n cfcore.TaskName, run uint64) cfcore.ExecutorKind {
+	if w.isDown() {
+		return cfcore.ExecutorOutcomeUnknown
+	}
 	if w.isOther(born) {
 		return cfcore.ExecutorOtherIncarnation
 	}
