--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -96,11 +95,11 @@
 	uncertain   map[modelOrderKey]bool
 	copies      modelCopies
 	// See acknowledgement in internal/cfjobagent.
-	ackedTo      uint64
-	ackInFlight  bool
-	ackUntil     time.Time
-	unansweredAt time.Time
-	waiting      []cfwire.JobStart
+	ackedTo       uint64
+	ackInFlight   bool
+	ackUntil      time.Time
+	unansweredAt  time.Time
+	waitingStarts []cfwire.JobStart
 	// startResults holds the refusals of starts; empty if the run has started.
 	startResults map[modelOrderKey]cfcore.ExecutorKind
 	calls        []modelCall
@@ -187,6 +186,7 @@
 // lists.
 func (a *modelAgent) advance() {
 	a.getCheckIn()
+	a.advanceWaitingHold()
 	a.applyLateAnswers()
 	calls := a.calls
 	a.calls = nil
@@ -214,6 +214,7 @@
 	} else if a.mayAcknowledge() {
 		lastSeen = a.lastRecorded
 	}
+	waits := lastSeen == 0 && a.mayWait()
 	token, until, w, born, incarnation := a.token(), a.leaseUntil(), a.worker, a.born, a.incarnation
 	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(born, token, until, lastSeen) })
 	if a.holdFailed {
@@ -225,7 +226,7 @@
 	l, refusal := w.hold(born, token, until, lastSeen)
 	sentAt := a.m.now
 	a.holdInFlight, a.ackInFlight = true, lastSeen > 0
-	a.answer(func() {
+	finish := func(l cfcore.RunLists, refusal cfcore.ExecutorKind) {
 		if incarnation != a.incarnation {
 			return
 		}
@@ -235,7 +236,7 @@
 			a.leaveWorker(born)
 		}
 		if refusal != "" {
-			a.handleHoldFailure()
+			a.handleHoldRefusal(refusal)
 			return
 		}
 		if l.Born.Equal(a.born) {
@@ -245,35 +246,16 @@
 			a.settleCopies(sentAt)
 		}
 		a.settleSuccessor(true)
-		if l.Born.Equal(a.born) {
+		// A call that was sent before a restart was noticed contains a time on the earlier clock.
+		if l.Born.Equal(a.born) && until <= l.Clock+settings.LeaseTime {
 			a.leasedUntil = max(a.leasedUntil, until)
 		}
-	})
-}
-
-// answer applies an answer of the worker, now or late.
-func (a *modelAgent) answer(apply func()) {
-	if !a.m.scope.lateAnswers || !a.m.oneIn(1, "late answer") {
-		apply()
-		return
 	}
-	a.lateAnswers = append(a.lateAnswers, lateAnswer{at: a.m.now.Add(a.m.ticks(1, "answered after")), apply: apply})
-}
-
-// applyLateAnswers applies the answers that have arrived, the last one first.
-func (a *modelAgent) applyLateAnswers() {
-	var due []lateAnswer
-	a.lateAnswers = slices.DeleteFunc(a.lateAnswers, func(l lateAnswer) bool {
-		isDue := !a.m.now.Before(l.at)
-		if isDue {
-			due = append(due, l)
-		}
-		return isDue
-	})
-	for _, l := range slices.Backward(due) {
-		a.m.tracef("%s: an answer of the worker arrives late", a.name)
-		l.apply()
+	if waits && refusal == "" {
+		a.waitForEnd(token, finish)
+		return
 	}
+	a.answer(func() { finish(l, refusal) })
 }
 
 // leaveWorker records that an incarnation of the worker is gone.
@@ -290,7 +272,7 @@
 
 // observeBorn clears the state of the previous incarnation if the worker is a new one.
 func (a *modelAgent) observeBorn(born time.Time, clock time.Duration) {
-	if born.After(a.born) || !born.Equal(a.born) && a.m.scope.playsFormerLives() {
+	if born.After(a.born) || !born.Equal(a.born) && a.m.scope.playsFormerLives() && !a.m.faults.ignoreSetBack {
 		a.resetWorker(born, clock)
 	}
 }
@@ -304,7 +286,7 @@
 	}
 	a.modelIncarnations = modelIncarnations{incarnation: a.incarnation + 1, formerBorn: a.born}
 	a.longLeases = time.Time{}
-	if a.hasWorker && !a.born.IsZero() && !a.m.scope.newIDs && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+	if !a.m.faults.forgetLongLeases && a.hasWorker && !a.born.IsZero() && !a.m.scope.newIDs && clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
 		a.longLeases = a.m.now.Add(agentLeaseExpiry(cfcore.MaxLease))
 	}
 	a.born, a.workerClock, a.hasLists, a.lastRecorded = born, 0, false, 0
@@ -326,8 +308,9 @@
 		return false
 	}
 	a.observeBorn(l.Born, l.Clock)
+	a.m.markListed(a.worker, &l)
 	a.answeredAt, a.hasAnswered = a.m.now, true
-	if token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
+	if !a.m.faults.applyEarlierLists && token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return false
 	}
 	a.recordClock(l.Clock)
@@ -395,7 +378,7 @@
 		return
 	}
 	if a.ackInFlight {
-		a.waiting = append(a.waiting, s)
+		a.waitingStarts = append(a.waitingStarts, s)
 		return
 	}
 	if a.withholdsStarts() {
@@ -487,7 +470,7 @@
 	res := cfwire.JobOrderResult{Task: key.task, Run: key.run}
 	faults := &a.m.faults
 	switch {
-	case key.stop && faults.trustStops && refusal == cfcore.ExecutorOutcomeUnknown:
+	case key.stop && (faults.trustStops && refusal == cfcore.ExecutorOutcomeUnknown || faults.trustRefusedStops && refusal == cfcore.ExecutorUnhealthy):
 		res.Refusal = cfcore.ExecutorStale
 	case key.stop || refusal == cfcore.ExecutorStale:
 		if !hasLists || listed(&l, key) {
--- a/pkg/cfdispatch/model_check_test.go
+++ b/pkg/cfdispatch/model_check_test.go
@@ -22,6 +22,8 @@
 	// restarted is set once the task has started again. isOrphaned is set if the run, or the one
 	// that started again, is orphaned.
 	restarted, isOrphaned bool
+	// listed is set if the end counts as acknowledged since it was listed, see markListed.
+	listed bool
 }
 
 // The kinds of violations.
@@ -112,6 +114,7 @@
 	}
 	for _, x := range m.ends[m.endKey(n)] {
 		x.restarted, x.isOrphaned = true, x.isOrphaned || m.isOrphaned
+		m.checkNotListed(x, n)
 		if x.acked && !x.lapsed {
 			m.violate(violationAcked, n, x.isOrphaned, "run %x starts on %s, run %x has ended on %s", run, w.name, x.run, x.worker)
 		}
--- a/pkg/cfdispatch/model_copy_test.go
+++ b/pkg/cfdispatch/model_copy_test.go
@@ -117,8 +117,8 @@
 
 // startWaiting sends the starts that have waited for the answer to a call that acknowledged ends.
 func (a *modelAgent) startWaiting() {
-	waiting := a.waiting
-	a.waiting = nil
+	waiting := a.waitingStarts
+	a.waitingStarts = nil
 	for _, s := range waiting {
 		a.startRun(s)
 	}
--- a/pkg/cfdispatch/model_lives_test.go
+++ b/pkg/cfdispatch/model_lives_test.go
@@ -42,6 +42,8 @@
 	isLeaving    bool
 	leavingSince time.Time
 	successor    *modelCheckIn
+	// waiting is the call for the run lists that waits for an end; nil if there is none.
+	waiting *modelWaitingHold
 }
 
 // playsFormerLives reports whether messages of all former incarnations can arrive. The model's agent
@@ -175,6 +177,10 @@
 		return
 	}
 	a.m.tracef("%s gets a goodbye", a.name)
+	if a.m.faults.trustGoodbyes {
+		a.leaveWorker(a.born)
+		return
+	}
 	a.isLeaving, a.leavingSince, a.holdDueAt = true, a.m.now, time.Time{}
 }
 
--- /dev/null
+++ b/pkg/cfdispatch/model_newer_test.go
@@ -0,0 +1,57 @@
+package cfdispatch_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestModelWithLongLeases(t *testing.T) { checkModel(t, longLeases) }
+
+func TestModelWithLongLeasesAndTakeovers(t *testing.T) { checkModel(t, longLeasesAndTakeovers) }
+
+func TestModelWithFormerLives(t *testing.T) { checkModel(t, formerLives) }
+
+func TestModelWithFormerLivesAndAgentRestarts(t *testing.T) { checkModel(t, formerLivesAndAgent) }
+
+func TestModelWithStartTimesSetBack(t *testing.T) { checkModel(t, bornSetBack) }
+
+func TestModelWithFormerLivesAndStartTimesSetBack(t *testing.T) { checkModel(t, formerLivesSetBack) }
+
+func TestModelWithRefusals(t *testing.T) { checkModel(t, refusals) }
+
+func TestModelWithWaitingHolds(t *testing.T) { checkModel(t, waitingHolds) }
+
+func TestModelWithRefusalsAndFormerLives(t *testing.T) { checkModel(t, refusalsAndFormerLives) }
+
+func TestModelWithListedEnds(t *testing.T) { checkModel(t, rareDisruptions) }
+
+func TestModelWithListedEndsAndNewWorkerIDs(t *testing.T) { checkModel(t, rareWithNewIDs) }
+
+func TestModelFindsInjectedFaultsOfIncarnations(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope  modelScope
+		faults modelFaults
+		kind   string
+	}{
+		"agents take goodbyes for those of the present incarnation": {formerLives, modelFaults{trustGoodbyes: true}, violationTwoRuns},
+		"agents ignore incarnations with an earlier start time":     {bornSetBack, modelFaults{ignoreSetBack: true}, violationUnstored},
+		"agents report refused stops as done":                       {refusals, modelFaults{trustRefusedStops: true}, violationTwoRuns},
+		"agents use run lists of an earlier epoch":                  {waitingHolds, modelFaults{applyEarlierLists: true}, violationTwoRuns},
+		"agents forget long leases":                                 {longLeases, modelFaults{forgetLongLeases: true}, violationTwoRuns},
+		"planners forget listed ends":                               {rareWithNewIDs, modelFaults{ignoreProgress: true}, violationListed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			for seed := 1; seed <= 600 && found == 0; seed++ {
+				for _, v := range modelHistory(seed, c.scope, c.faults).violations {
+					if v.kind == c.kind && modelHistory(seed, c.scope, modelFaults{}).violation() == "" {
+						found = seed
+					}
+				}
+			}
+			t.Logf("found with seed %d", found)
+			NewWithT(t).Expect(found).NotTo(BeZero())
+		})
+	}
+}
--- a/pkg/cfdispatch/model_store_test.go
+++ b/pkg/cfdispatch/model_store_test.go
@@ -1,6 +1,12 @@
 package cfdispatch_test
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cranberryford/pkg/cfdispatch"
+)
 
 // modelAppend is an append of a planner's batch that the store carries out at the time at. The
 // planner repeats it until it has the answer. The repetitions have no effect, so that only the first
@@ -71,3 +77,54 @@
 	}
 	return a
 }
+
+// record records progress, ended runs and agents. The store accepts only the records of the
+// newest planner. A planner has one batch at a time.
+func (m *model) record(p *modelPlanner, gone []string) {
+	isNewest := p == m.planners[len(m.planners)-1]
+	accepts := isNewest && !m.now.Before(m.storeDownUntil)
+	for _, name := range gone {
+		if isNewest {
+			delete(m.recordedAgents, name)
+		}
+	}
+	if accepts {
+		m.markedAt = m.now
+		for _, r := range p.TakeAgentRecords(m.now) {
+			m.lateAgents[r.Agent] = r.HasLateStarts
+			m.tracef("%s is recorded to have late starts: %v", r.Agent, r.HasLateStarts)
+		}
+	}
+	for _, name := range p.UnrecordedAgents() {
+		if accepts {
+			m.recordedAgents[name], p.recordedAgents[name] = true, true
+		}
+		if p.recordedAgents[name] {
+			p.MarkAgentRecorded(name)
+		}
+	}
+	if p.append != nil && p.append.isStored && !m.now.Before(p.append.answeredAt) {
+		p.MarkEndsRecorded(p.ends)
+		p.progress, p.ends, p.append = nil, nil, nil
+	}
+	if !isNewest || p.append != nil {
+		return
+	}
+	if p.progress == nil && p.ends == nil {
+		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, !m.scope.lateStore)
+	}
+	if m.faults.ackUnrecorded {
+		p.MarkEndsRecorded(p.ends)
+	}
+	if !accepts && len(p.progress) > 0 {
+		return
+	}
+	slices.SortFunc(p.progress, func(a, b cfdispatch.JobProgress) int { return cmp.Compare(a.ID, b.ID) })
+	if len(p.progress) > 0 && m.scope.lateStore && m.oneIn(1, "late record") {
+		m.appendLate(p)
+		return
+	}
+	m.store(p)
+	p.MarkEndsRecorded(p.ends)
+	p.progress, p.ends = nil, nil
+}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -78,6 +78,11 @@
 	// largeProgress lets jobs have checkpoints so large that a batch cannot hold two. Which of two jobs
 	// comes first is not reproducible.
 	largeProgress bool
+	// refusals make workers that flap also refuse stops and calls for the run lists, and waitingHolds
+	// let calls for the run lists wait for an end, and workers that flap answer them late.
+	refusals, waitingHolds bool
+	// rare makes disruptions rare, so that ends are listed with none near.
+	rare bool
 	// longLeases lets workers be older than the longest lease at the start, and check-ins be as rare as
 	// on the platform: calls with a time on the clock of a former incarnation give long leases.
 	longLeases bool
@@ -184,6 +189,15 @@
 	// applyLate makes planners apply reports that arrive after newer ones, and applyEarlier
 	// those that were sent in an earlier epoch, to the same entry.
 	applyLate, applyEarlier bool
+	// trustGoodbyes makes agents take a goodbye for that of the present incarnation, and ignoreSetBack
+	// makes them ignore one with an earlier start time than the former one.
+	trustGoodbyes, ignoreSetBack bool
+	// trustRefusedStops makes agents report a stop that the worker refused as carried out.
+	trustRefusedStops bool
+	// applyEarlierLists makes agents use the run lists of calls with an earlier epoch.
+	applyEarlierLists bool
+	// forgetLongLeases makes agents ignore that leases can be longer after a restart.
+	forgetLongLeases bool
 }
 
 // modelPlanner is a planner together with its epoch.
@@ -285,8 +299,12 @@
 	recordedAt map[cfcore.TaskName]time.Time
 	ends       map[cfcore.TaskName][]*modelEnd
 	twoRuns    map[cfcore.TaskName]bool
-	violations []violation
-	trace      []string
+	// listings are the listed ends that possibly count as acknowledged. disruptedAt is when a
+	// disruption was last near each worker.
+	listings    []modelListing
+	disruptedAt map[string]time.Time
+	violations  []violation
+	trace       []string
 }
 
 // electPlanner creates a new planner.
@@ -394,6 +412,7 @@
 		}
 	}
 	m.checkUniqueRuns()
+	m.noteListedEnds()
 }
 
 func (m *model) runLateOrders() {
@@ -464,57 +483,6 @@
 	return names
 }
 
-// record records progress, ended runs and agents. The store accepts only the records of the
-// newest planner. A planner has one batch at a time.
-func (m *model) record(p *modelPlanner, gone []string) {
-	isNewest := p == m.planners[len(m.planners)-1]
-	accepts := isNewest && !m.now.Before(m.storeDownUntil)
-	for _, name := range gone {
-		if isNewest {
-			delete(m.recordedAgents, name)
-		}
-	}
-	if accepts {
-		m.markedAt = m.now
-		for _, r := range p.TakeAgentRecords(m.now) {
-			m.lateAgents[r.Agent] = r.HasLateStarts
-			m.tracef("%s is recorded to have late starts: %v", r.Agent, r.HasLateStarts)
-		}
-	}
-	for _, name := range p.UnrecordedAgents() {
-		if accepts {
-			m.recordedAgents[name], p.recordedAgents[name] = true, true
-		}
-		if p.recordedAgents[name] {
-			p.MarkAgentRecorded(name)
-		}
-	}
-	if p.append != nil && p.append.isStored && !m.now.Before(p.append.answeredAt) {
-		p.MarkEndsRecorded(p.ends)
-		p.progress, p.ends, p.append = nil, nil, nil
-	}
-	if !isNewest || p.append != nil {
-		return
-	}
-	if p.progress == nil && p.ends == nil {
-		p.progress, p.ends = p.TakeUnrecordedProgress(m.now, !m.scope.lateStore)
-	}
-	if m.faults.ackUnrecorded {
-		p.MarkEndsRecorded(p.ends)
-	}
-	if !accepts && len(p.progress) > 0 {
-		return
-	}
-	slices.SortFunc(p.progress, func(a, b cfdispatch.JobProgress) int { return cmp.Compare(a.ID, b.ID) })
-	if len(p.progress) > 0 && m.scope.lateStore && m.oneIn(1, "late record") {
-		m.appendLate(p)
-		return
-	}
-	m.store(p)
-	p.MarkEndsRecorded(p.ends)
-	p.progress, p.ends = nil, nil
-}
-
 // traceReport adds the ends that a planner reads for the first time to the trace.
 func (m *model) traceReport(p *modelPlanner, a *modelAgent, r *cfwire.JobReport) {
 	if r.Lists == nil {
@@ -547,7 +515,7 @@
 		t: t, scope: scope, faults: faults, now: epochStart, jobs: map[string]*cfjob.StoredJob{}, taskTicks: map[string]int{}, recordedAgents: map[string]bool{}, lateAgents: map[string]bool{},
 		links: map[string]*modelLink{}, gangs: map[modelGang]*modelGangRun{}, disconnectedUntil: map[string]time.Time{},
 		orderedAt: map[uint64]time.Time{}, recordedAt: map[cfcore.TaskName]time.Time{},
-		ends: map[cfcore.TaskName][]*modelEnd{}, twoRuns: map[cfcore.TaskName]bool{},
+		disruptedAt: map[string]time.Time{}, ends: map[cfcore.TaskName][]*modelEnd{}, twoRuns: map[cfcore.TaskName]bool{},
 	}
 	for i := range 3 {
 		w := &modelWorker{m: m, name: fmt.Sprintf("a%d", i)}
@@ -561,8 +529,10 @@
 		if i%10 == 0 {
 			m.submit(i)
 		}
-		m.injectFault()
-		m.injectDisruption()
+		if !m.scope.rare || m.oneIn(3, "disrupted") {
+			m.injectFault()
+			m.injectDisruption()
+		}
 		m.injectFormerLife()
 		m.advance()
 	}
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -173,7 +173,10 @@
 
 // extend extends the leases of all runs.
 func (w *modelWorker) extend(until time.Duration) {
-	until = min(until, w.clock()+maxLease)
+	if longest := w.clock() + maxLease; until > longest {
+		w.m.tracef("%s shortens a lease to the maximum", w.name)
+		until = longest
+	}
 	if until <= w.leaseUntil {
 		return
 	}
@@ -192,6 +195,9 @@
 	if w.isOther(born) {
 		return cfcore.RunLists{}, cfcore.ExecutorOtherIncarnation
 	}
+	if w.refuses() {
+		return cfcore.RunLists{}, cfcore.ExecutorUnhealthy
+	}
 	if !w.accept(token) {
 		return cfcore.RunLists{}, cfcore.ExecutorFenced
 	}
@@ -204,6 +210,11 @@
 		until = w.clock() + settings.LeaseTime
 	}
 	w.extend(until)
+	return w.lists(), ""
+}
+
+// lists returns the run lists.
+func (w *modelWorker) lists() cfcore.RunLists {
 	l := cfcore.RunLists{Clock: w.clock(), Born: w.born, Ended: slices.Clone(w.ended)}
 	if w.m.scope.shortLists && len(l.Ended) > maxListedEnds {
 		l.Ended, l.MoreEnds = l.Ended[:maxListedEnds], true
@@ -213,7 +224,7 @@
 		r := w.runs[n]
 		l.Running = append(l.Running, cfcore.RunningTask{Task: n, Run: r.id, Percent: 100 * r.ticks / w.m.taskTicks[n.Job]})
 	}
-	return l, ""
+	return l
 }
 
 // start carries out a start order.
@@ -237,6 +248,7 @@
 		return cfcore.ExecutorFenced
 	}
 	if r := w.runs[n]; r != nil && r.id == run {
+		w.extend(until)
 		return ""
 	}
 	if run <= w.highestRun[n] || w.runs[n] != nil {
@@ -265,6 +277,9 @@
 	if w.isOther(born) {
 		return cfcore.ExecutorOtherIncarnation
 	}
+	if w.refuses() {
+		return cfcore.ExecutorUnhealthy
+	}
 	if !w.accept(token) {
 		return cfcore.ExecutorFenced
 	}
