--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -11,8 +11,8 @@
 // one possibly gets none either.
 const ackDelay = 5 * time.Second
 
-// ackWindow is how long after an answered call that acknowledges none the next one may acknowledge ends: it
-// is then likely to get an answer as well.
+// ackWindow is how long after the sending of an answered call that acknowledges none the next one may
+// acknowledge ends: it is then likely to get an answer as well.
 const ackWindow = 20 * time.Millisecond
 
 // acknowledgement is the state of the acknowledgement of ends. The worker, or its next incarnation
@@ -28,7 +28,7 @@
 	waiting  []cfwire.JobStart
 	// until is until when an unanswered call that acknowledges ends can be executed.
 	until time.Duration
-	// answeredAt is when a call that acknowledged none was last answered, and unansweredAt when a call to the
+	// answeredAt is when the last answered call that acknowledged none was sent, and unansweredAt when a call to the
 	// worker last got no answer; zero if none did.
 	answeredAt   time.Duration
 	unansweredAt time.Duration
@@ -52,7 +52,7 @@
 		a.unansweredAt = c.bootClock.Now()
 	}
 	if ev.err == nil && ev.lastSeen == 0 {
-		a.answeredAt = c.bootClock.Now()
+		a.answeredAt = ev.sentAt
 	}
 	if ev.lastSeen == 0 {
 		return
