Agents: do not send a start long after its order

The age of the order is checked before each attempt. Binding by the time since sending does not cover it, since the repeat is another sending.

Before, TestStartIsNotRepeatedAfterAPauseOfTheAgent: 2 attempts, 1 expected.

--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -35,9 +35,16 @@
 	// leave out ends.
 	incomplete bool
 	moreEnds   bool
+	// starts counts the attempts to start a run. beforeStart is called at each, unless it is nil.
+	starts      int
+	beforeStart func()
 }
 
 func (w *worker) Start(_ context.Context, _ cfcore.Order, s cfcore.RunStart) error {
+	w.starts++
+	if w.beforeStart != nil {
+		w.beforeStart()
+	}
 	if w.refusal != "" {
 		return cferror.New("start", w.refusal, "refused")
 	}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -170,12 +170,16 @@
 	}
 	c.inFlight[key] = true
 	start := startKey{task: s.Task, run: s.Run}
-	c.unanswered.begin(start, c.bootClock.Now())
+	orderedAt := c.bootClock.Now()
+	c.unanswered.begin(start, orderedAt)
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until}
 	go func() {
 		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error {
 			sentAt := c.bootClock.Now()
+			if sentAt-orderedAt > maxSendDelay {
+				return cferror.New("start run", cfcore.ExecutorOutcomeUnknown, "not sent: the order is %s old", sentAt-orderedAt)
+			}
 			err := c.Executor.Start(ctx, o, run)
 			if cferror.Is(err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(err, syscall.ECONNREFUSED) {
 				c.post(ctx, attemptUnanswered{worker: worker, start: start, at: sentAt})
--- a/internal/cfjobagent/unanswered.go
+++ b/internal/cfjobagent/unanswered.go
@@ -41,6 +41,10 @@
 	return unansweredStarts{starts: map[startKey]unansweredStart{}, unknownUntil: now + cfcore.MaxExecutionDelay}
 }
 
+// maxSendDelay is how long after an order to start a run the last attempt is sent. An agent that was paused
+// does not know whether the worker has restarted meanwhile.
+const maxSendDelay = 2 * time.Second
+
 // begin remembers that an attempt of a start is in flight from the time at.
 func (u *unansweredStarts) begin(k startKey, at time.Duration) {
 	s := u.starts[k]
--- a/internal/cfjobagent/unanswered_test.go
+++ b/internal/cfjobagent/unanswered_test.go
@@ -124,3 +124,15 @@
 	*clock += fakeBootClock(time.Second)
 	g.Expect(a.takeReport().UnknownStarts).To(BeZero())
 }
+
+// The worker's next incarnation would execute the second attempt, with a lease by the former clock.
+func TestStartIsNotRepeatedAfterAPauseOfTheAgent(t *testing.T) {
+	g := NewWithT(t)
+	a, w, clock := newStartingControl()
+	w.refusal = cfcore.ExecutorOutcomeUnknown
+	w.beforeStart = func() { *clock += fakeBootClock(maxSendDelay + time.Millisecond) }
+	a.startRun(t.Context(), startOfJ)
+	a.handleEvents(t, 2)
+	g.Expect(w.starts).To(Equal(1))
+	g.Expect(a.takeReport().Unanswered).To(HaveLen(1))
+}
