--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -39,6 +39,10 @@
 	plannerSeenAt time.Time
 	// goneEpoch is the newest epoch whose planner is known to have resigned or ended.
 	goneEpoch cfcore.Epoch
+	// ledEpoch is the newest epoch of which this entry has been the planner. It is the planner of an epoch
+	// only once: each time it would begin with the same sequence numbers, and the store confirms records
+	// under a number that was used before without storing them.
+	ledEpoch cfcore.Epoch
 	// conflictOffset is the offset at which this entry's last rejected claim was to be added,
 	// or -1 if no claim was rejected. The store rejects a claim (StoreConflict) if the store
 	// already contains another record at that offset. This entry claims no epoch while
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -99,6 +99,13 @@
 	if c.plan != nil && c.plan.epoch == claim.Epoch {
 		return
 	}
+	if claim.Epoch <= c.ledEpoch {
+		// The state that was read from the store again was older than the claim.
+		c.Log.Warn().Uint64("Epoch", uint64(claim.Epoch)).Msg("this entry was the planner of this epoch before; claiming another one")
+		c.plan = nil
+		c.announceResignation(claim.Epoch)
+		return
+	}
 	c.becomePlanner(claim)
 }
 
@@ -160,6 +167,7 @@
 	}
 	othersFor := time.Duration(float64(c.cfg.Lease.Authority)*(1+clockSlack)) + authorityMargin
 	until := c.Clock.Now().Add(othersFor + s.LeaseExpiryTime())
+	c.ledEpoch = claim.Epoch
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
 		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, entrySeenAt: map[string]time.Time{},
@@ -186,8 +194,15 @@
 		return
 	}
 	c.Log.Warn().Uint64("Epoch", uint64(c.plan.epoch)).Str("Reason", reason).Msg("this entry resigns as planner")
-	m := &cfwire.JobEntries{Epoch: c.plan.epoch, Resigned: true}
-	c.goneEpoch, c.plan = c.plan.epoch, nil
+	epoch := c.plan.epoch
+	c.plan = nil
+	c.announceResignation(epoch)
+}
+
+// announceResignation notifies all peers that this entry is not the planner of an epoch any more.
+func (c *control) announceResignation(epoch cfcore.Epoch) {
+	c.goneEpoch = max(c.goneEpoch, epoch)
+	m := &cfwire.JobEntries{Epoch: epoch, Resigned: true}
 	for l := range c.links {
 		c.send(l, &cfwire.Message{JobEntries: m})
 	}
