--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -256,6 +256,6 @@
 	}
 	c.Scope.Counter("starts_ordered").Inc(int64(len(o.Starts)))
 	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{
-		Epoch: c.plan.epoch, AfterReport: c.plan.lastReport(l), Starts: o.Starts, Stops: o.Stops, Throttles: o.Throttles, RecordedEnd: o.RecordedEnd, Born: o.Born,
+		Epoch: c.plan.epoch, AfterReport: c.plan.lastReport(l), Starts: o.Starts, Stops: o.Stops, Throttles: o.Throttles, RecordedEnd: o.RecordedEnd, Born: o.Born, RecordedFormer: o.RecordedFormer,
 	}})
 }
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -211,9 +211,9 @@
 // followed by another start.
 func (p *Planner) acknowledgeable(w *worker) uint64 {
 	if p.mayExecuteStarts(w) {
-		return w.ackedEnd
+		return w.ends.ackedEnd
 	}
-	return w.recordedEnd
+	return w.ends.recordedEnd
 }
 
 // holdsManyEnds reports whether the worker lists so many ends, because none is acknowledged, that its
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -16,6 +16,8 @@
 	// fields are zero if there is nothing newer than in the previous orders.
 	RecordedEnd uint64
 	Born        time.Time
+	// RecordedFormer are the recorded ends of former incarnations of the worker.
+	RecordedFormer []cfwire.JobRecordedEnds
 }
 
 // ordersFor returns the collected orders for a worker's agent. The next call of TakeOrders
@@ -135,14 +137,15 @@
 	p.sendPendingStops(now)
 	p.resendOrders(now)
 	for w := range p.ackPending {
-		if last := p.acknowledgeable(w); last > w.ackedEnd {
+		if last := p.acknowledgeable(w); last > w.ends.ackedEnd {
 			o := p.ordersFor(w)
-			o.RecordedEnd, o.Born, w.ackedEnd = last, w.state.Born, last
+			o.RecordedEnd, o.Born, w.ends.ackedEnd = last, w.state.Born, last
 		}
-		if w.ackedEnd >= w.recordedEnd {
+		if w.ends.ackedEnd >= w.ends.recordedEnd {
 			delete(p.ackPending, w)
 		}
 	}
+	p.acknowledgeFormerEnds()
 	out := p.orders
 	p.orders = map[string]*Orders{}
 	return out
@@ -152,7 +155,7 @@
 // worker are recorded.
 func (p *Planner) RepeatAcknowledgement(agent string) {
 	if w := p.workers[agent]; w != nil {
-		w.ackedEnd = 0
+		w.ends.ackedEnd = 0
 		p.ackPending[w] = true
 	}
 }
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -262,6 +262,7 @@
 	bindings         bindings
 	// recordingSince is when TakeAgentRecords was first called.
 	recordingSince time.Time
+	formerEnds     []*formerEnds
 }
 
 // New returns the planner of an epoch. Earlier planners may have sent starts to the given
--- a/pkg/cfdispatch/progress.go
+++ b/pkg/cfdispatch/progress.go
@@ -63,8 +63,13 @@
 	}
 	var ends []EndedRunsPosition
 	for _, w := range p.workers {
-		if w.lastEnd > w.recordedEnd {
-			ends = append(ends, EndedRunsPosition{Agent: w.agent, Born: w.state.Born, Number: w.lastEnd})
+		if w.ends.lastEnd > w.ends.recordedEnd {
+			ends = append(ends, EndedRunsPosition{Agent: w.agent, Born: w.state.Born, Number: w.ends.lastEnd})
+		}
+	}
+	for _, f := range p.formerEnds {
+		if f.ends.lastEnd > f.ends.recordedEnd {
+			ends = append(ends, EndedRunsPosition{Agent: f.w.agent, Born: f.born, Number: f.ends.lastEnd})
 		}
 	}
 	return progress, ends
@@ -140,8 +145,11 @@
 func (p *Planner) MarkEndsRecorded(ends []EndedRunsPosition) {
 	for _, e := range ends {
 		if w := p.workers[e.Agent]; w != nil && w.state.Born.Equal(e.Born) {
-			w.recordedEnd = max(w.recordedEnd, e.Number)
+			w.ends.recordedEnd = max(w.ends.recordedEnd, e.Number)
 			p.ackPending[w] = true
 		}
+		if f := p.findFormerEnds(e.Agent, e.Born); f != nil {
+			f.ends.recordedEnd = max(f.ends.recordedEnd, e.Number)
+		}
 	}
 }
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -23,7 +23,7 @@
 func (p *Planner) applyNewest(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{}}
+		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), ends: newEndedRuns(), unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{}}
 		w.isRecordedLate = p.bindings.recordedLate[agent]
 		p.addWorker(w)
 	}
@@ -31,6 +31,7 @@
 		p.changed = true
 	}
 	w.reportedAt, w.withholdsStarts = now, m.WithholdsStarts
+	p.applyListedEnds(now, w, m)
 	if m.Worker != nil {
 		p.updateWorker(now, w, *m.Worker)
 	}
@@ -95,8 +96,9 @@
 		case s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease:
 			w.newbornUntil = now.Add(longLeaseExpiry)
 		}
+		p.retireEnds(w)
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
-		w.hasListed, w.hasMoreEnds, w.lastEnd, w.recordedEnd, w.ackedEnd = false, false, 0, 0, 0
+		w.hasListed, w.hasMoreEnds = false, false
 		w.failures, w.listedEnds = failureStreak{}, 0
 		if w.hasLeft {
 			w.hasLeft, w.isGone = false, false
@@ -152,6 +154,16 @@
 	return nil
 }
 
+// findEndedRun returns the run that has ended in the incarnation of a worker that started at born, or nil. A
+// later incarnation can have a run with the same number.
+func (p *Planner) findEndedRun(w *worker, born time.Time, e cfcore.EndedTask) *run {
+	r := p.findRun(w, e.Task, e.Run)
+	if r != nil && !born.Equal(w.state.Born) && !born.Equal(r.born) {
+		return nil
+	}
+	return r
+}
+
 // dropRun removes a run from the planner's state. The run must have ended, or must never
 // start.
 func (p *Planner) dropRun(r *run) {
@@ -197,7 +209,7 @@
 	critical, bestEffort := w.colocated()
 	p.trackTails(now, critical, bestEffort)
 	p.enforceTailTargets(now, w, critical, bestEffort)
-	p.applyEnds(now, w, l, uncertainEnd)
+	p.applyEnds(now, w, l.Born, &w.ends, l, uncertainEnd)
 }
 
 // applyRunning applies a row of a worker's list of running runs, whose job must be known and
@@ -238,8 +250,8 @@
 	}
 }
 
-// applyEnded applies the end of a run.
-func (p *Planner) applyEnded(now time.Time, w *worker, e cfcore.EndedTask) {
+// applyEnded applies the end of a run in the incarnation of a worker that started at born.
+func (p *Planner) applyEnded(now time.Time, w *worker, born time.Time, e cfcore.EndedTask) {
 	t := p.lookupTask(e.Task)
 	if t == nil {
 		return
@@ -248,7 +260,7 @@
 		t.dropIfDone()
 		t.j.dropTasksIfOver()
 	}()
-	r := p.findRun(w, e.Task, e.Run)
+	r := p.findEndedRun(w, born, e)
 	var took time.Duration
 	if r != nil {
 		took = now.Sub(r.startedAt)
--- a/pkg/cfdispatch/unsettled.go
+++ b/pkg/cfdispatch/unsettled.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -27,10 +28,6 @@
 	// running holds the rows of runs of unknown jobs in the worker's last lists, and earlier ones
 	// that these possibly lack.
 	running map[runKey]unknownRun
-	// ended holds the postponed ends by their Number.
-	ended map[uint64]postponedEnd
-	// applied holds the numbers of applied ends that are possibly above an end that is not applied.
-	applied map[uint64]bool
 }
 
 // unknownRun is a listed run. listedAt is when it was first listed.
@@ -98,40 +95,42 @@
 	return len(p.expectedAgents) > 0 && now.Before(p.expectedUntil.Add(p.cfg.GrantTime-p.cfg.LeaseExpiryTime()))
 }
 
-// mustPostpone reports whether an end cannot be applied yet, see unsettledRuns.
+// mustPostpone reports whether an end cannot be applied yet, see unsettledRuns. An earlier planner starts
+// no tasks of a job that is not inherited, and this planner does not wait to start them.
 func (p *Planner) mustPostpone(now time.Time, e postponedEnd) bool {
-	return p.mayBecomeKnown(e.end.Task.Job, e.listedAt) || e.isUncertain && p.earlierPlannerMayStart(now)
+	j := p.jobs[e.end.Task.Job]
+	return p.mayBecomeKnown(e.end.Task.Job, e.listedAt) || e.isUncertain && j != nil && j.inherited && p.earlierPlannerMayStart(now)
 }
 
-// applyEnds applies the ends in a worker's run lists and postpones some of them. lastEnd stays
-// below the postponed ones, and as it is if the lists lack an end: its number is not known. Ends up
-// to uncertainEnd are uncertain.
-func (p *Planner) applyEnds(now time.Time, w *worker, l *cfcore.RunLists, uncertainEnd uint64) {
-	u := &w.unsettled
+// applyEnds applies the ends in the run lists of the incarnation of a worker that started at born, and
+// postpones some of them. lastEnd stays below the postponed ones, and as it is if the lists lack an end:
+// its number is not known. Ends up to uncertainEnd are uncertain.
+func (p *Planner) applyEnds(now time.Time, w *worker, born time.Time, u *endedRuns, l *cfcore.RunLists, uncertainEnd uint64) {
 	isPostponed := l.LacksEnds
 	for _, e := range l.Ended {
-		if e.Number <= w.lastEnd {
+		if e.Number <= u.lastEnd {
 			continue
 		}
 		if !u.applied[e.Number] {
-			held, ok := u.ended[e.Number]
+			held, ok := u.postponed[e.Number]
 			if !ok {
-				held = postponedEnd{end: e, listedAt: now, isUncertain: e.Number <= uncertainEnd}
+				held = postponedEnd{end: e, listedAt: now, isUncertain: true}
 			}
+			held.isUncertain = held.isUncertain && e.Number <= uncertainEnd
 			if p.mustPostpone(now, held) {
-				u.ended[e.Number] = held
+				u.postponed[e.Number] = held
 				isPostponed = true
 				continue
 			}
-			delete(u.ended, e.Number)
-			p.applyEnded(now, w, e)
+			delete(u.postponed, e.Number)
+			p.applyEnded(now, w, born, e)
 		}
 		if isPostponed {
 			u.applied[e.Number] = true
 			continue
 		}
 		delete(u.applied, e.Number)
-		w.lastEnd = e.Number
+		u.lastEnd = e.Number
 	}
 }
 
@@ -139,12 +138,19 @@
 // each decision to start tasks.
 func (p *Planner) applyPostponedEnds(now time.Time) {
 	for _, w := range p.fleet {
-		for n, e := range w.unsettled.ended {
-			if !p.mustPostpone(now, e) {
-				delete(w.unsettled.ended, n)
-				w.unsettled.applied[n] = true
-				p.applyEnded(now, w, e.end)
-			}
+		p.applyPostponed(now, w, w.state.Born, &w.ends)
+	}
+	for _, f := range p.formerEnds {
+		p.applyPostponed(now, f.w, f.born, &f.ends)
+	}
+}
+
+func (p *Planner) applyPostponed(now time.Time, w *worker, born time.Time, u *endedRuns) {
+	for _, n := range slices.Sorted(maps.Keys(u.postponed)) {
+		if e := u.postponed[n]; !p.mustPostpone(now, e) {
+			delete(u.postponed, n)
+			u.applied[n] = true
+			p.applyEnded(now, w, born, e.end)
 		}
 	}
 }
@@ -162,7 +168,7 @@
 }
 
 func newUnsettledRuns() unsettledRuns {
-	return unsettledRuns{running: map[runKey]unknownRun{}, ended: map[uint64]postponedEnd{}, applied: map[uint64]bool{}}
+	return unsettledRuns{running: map[runKey]unknownRun{}}
 }
 
 // stopUnexpectedRun orders the stop of a listed run that this planner does not adopt: its
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -64,12 +64,8 @@
 	// tailsUnchecked is set when hasListed becomes true. It is reset when the tail
 	// latencies of the worker's runs have been checked for the first time after that.
 	tailsUnchecked bool
-	// lastEnd is the Number of the last cfcore.EndedTask that was applied. recordedEnd is
-	// the Number of the last one that is on record.
-	lastEnd     uint64
-	recordedEnd uint64
-	// ackedEnd is the last recordedEnd that was sent to the agent.
-	ackedEnd uint64
+	// ends are the ends of the current incarnation.
+	ends     endedRuns
 	failures failureStreak
 	// unexpectedStops holds when the stop of each unexpected run was last ordered.
 	unsettled       unsettledRuns
@@ -193,6 +189,9 @@
 	p.removedIDs[w.agent] = w.state.ID
 	delete(p.unrecordedAgents, w.agent)
 	delete(p.ackPending, w)
+	if len(w.ends.postponed) > 0 {
+		p.retireEnds(w)
+	}
 	if i, ok := slices.BinarySearchFunc(p.fleet, w.agent, byAgent); ok {
 		p.fleet = slices.Delete(p.fleet, i, i+1)
 	}
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -22,6 +22,9 @@
 	// UncertainEnd is the Number of the last end since which the leases on the worker possibly
 	// expired; 0 if there is none.
 	UncertainEnd uint64 `cbor:",omitempty"`
+	// ListedEnds are ends that the worker has listed and that are not known to be recorded: those of former
+	// incarnations, and of the present one if it does not respond. The leases possibly expired since all of them.
+	ListedEnds []JobListedEnds `cbor:",omitempty"`
 	// LongLeases is set for a worker that has just restarted with the same ID. For that time,
 	// leases on it can last longer than the agent has allowed.
 	LongLeases time.Duration `cbor:",omitempty"`
@@ -39,6 +42,14 @@
 	Lost *JobWorkerUnreachable `cbor:",omitempty"`
 }
 
+// JobListedEnds are ends that the incarnation of the worker that started at Born has listed.
+type JobListedEnds struct {
+	Born  time.Time
+	Ended []cfcore.EndedTask
+	// LacksEnds is set if the incarnation listed ends that could not be decoded.
+	LacksEnds bool `cbor:",omitempty"`
+}
+
 // JobWorkerUnreachable reports that the agent has no working contact with its worker.
 type JobWorkerUnreachable struct {
 	// For is how long the worker has not responded.
@@ -86,6 +97,15 @@
 	// to the incarnation of the worker that started at Born.
 	RecordedEnd uint64    `cbor:"Noted,omitempty"`
 	Born        time.Time `cbor:",omitzero"`
+	// RecordedFormer are the recorded ends of former incarnations of the worker.
+	RecordedFormer []JobRecordedEnds `cbor:",omitempty"`
+}
+
+// JobRecordedEnds says that the ends up to Number of the incarnation of the worker that started at Born are
+// recorded in the store.
+type JobRecordedEnds struct {
+	Born   time.Time
+	Number uint64
 }
 
 // JobStart is the order to start a run on one incarnation of a worker.
