--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -108,6 +108,7 @@
 	// store. lastListed is the number of the last ended run that the worker has listed.
 	lastRecorded uint64
 	lastListed   uint64
+	listed       listedEnds
 	// leasedUntil is the time on the worker's clock until which answered calls have extended the
 	// leases. uncertainEnd is the number of the last end that was listed when that time was
 	// over: the leases possibly expired since the end.
@@ -400,6 +401,10 @@
 		c.lastRecorded = o.RecordedEnd
 		c.nextHoldAt = 0
 	}
+	c.listed.markRecorded(o.Born, o.RecordedEnd)
+	for _, r := range o.RecordedFormer {
+		c.listed.markRecorded(r.Born, r.Number)
+	}
 	c.dropOutdatedStarts(o)
 	for _, s := range o.Starts {
 		c.startRun(ctx, s)
@@ -548,6 +553,9 @@
 	if d, unreachable := c.unansweredFor(); c.hasLeft || unreachable || !c.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: c.leasesExpired(), Left: c.hasLeft}
 	}
+	// The planner possibly ignored earlier reports. It must learn of the ends before it counts the runs as
+	// ended in another way.
+	c.listed.addTo(r, c.worker.Born, r.Lost != nil)
 	if r.Lost != nil && r.Lost.LeasesExpired {
 		c.startsAfter = r.Seq
 	}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -46,6 +46,7 @@
 // handleHoldReturned handles the outcome of a call for the worker's run lists.
 func (c *control) handleHoldReturned(ev holdReturned) {
 	c.handleAcknowledged(ev, cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(ev.err, syscall.ECONNREFUSED))
+	c.recordEnds(&ev.lists)
 	if ev.incarnation != c.fence.currentIncarnation() {
 		// Another call, to the present incarnation, is in flight or due.
 		return
@@ -242,6 +243,7 @@
 	if !ev.key.stop {
 		c.unanswered.end(startKey{task: ev.key.task, run: ev.key.run})
 	}
+	c.recordEnds(&ev.lists)
 	if !ev.key.born.Equal(c.worker.Born) {
 		return
 	}
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -76,6 +76,7 @@
 	lists         cfcore.RunLists
 	hasLists      bool
 	lastRecorded  uint64
+	listed        []*modelListedEnds
 	lastListed    uint64
 	leasedUntil   time.Duration
 	uncertainEnd  uint64
@@ -229,6 +230,9 @@
 	a.holdInFlight, a.ackInFlight = true, lastSeen > 0
 	finish := func(l cfcore.RunLists, refusal cfcore.ExecutorKind) {
 		if incarnation != a.incarnation {
+			if refusal == "" {
+				a.recordEnds(&l)
+			}
 			return
 		}
 		a.holdInFlight, a.ackInFlight = false, false
@@ -240,6 +244,7 @@
 			a.handleHoldRefusal(refusal)
 			return
 		}
+		a.recordEnds(&l)
 		if l.Born.Equal(a.born) {
 			a.ackedTo = max(a.ackedTo, lastSeen)
 		}
@@ -354,6 +359,7 @@
 	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker || a.hasLeft {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired(), Left: a.hasLeft}
 	}
+	a.reportEnds(r)
 	if !a.hasValidGrant() && !a.m.faults.ignoreSilence || r.Lost != nil && r.Lost.LeasesExpired {
 		a.startsAfter = r.Seq
 	}
@@ -462,6 +468,9 @@
 func (a *modelAgent) applyResult(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind, l cfcore.RunLists, hasLists bool) {
 	delete(a.inFlight, key)
 	a.endCopy(key)
+	if hasLists {
+		a.recordEnds(&l)
+	}
 	if !key.born.Equal(a.born) {
 		return
 	}
--- a/pkg/cfdispatch/model_order_test.go
+++ b/pkg/cfdispatch/model_order_test.go
@@ -92,6 +92,10 @@
 		}
 		m.tracef("planner %d: ends of %s up to %d are recorded", h.p.epoch, a.name, o.RecordedEnd)
 	}
+	a.markRecorded(o.Born, o.RecordedEnd)
+	for _, r := range o.RecordedFormer {
+		a.markRecorded(r.Born, r.Number)
+	}
 	starts := o.Starts
 	if h.after > 0 && h.after < a.startsAfter && len(starts) > 0 && !m.faults.executeOutdated {
 		m.tracef("%s ignores %d starts of planner %d", a.name, len(starts), h.p.epoch)
