--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -170,11 +170,14 @@
 		return
 	}
 	c.inFlight[key] = true
-	start := startKey{task: s.Task, run: s.Run}
-	orderedAt := c.bootClock.Now()
+	c.sendStart(ctx, key, cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until})
+}
+
+// sendStart calls the worker to start a run.
+func (c *control) sendStart(ctx context.Context, key orderKey, run cfcore.RunStart) {
+	start, orderedAt := startKey{task: run.Task, run: run.Run}, c.bootClock.Now()
 	c.unanswered.begin(start, orderedAt)
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
-	run := cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until}
 	go func() {
 		token, err := c.fence.send(worker, incarnation, epoch, true, func(o cfcore.Order) error {
 			sentAt := c.bootClock.Now()
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -25,6 +25,7 @@
 	if w == nil {
 		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), ends: newEndedRuns(), unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{}}
 		w.isRecordedLate = p.bindings.recordedLate[agent]
+		w.state.ID = p.removedIDs[agent]
 		p.addWorker(w)
 	}
 	if !w.isUsable(now, p.cfg.SuspectAfter) {
