Records of agents stay valid while all processes are down; acknowledge after two answered calls

Callers: after a loss of all processes, tasks of earlier jobs waited for 12 s more where the records were over 5 s old by the next planner's election.

The time from the last mark to an entry's start is not counted, 10 s at most. Ends are acknowledged after two answered calls in a row.

--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -11,9 +11,12 @@
 // one possibly gets none either.
 const ackDelay = 5 * time.Second
 
-// ackWindow is how long after the sending of an answered call that acknowledges none the next one may
-// acknowledge ends: it is then likely to get an answer as well.
-const ackWindow = 20 * time.Millisecond
+// Ends are acknowledged right after callsBeforeAck answered calls that acknowledge none, each sent within
+// ackWindow before the next one: the next call is then likely to get an answer as well.
+const (
+	ackWindow      = 20 * time.Millisecond
+	callsBeforeAck = 2
+)
 
 // acknowledgement is the state of the acknowledgement of ends. The worker, or its next incarnation
 // under the same ID, can execute an unanswered call that acknowledges ends, and a start, late: it then
@@ -32,6 +35,8 @@
 	// worker last got no answer; zero if none did.
 	answeredAt   time.Duration
 	unansweredAt time.Duration
+	// answered is the number of calls up to answeredAt that were answered in a row.
+	answered int
 }
 
 // mayAcknowledge reports whether ends may be acknowledged, by a call within ackWindow after an answered one.
@@ -42,7 +47,8 @@
 
 // acknowledgesNow reports whether the next call is to acknowledge ends.
 func (c *control) acknowledgesNow(now time.Duration) bool {
-	return c.mayAcknowledge(now) && now-c.acknowledgement.answeredAt <= ackWindow
+	a := &c.acknowledgement
+	return c.mayAcknowledge(now) && a.answered >= callsBeforeAck && now-a.answeredAt <= ackWindow
 }
 
 // handleAcknowledged handles the outcome of a call for the run lists, which possibly acknowledged ends.
@@ -52,7 +58,12 @@
 		a.unansweredAt = c.bootClock.Now()
 	}
 	if ev.err == nil && ev.lastSeen == 0 {
-		a.answeredAt = ev.sentAt
+		if ev.sentAt-a.answeredAt > ackWindow {
+			a.answered = 0
+		}
+		a.answeredAt, a.answered = ev.sentAt, a.answered+1
+	} else {
+		a.answered = 0
 	}
 	if ev.lastSeen == 0 {
 		return
--- a/internal/cfjobagent/acknowledgement_test.go
+++ b/internal/cfjobagent/acknowledgement_test.go
@@ -17,7 +17,7 @@
 	g := NewWithT(t)
 	a, w, clock := newStartingControl()
 	w.holds = make(chan cfcore.HoldOptions, 1)
-	a.lastRecorded, a.acknowledgement.answeredAt = 3, a.bootClock.Now()
+	a.lastRecorded, a.acknowledgement.answeredAt, a.acknowledgement.answered = 3, a.bootClock.Now(), callsBeforeAck
 	a.requestRunLists(t.Context())
 	g.Expect((<-w.holds).LastSeen).To(BeEquivalentTo(3))
 	a.startRun(t.Context(), startOfJ)
@@ -35,7 +35,7 @@
 	g := NewWithT(t)
 	a, w, _ := newStartingControl()
 	w.holds = make(chan cfcore.HoldOptions, 1)
-	a.lastRecorded, a.acknowledgement.answeredAt = 3, a.bootClock.Now()
+	a.lastRecorded, a.acknowledgement.answeredAt, a.acknowledgement.answered = 3, a.bootClock.Now(), callsBeforeAck
 	a.requestRunLists(t.Context())
 	a.startRun(t.Context(), startOfJ)
 	<-w.holds
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -199,9 +199,11 @@
 	g.Expect((<-w.holds).LastSeen).To(BeZero())
 	a.handleEvent(t.Context(), <-a.events)
 	clock += fakeBootClock(ackDelay)
-	a.requestRunLists(t.Context())
-	g.Expect((<-w.holds).LastSeen).To(BeZero())
-	a.handleEvent(t.Context(), <-a.events)
+	for range callsBeforeAck {
+		a.requestRunLists(t.Context())
+		g.Expect((<-w.holds).LastSeen).To(BeZero())
+		a.handleEvent(t.Context(), <-a.events)
+	}
 	a.requestRunLists(t.Context())
 	g.Expect((<-w.holds).LastSeen).To(BeEquivalentTo(57))
 }
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -23,6 +23,7 @@
 type control struct {
 	*Entry
 	bootClock cfclock.BootClock
+	startedAt time.Time
 	// stored is the state in the records that this entry has applied.
 	stored *cfjob.StoreState
 	// links are the open connections of agents and other entries.
@@ -77,7 +78,7 @@
 
 func newControl(e *Entry) *control {
 	return &control{
-		Entry: e, bootClock: cfclock.System{}, stored: cfjob.NewStoreState(e.codec), links: map[*link]bool{}, stopWatching: func() {}, unseenSince: map[string]time.Time{}, conflictOffset: -1,
+		Entry: e, bootClock: cfclock.System{}, startedAt: e.Clock.Now(), stored: cfjob.NewStoreState(e.codec), links: map[*link]bool{}, stopWatching: func() {}, unseenSince: map[string]time.Time{}, conflictOffset: -1,
 	}
 }
 
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -172,9 +172,9 @@
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
 		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, entrySeenAt: map[string]time.Time{},
 	}
-	marksAge := c.Clock.Now().Sub(c.stored.MarkedAt).Abs()
+	recordsValid := c.recordsValid()
 	for a := range c.stored.Agents {
-		if !c.stored.HasLateStarts(a) && marksAge <= cfdispatch.RecordsValidFor {
+		if !c.stored.HasLateStarts(a) && recordsValid {
 			c.plan.SetAnswered(a)
 		}
 	}
@@ -187,6 +187,20 @@
 	c.sendEntriesToAll()
 }
 
+// maxDownTime is how long before its start an entry assumes that the planner was down as well.
+const maxDownTime = 10 * time.Second
+
+// recordsValid reports whether the records of agents are valid, see cfdispatch.RecordsValidFor. While all
+// processes are down, no start is sent.
+func (c *control) recordsValid() bool {
+	now := c.Clock.Now()
+	since := c.stored.MarkedAt
+	if down := c.startedAt.Sub(since); down > 0 {
+		since = since.Add(min(down, maxDownTime))
+	}
+	return now.Sub(since).Abs() <= cfdispatch.RecordsValidFor
+}
+
 // resign ends this entry's leadership and notifies all peers, so that another entry can
 // take over without waiting.
 func (c *control) resign(reason string) {
