--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -29,6 +29,8 @@
 	instance int
 	// isLate is set if an attempt got no answer, or if one has been in flight for long.
 	isLate bool
+	// isSettled is set if the agent's last report does not list the start any more.
+	isSettled bool
 	// refusedIn is when the incarnation of the worker started that refuses the run; zero if there is none.
 	refusedIn time.Time
 }
@@ -103,25 +105,42 @@
 }
 
 // applyReport applies an agent's list of unanswered starts. The list has all starts that its instance has
-// sent, so that the others are not bound any more.
+// sent. The others are not bound any more if the report has the run lists as well, which then contain
+// their runs, or if it has their results.
 func (b *bindings) applyReport(now time.Time, w *worker, m *cfwire.JobReport) {
+	hasLists := m.Lists != nil
 	if until, ok := b.unknown[w.agent]; ok {
-		if limit := now.Add(m.UnknownStarts); m.UnknownStarts == 0 || b.answered[w.agent] {
+		limit := now.Add(m.UnknownStarts)
+		w.startsKnown = m.UnknownStarts == 0 || b.answered[w.agent]
+		switch {
+		case w.startsKnown && hasLists:
 			delete(b.unknown, w.agent)
-		} else if limit.Before(until) {
+		case !w.startsKnown && limit.Before(until):
 			b.unknown[w.agent] = limit
 		}
 	}
+	hasResult := func(x *binding) bool {
+		return slices.ContainsFunc(m.Results, func(r cfwire.JobOrderResult) bool { return r.Task == x.task && r.Run == x.run })
+	}
 	listed := map[*binding]bool{}
 	for _, s := range m.Unanswered {
 		x := b.bind(s.Task, w, s.Run, w.instance, now.Add(min(s.For, maxBinding)))
 		x.isLate, listed[x] = s.IsLate, true
 	}
 	b.removeIf(w, func(x *binding) bool {
-		return !listed[x] && (x.instance == w.instance || m.UnknownStarts == 0)
+		x.isSettled = !listed[x] && (x.instance == w.instance || m.UnknownStarts == 0)
+		return x.isSettled && (hasLists || hasResult(x))
 	})
 }
 
+// removeSettled removes what the agent has no longer listed from a worker whose leases have all expired.
+func (b *bindings) removeSettled(w *worker) {
+	if w.startsKnown {
+		delete(b.unknown, w.agent)
+	}
+	b.removeIf(w, func(x *binding) bool { return x.isSettled })
+}
+
 // bindLost binds the task of a run that is given up before its start had a result. The agent can attempt
 // the start as long as it may extend leases.
 func (p *Planner) bindLost(r *run) {
--- a/pkg/cfdispatch/binding_test.go
+++ b/pkg/cfdispatch/binding_test.go
@@ -310,3 +310,16 @@
 	f.runPlanner()
 	f.Expect(f.workers["a"].ackedEnd).To(BeZero())
 }
+
+// The lists that contain the run of a late start arrive after the report that no longer lists the start if
+// the agent has just followed this planner.
+func TestReportWithoutListsDoesNotUnbind(t *testing.T) {
+	f, run := newBoundFleet(t, newStep(1, 100))
+	f.ApplyReport(f.now, "a", unanswered(run, cfwire.JobOrderResult{Task: run.Task, Run: run.Run, Refusal: cfcore.ExecutorStale}))
+	clear(f.workers["a"].runs)
+	f.workers["a"].state.Draining = true
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &f.workers["a"].state})
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.report("a")
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@b"))
+}
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -392,6 +392,7 @@
 // worker must have left.
 func (p *Planner) expireRuns(now time.Time, w *worker) {
 	clear(w.unsettled.running)
+	p.bindings.removeSettled(w)
 	for r := range w.runs {
 		if r.task.step.LongRunning {
 			// A long-running task must not be away for long, and the agent has possibly never
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -78,6 +78,8 @@
 	// isRecordedLate is set if the agent is recorded to have late starts, since lateRecordedAt.
 	isRecordedLate bool
 	lateRecordedAt time.Time
+	// startsKnown is set if the agent's last report has all starts of its instances.
+	startsKnown bool
 	// withholdsStarts is set while the agent refuses all starts.
 	withholdsStarts bool
 	// refusedAt is when the worker last refused an order. The order was a start that was
