--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -41,8 +41,13 @@
 	p.SetAnswered(agent)
 }
 
-// TakeAgentRecords returns the changes of agents' records since its last call.
+// TakeAgentRecords returns the changes of agents' records since it last returned any. It scans for them every
+// scanInterval.
 func (p *Planner) TakeAgentRecords(now time.Time) []AgentRecord {
+	if now.Sub(p.lastRecordScan) < scanInterval {
+		return nil
+	}
+	p.lastRecordScan = now
 	var out []AgentRecord
 	if p.recordingSince.IsZero() {
 		p.recordingSince = now
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -260,8 +260,9 @@
 	ackPending       map[*worker]bool
 	unrecordedAgents map[string]bool
 	bindings         bindings
-	// recordingSince is when TakeAgentRecords was first called.
+	// recordingSince is when TakeAgentRecords was first called, and lastRecordScan when it last scanned.
 	recordingSince time.Time
+	lastRecordScan time.Time
 	formerEnds     []*formerEnds
 }
 
--- a/pkg/cfdispatch/unsettled.go
+++ b/pkg/cfdispatch/unsettled.go
@@ -146,6 +146,9 @@
 }
 
 func (p *Planner) applyPostponed(now time.Time, w *worker, born time.Time, u *endedRuns) {
+	if len(u.postponed) == 0 {
+		return
+	}
 	for _, n := range slices.Sorted(maps.Keys(u.postponed)) {
 		if e := u.postponed[n]; !p.mustPostpone(now, e) {
 			delete(u.postponed, n)
