--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -11,6 +11,13 @@
 // one possibly gets none either.
 const ackDelay = 5 * time.Second
 
+// Ends are acknowledged at most once in ackInterval, or once ackBatch of them are recorded: most calls that get no
+// answer then acknowledge none. The platform lists 500 ends and allows 4 s for their acknowledgement.
+const (
+	ackInterval = time.Second
+	ackBatch    = 100
+)
+
 // Ends are acknowledged right after callsBeforeAck answered calls that acknowledge none and don't wait, each
 // answered within ackWindow before the next one: the next call is then likely to get an answer as well.
 const (
@@ -29,6 +36,8 @@
 	// for its answer.
 	inFlight bool
 	waiting  []cfwire.JobStart
+	// sentAt is when such a call was last sent to this incarnation of the worker; zero if none was.
+	sentAt time.Duration
 	// until is until when an unanswered call that acknowledges ends can be executed.
 	until time.Duration
 	// answeredAt is when such a call was last answered, and unansweredAt when a call to the
@@ -42,7 +51,8 @@
 // mayAcknowledge reports whether ends may be acknowledged, by a call within ackWindow after an answered one.
 func (c *control) mayAcknowledge(now time.Duration) bool {
 	a := &c.acknowledgement
-	return !c.holdFailed && c.lastRecorded > a.to && len(c.unanswered.starts) == 0 && (a.unansweredAt == 0 || now-a.unansweredAt >= ackDelay)
+	isDue := a.sentAt == 0 || now-a.sentAt >= ackInterval || c.lastRecorded >= a.to+ackBatch
+	return isDue && !c.holdFailed && c.lastRecorded > a.to && len(c.unanswered.starts) == 0 && (a.unansweredAt == 0 || now-a.unansweredAt >= ackDelay)
 }
 
 // acknowledgesNow reports whether the next call is to acknowledge ends.
@@ -98,4 +108,4 @@
 }
 
 // reset handles another incarnation of the worker.
-func (a *acknowledgement) reset() { a.to, a.inFlight = 0, false }
+func (a *acknowledgement) reset() { a.to, a.inFlight, a.sentAt = 0, false, 0 }
--- a/internal/cfjobagent/acknowledgement_test.go
+++ b/internal/cfjobagent/acknowledgement_test.go
@@ -74,3 +74,21 @@
 	a.handleEvents(t, 1)
 	g.Consistently(w.started, "100ms").ShouldNot(Receive(), "start ordered by planner 5 was sent in epoch %d", a.epoch)
 }
+
+// Most calls that get no answer must not be acknowledgements, after which the worker gets no starts for long.
+func TestEndsAreAcknowledgedSeldom(t *testing.T) {
+	g := NewWithT(t)
+	a, w, clock := newStartingControl()
+	w.holds = make(chan cfcore.HoldOptions, 1)
+	a.lastRecorded, a.acknowledgement.answeredAt, a.acknowledgement.answered = 3, a.bootClock.Now(), callsBeforeAck
+	a.requestRunLists(t.Context())
+	g.Expect((<-w.holds).LastSeen).To(BeEquivalentTo(3))
+	a.handleEvents(t, 1)
+	a.lastRecorded = 4
+	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeFalse())
+	a.lastRecorded = 3 + ackBatch
+	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeTrue(), "there are many")
+	a.lastRecorded = 4
+	*clock += fakeBootClock(ackInterval)
+	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeTrue())
+}
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -153,6 +153,7 @@
 	// reportAll is set when the next report must contain the worker's whole state. results
 	// are the results of orders since the last report.
 	reportAll bool
+	reported  reportedLists
 	results   []cfwire.JobOrderResult
 	// lastReport is the sequence number of the last report.
 	lastReport uint64
@@ -462,6 +463,7 @@
 	clear(c.pendingGrants)
 	c.lastGrantRequestAt = 0
 	c.reportAll = true
+	c.reported.reset()
 }
 
 // dropPlannerLink stops using a connection. If it was the one to the planner, the agent
@@ -547,12 +549,14 @@
 		if c.hasLists {
 			l := c.lists
 			r.Lists, r.UncertainEnd = &l, c.uncertainEnd
+			c.reported.set(l, now)
 		}
 	}
 	// An agent that has not received a heartbeat yet does not know which tasks its worker
 	// runs. It therefore also reports the worker as unreachable.
 	if d, unreachable := c.unansweredFor(); c.hasLeft || unreachable || !c.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: c.leasesExpired(), Left: c.hasLeft}
+		c.reported.reset()
 	}
 	// The planner possibly ignored earlier reports. It must learn of the ends before it counts the runs as
 	// ended in another way.
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -26,7 +26,7 @@
 	h := cfcore.HoldOptions{Until: c.leaseUntil()}
 	switch {
 	case c.acknowledgesNow(now):
-		h.LastSeen, c.acknowledgement.inFlight = c.lastRecorded, true
+		h.LastSeen, c.acknowledgement.inFlight, c.acknowledgement.sentAt = c.lastRecorded, true, now
 	case c.mayAcknowledge(now):
 	case !c.holdFailed && c.hasLists && c.lastListed <= c.acknowledgement.to && !c.isEnding() && !c.hasSuccessor:
 		h.Wait = c.cfg.HoldWait
@@ -63,8 +63,8 @@
 		c.Scope.Counter("holds_failed").Inc(1)
 		return
 	}
-	if c.applyLists(ev.lists, ev.token) && !ev.lists.MayLackRuns() {
-		c.unanswered.settle(ev.sentAt)
+	if c.applyLists(ev.lists, ev.token) && !ev.lists.MayLackRuns() && c.unanswered.settle(ev.sentAt) {
+		c.reportAll = true
 	}
 	c.settleSuccessor(true)
 	// A call that was sent before a restart was noticed contains a time on the earlier clock.
@@ -123,8 +123,9 @@
 	}
 	if l.Clock >= c.leasedUntil || c.moreUncertainEnds {
 		c.uncertainEnd, c.moreUncertainEnds = c.lastListed, l.MoreEnds
+		c.reported.reset()
 	}
-	c.reportAll = true
+	c.reportAll = c.reportAll || !c.reported.cover(&l, c.bootClock.Now())
 	return true
 }
 
@@ -245,6 +246,7 @@
 	delete(c.inFlight, ev.key)
 	if !ev.key.stop {
 		c.unanswered.end(startKey{task: ev.key.task, run: ev.key.run})
+		c.reported.reset()
 	}
 	c.recordEnds(&ev.lists)
 	if !ev.key.born.Equal(c.worker.Born) {
--- a/internal/cfjobagent/unanswered.go
+++ b/internal/cfjobagent/unanswered.go
@@ -71,12 +71,14 @@
 }
 
 // settle forgets the starts that were executed, if ever, before the time at: run lists that were
-// requested then contain their runs.
-func (u *unansweredStarts) settle(at time.Duration) {
+// requested then contain their runs. It reports whether there were any.
+func (u *unansweredStarts) settle(at time.Duration) bool {
+	before, hadUnknown := len(u.starts), u.unknownUntil > 0
 	maps.DeleteFunc(u.starts, func(_ startKey, s unansweredStart) bool { return s.inFlight <= 0 && at >= s.until })
 	if at >= u.unknownUntil {
 		u.unknownUntil = 0
 	}
+	return len(u.starts) < before || hadUnknown && u.unknownUntil == 0
 }
 
 // forget forgets all starts: a worker with another ID refuses them.
