--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -14,7 +14,7 @@
 // Ends are acknowledged at most once in ackInterval, or once ackBatch of them are recorded: most calls that get no
 // answer then acknowledge none. The platform lists 500 ends and allows 4 s for their acknowledgement.
 const (
-	ackInterval = time.Second
+	ackInterval = 2 * time.Second
 	ackBatch    = 100
 )
 
@@ -89,8 +89,8 @@
 	}
 }
 
-// withholdsStarts reports whether the worker must get no starts, since it can still execute a call that
-// acknowledges ends.
+// withholdsStarts reports whether the worker must get no starts of tasks that can end as done, since it can
+// still execute a call that acknowledges ends.
 func (c *control) withholdsStarts() bool { return c.bootClock.Now() < c.acknowledgement.until }
 
 // withholdStart reports whether a start is not sent now because of a call that acknowledges ends. The
@@ -100,7 +100,7 @@
 		c.acknowledgement.waiting = append(c.acknowledgement.waiting, s)
 		return true
 	}
-	if c.withholdsStarts() {
+	if c.withholdsStarts() && !s.LongRunning {
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
 		return true
 	}
--- a/internal/cfjobagent/acknowledgement_test.go
+++ b/internal/cfjobagent/acknowledgement_test.go
@@ -92,3 +92,16 @@
 	*clock += fakeBootClock(ackInterval)
 	g.Expect(a.mayAcknowledge(a.bootClock.Now())).To(BeTrue())
 }
+
+func TestLongRunningTaskStartsWhileAnAcknowledgementIsUnanswered(t *testing.T) {
+	g := NewWithT(t)
+	a, _, _ := newStartingControl()
+	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: 3, sentAt: a.bootClock.Now(), err: errUnanswered})
+	lasting := startOfJ
+	lasting.LongRunning = true
+	a.startRun(t.Context(), lasting)
+	r := a.takeReport()
+	g.Expect(r.WithholdsStarts).To(BeTrue())
+	g.Expect(r.Results).To(BeEmpty())
+	g.Expect(r.Unanswered).To(HaveLen(1), "it is in flight")
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -63,8 +63,8 @@
 		c.Scope.Counter("holds_failed").Inc(1)
 		return
 	}
-	if c.applyLists(ev.lists, ev.token) && !ev.lists.MayLackRuns() && c.unanswered.settle(ev.sentAt) {
-		c.reportAll = true
+	if c.applyLists(ev.lists, ev.token) && !ev.lists.MayLackRuns() {
+		c.settleStarts(ev.sentAt)
 	}
 	c.settleSuccessor(true)
 	// A call that was sent before a restart was noticed contains a time on the earlier clock.
--- a/internal/cfjobagent/unanswered.go
+++ b/internal/cfjobagent/unanswered.go
@@ -81,6 +81,13 @@
 	return len(u.starts) < before || hadUnknown && u.unknownUntil == 0
 }
 
+// settleStarts settles starts. The planner unbinds their tasks by the next lists.
+func (c *control) settleStarts(at time.Duration) {
+	if c.unanswered.settle(at) {
+		c.reportAll = true
+	}
+}
+
 // forget forgets all starts: a worker with another ID refuses them.
 func (u *unansweredStarts) forget() {
 	clear(u.starts)
--- a/pkg/cfdispatch/nofit.go
+++ b/pkg/cfdispatch/nofit.go
@@ -17,6 +17,8 @@
 	priority    int
 	// bestEffort is set for best-effort tasks, which start on no worker with a pause.
 	bestEffort bool
+	// longRunning is set for long-running tasks, which start where others are withheld.
+	longRunning bool
 	// waitsForFreeCPU is set for best-effort tasks that only start where enough CPU is
 	// free. reserving is set if the search is for a worker on which to reserve capacity.
 	// That search counts capacity in use by less urgent tasks as available.
@@ -29,7 +31,7 @@
 
 func (t *task) placementKey(now time.Time) placementKey {
 	k := placementKey{
-		service: t.j.queue.Service, requirement: t.step.Requirement, priority: t.j.queue.Priority, bestEffort: t.step.BestEffort,
+		service: t.j.queue.Service, requirement: t.step.Requirement, priority: t.j.queue.Priority, bestEffort: t.step.BestEffort, longRunning: t.step.LongRunning,
 		waitsForFreeCPU: t.waitsForFreeCPU() && !t.j.isStarved(now),
 	}
 	if t.waitsForFreeCPU() && !t.j.mayStartDespiteHarm(now) {
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -79,7 +79,7 @@
 	o := p.ordersFor(r.w)
 	o.Starts = append(o.Starts, cfwire.JobStart{
 		Worker: r.w.state.ID, Born: r.w.state.Born, Task: r.task.name, Run: r.id,
-		Spec: r.task.j.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket,
+		Spec: r.task.j.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, LongRunning: r.task.step.LongRunning,
 	})
 }
 
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -281,7 +281,7 @@
 	if !w.isUsable(now, p.cfg.SuspectAfter) || p.holdsManyEnds(w) || w.state.Service != t.j.queue.Service {
 		return false
 	}
-	if now.Before(w.failures.quarantinedUntil) {
+	if w.withholdsStarts && !t.step.LongRunning || now.Before(w.failures.quarantinedUntil) {
 		return false
 	}
 	if r := t.step.Requirement; r != "" && !slices.Contains(w.state.Labels, r) {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -28,10 +28,7 @@
 		w.state.ID = p.removedIDs[agent]
 		p.addWorker(w)
 	}
-	if !w.isUsable(now, p.cfg.SuspectAfter) {
-		p.changed = true
-	}
-	w.reportedAt, w.withholdsStarts = now, m.WithholdsStarts
+	p.recordContact(now, w, m)
 	p.applyListedEnds(now, w, m)
 	if m.Worker != nil {
 		p.updateWorker(now, w, *m.Worker)
@@ -68,6 +65,14 @@
 	p.bindings.applyReport(now, w, m)
 }
 
+// recordContact records that the worker's agent has reported.
+func (p *Planner) recordContact(now time.Time, w *worker, m *cfwire.JobReport) {
+	if !w.isUsable(now, p.cfg.SuspectAfter) || w.withholdsStarts != m.WithholdsStarts {
+		p.changed = true
+	}
+	w.reportedAt, w.withholdsStarts = now, m.WithholdsStarts
+}
+
 // updateReachability records whether the worker responds to its agent.
 func (w *worker) updateReachability(m *cfwire.JobReport) {
 	w.awaitsInstance = w.awaitsInstance && m.Worker == nil
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -80,7 +80,7 @@
 	lateRecordedAt time.Time
 	// startsKnown is set if the agent's last report has all starts of its instances.
 	startsKnown bool
-	// withholdsStarts is set while the agent refuses all starts.
+	// withholdsStarts is set while the agent refuses all starts but those of long-running tasks.
 	withholdsStarts bool
 	// refusedAt is when the worker last refused an order. The order was a start that was
 	// refused for another reason than its ticket, or a stop of a run that the worker does
@@ -124,7 +124,7 @@
 // isUsable reports whether the worker may get starts now.
 func (w *worker) isUsable(now time.Time, suspectAfter time.Duration) bool {
 	return w.hasListed && w.isRecorded && !w.isUnreachable && !w.state.Draining && now.Sub(w.reportedAt) < suspectAfter &&
-		now.Sub(w.refusedAt) >= refusalBackoff && !w.withholdsStarts
+		now.Sub(w.refusedAt) >= refusalBackoff
 }
 
 // lastContact returns when the agent last reported or was last sent a response.
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -35,7 +35,7 @@
 	// UnknownStarts is set if the worker can still execute starts of an earlier instance of the agent. It
 	// is the time after which their runs have certainly ended.
 	UnknownStarts time.Duration `cbor:",omitempty"`
-	// WithholdsStarts is set while the agent refuses all starts, see cfjobagent.
+	// WithholdsStarts is set while the agent refuses all starts but those of long-running tasks, see cfjobagent.
 	WithholdsStarts bool `cbor:",omitempty"`
 	// Lost is set if the worker does not respond or has left, or if the agent has just
 	// started and has not heard from the worker yet.
@@ -117,6 +117,8 @@
 	Spec       string
 	Checkpoint string `cbor:",omitempty"`
 	Ticket     string `cbor:",omitempty"`
+	// LongRunning is set if the task never ends as done.
+	LongRunning bool `cbor:",omitempty"`
 }
 
 // JobStop is the order to stop a run.
