--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -70,18 +70,10 @@
 }
 
 func (p *Planner) hasLateStarts(now time.Time, w *worker) bool {
-	if _, ok := p.bindings.unknown[w.agent]; ok {
-		return true
-	}
 	for r := range w.runs {
 		if r.awaitsResult && now.Sub(r.sentAt) >= lateAfter {
 			return true
 		}
 	}
-	for _, x := range w.bindings {
-		if x.isLate {
-			return true
-		}
-	}
-	return false
+	return p.hasLateBindings(w)
 }
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -240,7 +240,20 @@
 }
 
 // holdsManyEnds reports whether the worker lists so many ends, because none is acknowledged, that its
-// lists will soon be full.
+// lists will soon be full. A start that is merely in flight holds ends back only until its answer.
 func (p *Planner) holdsManyEnds(w *worker) bool {
-	return w.listedEnds >= maxHeldEnds && p.mayExecuteStarts(w)
+	return w.listedEnds >= maxHeldEnds && p.hasLateBindings(w)
+}
+
+// hasLateBindings reports whether a worker can execute starts late, as far as agents have reported it.
+func (p *Planner) hasLateBindings(w *worker) bool {
+	if _, ok := p.bindings.unknown[w.agent]; ok {
+		return true
+	}
+	for _, x := range w.bindings {
+		if x.isLate {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/cfdispatch/binding_test.go
+++ b/pkg/cfdispatch/binding_test.go
@@ -216,9 +216,11 @@
 	for name, c := range map[string]struct {
 		ends     int
 		bound    bool
+		inFlight bool
 		expected string
 	}{
-		"few ends": {399, true, "k.0@a"}, "many ends": {400, true, "k.0@b"}, "many ends, no unanswered start": {400, false, "k.0@a"},
+		"few ends": {399, true, false, "k.0@a"}, "many ends": {400, true, false, "k.0@b"},
+		"many ends, a start in flight": {400, true, true, "k.0@a"}, "many ends, no unanswered start": {400, false, false, "k.0@a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, run := newBoundFleet(t, newStep(1, 100))
@@ -228,6 +230,7 @@
 			}
 			if c.bound {
 				r.Unanswered = unanswered(run).Unanswered
+				r.Unanswered[0].IsLate = !c.inFlight
 			}
 			f.ApplyReport(f.now, "a", r)
 			if c.expected == "k.0@a" {
