--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -468,6 +468,11 @@
 		return fault
 	})
 	time.Sleep(5 * time.Second)
+	// A start without an answer, for example on a busy machine, can keep a worker without starts for 15 s
+	// from 400 ends on.
+	for _, w := range f.workers {
+		Eventually(w.MostUnrecordedEnds, 20*time.Second, 50*time.Millisecond).Should(BeNumerically(">", 500))
+	}
 	if kill {
 		p := f.entries[f.awaitPlanner()]
 		p.kill()
