--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -1,9 +1,14 @@
 package cfjobagent
 
 import (
+	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -11,6 +16,10 @@
 // one possibly gets none either.
 const ackDelay = 5 * time.Second
 
+// withholdTime is how long all calls to a worker must have been answered before it gets starts while it can still
+// execute a call that acknowledges ends.
+const withholdTime = 2 * time.Second
+
 // Ends are acknowledged at most once in ackInterval, or once ackBatch of them are recorded: most calls that get no
 // answer then acknowledge none. The platform lists 500 ends and allows 4 s for their acknowledgement.
 const (
@@ -61,9 +70,14 @@
 	return c.mayAcknowledge(now) && a.answered >= callsBeforeAck && now-a.answeredAt <= ackWindow
 }
 
+// isUnanswered reports whether the worker has possibly received the call, or still receives it.
+func (ev *holdReturned) isUnanswered() bool {
+	return !ev.notSent && cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(ev.err, syscall.ECONNREFUSED)
+}
+
 // handleAcknowledged handles the outcome of a call for the run lists, which possibly acknowledged ends.
-func (c *control) handleAcknowledged(ev holdReturned, isUnanswered bool) {
-	a := &c.acknowledgement
+func (c *control) handleAcknowledged(ev holdReturned) {
+	a, isUnanswered := &c.acknowledgement, ev.isUnanswered()
 	if isUnanswered {
 		a.unansweredAt = c.bootClock.Now()
 	}
@@ -82,7 +96,7 @@
 	case isUnanswered && c.mayBePresent(ev.worker):
 		a.until = max(a.until, ev.sentAt+cfcore.MaxOrderDelay)
 		c.reportAll = true
-		c.Log.Warn().Err(ev.err).Str("Worker", ev.worker).Uint64("LastSeen", ev.lastSeen).Msg("call that acknowledged ends got no answer: the worker gets no starts until it can be executed no more")
+		c.Log.Warn().Err(ev.err).Str("Worker", ev.worker).Uint64("LastSeen", ev.lastSeen).Msg("call that acknowledged ends got no answer: the worker gets few starts until it can be executed no more")
 		c.Scope.Counter("acknowledgements_unanswered").Inc(1)
 	case ev.err == nil && ev.incarnation == c.fence.currentIncarnation():
 		a.to = max(a.to, ev.lastSeen)
@@ -90,8 +104,12 @@
 }
 
 // withholdsStarts reports whether the worker must get no starts of tasks that can end as done, since it can
-// still execute a call that acknowledges ends.
-func (c *control) withholdsStarts() bool { return c.bootClock.Now() < c.acknowledgement.until }
+// still execute a call that acknowledges ends. Once its calls have been answered for withholdTime, a start is unlikely
+// to get no answer as well.
+func (c *control) withholdsStarts() bool {
+	now := c.bootClock.Now()
+	return now < c.acknowledgement.until && now-c.acknowledgement.unansweredAt < withholdTime
+}
 
 // withholdStart reports whether a start is not sent now because of a call that acknowledges ends. The
 // start waits for the answer to that call, or is refused if there was none.
@@ -101,11 +119,17 @@
 		return true
 	}
 	if c.withholdsStarts() && !s.LongRunning {
+		c.recordStartResult(orderKey{task: s.Task, run: s.Run, born: s.Born}, cfcore.ExecutorRefused)
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
 		return true
 	}
 	return false
 }
 
+// cancelWaiting removes a start from those that wait, as its run is to be stopped.
+func (a *acknowledgement) cancelWaiting(t cfcore.TaskName, run uint64) {
+	a.waiting = slices.DeleteFunc(a.waiting, func(s cfwire.JobStart) bool { return s.Task == t && s.Run == run })
+}
+
 // reset handles another incarnation of the worker.
 func (a *acknowledgement) reset() { a.to, a.inFlight, a.sentAt = 0, false, 0 }
--- a/internal/cfjobagent/acknowledgement_test.go
+++ b/internal/cfjobagent/acknowledgement_test.go
@@ -105,3 +105,63 @@
 	g.Expect(r.Results).To(BeEmpty())
 	g.Expect(r.Unanswered).To(HaveLen(1), "it is in flight")
 }
+
+func TestStartsAreWithheldWhileCallsGetNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	a, _, clock := newStartingControl()
+	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: 3, sentAt: a.bootClock.Now(), err: errUnanswered})
+	g.Expect(a.withholdsStarts()).To(BeTrue())
+	*clock += fakeBootClock(withholdTime)
+	g.Expect(a.withholdsStarts()).To(BeFalse(), "no other call has failed")
+	a.handleEvent(t.Context(), attemptUnanswered{worker: "w", start: startKey{task: startOfJ.Task, run: 7}, at: a.bootClock.Now()})
+	g.Expect(a.withholdsStarts()).To(BeTrue(), "the acknowledgement can still be executed")
+	*clock += fakeBootClock(cfcore.MaxOrderDelay - withholdTime)
+	a.handleEvent(t.Context(), attemptUnanswered{worker: "w", start: startKey{task: startOfJ.Task, run: 8}, at: a.bootClock.Now()})
+	g.Expect(a.withholdsStarts()).To(BeFalse(), "it cannot")
+}
+
+// The planner drops a run that was refused and starts its task elsewhere. It possibly repeated the order before
+// it learned of the refusal.
+func TestWithheldStartIsNotSentLater(t *testing.T) {
+	g := NewWithT(t)
+	a, w, clock := newStartingControl()
+	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: 3, sentAt: a.bootClock.Now(), err: errUnanswered})
+	*clock += fakeBootClock(withholdTime - 10*time.Millisecond)
+	a.grantedAt, a.answeredAt = a.bootClock.Now(), a.bootClock.Now()
+	a.startRun(t.Context(), startOfJ)
+	g.Expect(a.takeReport().Results).To(Equal([]cfwire.JobOrderResult{{Task: startOfJ.Task, Run: 7, Refusal: cfcore.ExecutorRefused}}))
+	*clock += fakeBootClock(20 * time.Millisecond)
+	a.startRun(t.Context(), startOfJ)
+	g.Consistently(w.started, "100ms").ShouldNot(Receive(), "the run was reported as refused")
+}
+
+// The planner counts the run as ended once the worker has answered the stop.
+func TestWaitingStartIsNotSentAfterItsStop(t *testing.T) {
+	g := NewWithT(t)
+	a, w, _ := newStartingControl()
+	w.holds = make(chan cfcore.HoldOptions, 10)
+	a.lastRecorded, a.acknowledgement.answeredAt, a.acknowledgement.answered = 3, a.bootClock.Now(), callsBeforeAck
+	a.requestRunLists(t.Context())
+	a.startRun(t.Context(), startOfJ)
+	g.Expect(a.acknowledgement.waiting).To(HaveLen(1))
+	g.Eventually(a.events).Should(HaveLen(1))
+	ack := <-a.events
+	a.stopRun(t.Context(), cfwire.JobStop{Task: startOfJ.Task, Run: startOfJ.Run})
+	a.handleEvents(t, 1)
+	r := a.takeReport()
+	g.Expect(r.Results).To(Equal([]cfwire.JobOrderResult{{Task: startOfJ.Task, Run: 7, Refusal: cfcore.ExecutorStale}}))
+	g.Expect(r.Unanswered).To(BeEmpty())
+	a.handleEvent(t.Context(), ack)
+	g.Consistently(w.started, "100ms").ShouldNot(Receive(), "the planner counts the run as ended")
+}
+
+// A call that was not sent can be executed by no worker.
+func TestAcknowledgementThatWasNotSentWithholdsNoStarts(t *testing.T) {
+	g := NewWithT(t)
+	a, _, _ := newStartingControl()
+	a.lastRecorded, a.acknowledgement.answeredAt, a.acknowledgement.answered = 3, a.bootClock.Now(), callsBeforeAck
+	a.fence.hasEnded, a.fence.session = true, a.fence.first+youngSessions
+	a.requestRunLists(t.Context())
+	a.handleEvents(t, 1)
+	g.Expect(a.takeReport().WithholdsStarts).To(BeFalse())
+}
--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -49,6 +49,8 @@
 		sentAt   time.Duration
 		lastSeen uint64
 		waited   bool
+		// notSent is set if no attempt of the call was made.
+		notSent bool
 	}
 	// attemptUnanswered is an attempt to start a run that got no answer. It was sent to the worker at
 	// the time at.
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -34,8 +34,9 @@
 	c.holdInFlight = true
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
-		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until, sentAt: now, lastSeen: h.LastSeen, waited: h.Wait > 0}
+		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until, sentAt: now, lastSeen: h.LastSeen, waited: h.Wait > 0, notSent: true}
 		ev.token, ev.err = c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) (err error) {
+			ev.notSent = false
 			ev.lists, err = c.Executor.Hold(ctx, o, h)
 			return err
 		})
@@ -45,7 +46,7 @@
 
 // handleHoldReturned handles the outcome of a call for the worker's run lists.
 func (c *control) handleHoldReturned(ev holdReturned) {
-	c.handleAcknowledged(ev, cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(ev.err, syscall.ECONNREFUSED))
+	c.handleAcknowledged(ev)
 	c.recordEnds(&ev.lists)
 	if ev.incarnation != c.fence.currentIncarnation() {
 		// Another call, to the present incarnation, is in flight or due.
@@ -201,6 +202,7 @@
 // stopRun sends the worker an order to stop a run. Once the worker has answered the order,
 // either the run is in the worker's run lists, or it does not exist and will never start.
 func (c *control) stopRun(ctx context.Context, s cfwire.JobStop) {
+	c.acknowledgement.cancelWaiting(s.Task, s.Run)
 	key := orderKey{task: s.Task, run: s.Run, stop: true, born: c.worker.Born}
 	if c.inFlight[key] || !c.hasWorker || c.hasLeft {
 		return
--- a/pkg/cfdispatch/model_copy_test.go
+++ b/pkg/cfdispatch/model_copy_test.go
@@ -103,8 +103,12 @@
 	}
 }
 
-// ackDelay is how long no end is acknowledged after a call that got no answer, as in internal/cfjobagent.
-const ackDelay = 5 * time.Second
+// As in internal/cfjobagent: ackDelay is how long no end is acknowledged after a call that got no answer, and withholdTime
+// how long all calls must have been answered before a worker gets starts beside an unanswered acknowledgement.
+const (
+	ackDelay     = 5 * time.Second
+	withholdTime = 2 * time.Second
+)
 
 // mayAcknowledge reports whether the next call may acknowledge ends.
 func (a *modelAgent) mayAcknowledge() bool {
@@ -120,7 +124,7 @@
 }
 
 func (a *modelAgent) withholdsStarts() bool {
-	return a.m.now.Before(a.ackUntil)
+	return a.m.now.Before(a.ackUntil) && a.m.now.Sub(a.unansweredAt) < withholdTime
 }
 
 // startWaiting sends the starts that have waited for the answer to a call that acknowledged ends.
