--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -25,6 +25,8 @@
 	w     *worker
 	run   uint64
 	until time.Time
+	// since is when the planner learned of the start.
+	since time.Time
 	// instance is the first instance of the agent that sent the start, see worker.instance.
 	instance int
 	// isLate is set if an attempt got no answer, or if one has been in flight for long.
@@ -55,12 +57,12 @@
 	return b
 }
 
-// bind binds a task to a worker, or extends the binding.
-func (b *bindings) bind(n cfcore.TaskName, w *worker, run uint64, instance int, until time.Time) *binding {
+// bind binds a task to a worker since a time, or extends the binding.
+func (b *bindings) bind(since time.Time, n cfcore.TaskName, w *worker, run uint64, instance int, until time.Time) *binding {
 	k := runKey{task: n, run: run}
 	x := w.bindings[k]
 	if x == nil {
-		x = &binding{task: n, w: w, run: run, instance: instance}
+		x = &binding{task: n, w: w, run: run, since: since, instance: instance}
 		b.byTask[n], w.bindings[k] = append(b.byTask[n], x), x
 	}
 	x.instance = min(x.instance, instance)
@@ -124,7 +126,7 @@
 	}
 	listed := map[*binding]bool{}
 	for _, s := range m.Unanswered {
-		x := b.bind(s.Task, w, s.Run, w.instance, now.Add(min(s.For, maxBinding)))
+		x := b.bind(now, s.Task, w, s.Run, w.instance, now.Add(min(s.For, maxBinding)))
 		x.isLate, listed[x] = s.IsLate, true
 	}
 	b.removeIf(w, func(x *binding) bool {
@@ -141,13 +143,26 @@
 	b.removeIf(w, func(x *binding) bool { return x.isSettled })
 }
 
-// bindLost binds the task of a run that is given up before its start had a result. The agent can attempt
-// the start as long as it may extend leases.
+// bindAwaited binds the tasks of runs on a worker whose starts have no result. Another instance of the agent does
+// not know of them.
+func (p *Planner) bindAwaited(w *worker) {
+	for r := range w.runs {
+		p.bindUnconfirmed(r)
+	}
+}
+
+// bindLost binds the task of a run that is given up before its start had a result.
 func (p *Planner) bindLost(r *run) {
+	p.bindUnconfirmed(r)
+	r.awaitsResult = false
+}
+
+// bindUnconfirmed binds the task of a run whose start has no result. The agent can attempt the start as long as
+// it may extend leases.
+func (p *Planner) bindUnconfirmed(r *run) {
 	if r.awaitsResult {
-		p.bindings.bind(r.task.name, r.w, r.id, r.instance, r.w.lastContact().Add(p.cfg.GrantTime+maxBinding)).isLate = true
+		p.bindings.bind(r.sentAt, r.task.name, r.w, r.id, r.instance, r.w.lastContact().Add(p.cfg.GrantTime+maxBinding)).isLate = true
 	}
-	r.awaitsResult = false
 }
 
 // confirmStart handles that the start of a run has a result, or that the worker lists the run. An earlier
@@ -183,6 +198,16 @@
 	return w, w != nil
 }
 
+// longRunningWait is how long a long-running task waits for a worker that it is bound to and that cannot start
+// it. It must run again within 7 s.
+const longRunningWait = 3 * time.Second
+
+// mayStartElsewhere reports whether a task may start on another worker than the one that it is bound to and that
+// cannot start it.
+func (p *Planner) mayStartElsewhere(now time.Time, t *task) bool {
+	return t.step.LongRunning && !t.step.Gang && !slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool { return now.Sub(x.since) < longRunningWait })
+}
+
 // isBound reports whether a task, or another member of its gang, is bound to a worker.
 func (p *Planner) isBound(n cfcore.TaskName) bool {
 	if len(p.bindings.byTask[n]) > 0 {
--- a/pkg/cfdispatch/binding_test.go
+++ b/pkg/cfdispatch/binding_test.go
@@ -326,3 +326,50 @@
 	f.report("a")
 	f.Expect(f.runPlanner()).To(ConsistOf("j.0@b"))
 }
+
+// A task that lasts must run again within 7 calm seconds (LOST). A start without an answer binds it for 15 s to a worker
+// that gets no more starts.
+func TestLongRunningTaskDoesNotWaitForADrainingWorker(t *testing.T) {
+	f, run := newBoundFleet(t, longRunningStep())
+	w := f.workers["a"]
+	clear(w.runs)
+	s := w.state
+	s.Draining = true
+	r := unanswered(run, cfwire.JobOrderResult{Task: run.Task, Run: run.Run})
+	r.Worker = &s
+	r.Lists = &cfcore.RunLists{Born: s.Born, Clock: time.Hour, Ended: []cfcore.EndedTask{{Number: 1, Task: run.Task, Run: run.Run, How: cfcore.EndFailed}}}
+	started := []string{}
+	for range 70 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		r.Unanswered[0].For -= 100 * time.Millisecond
+		f.ApplyReport(f.now, "a", r)
+		f.report("b")
+		started = append(started, f.runPlanner()...)
+	}
+	f.Expect(started).To(ConsistOf("j.0@b"), "7 s later")
+}
+
+// The new instance does not know the start that the former one possibly sent, and acknowledges what it is told is recorded.
+func TestNoEndIsAcknowledgedWhileAStartOfAFormerInstanceHasNoResult(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	f.add("other", newStep(1, 100))
+	f.Expect(f.runPlanner()).To(ConsistOf("other.0@a"))
+	f.report()
+	f.endRuns("other", cfcore.EndDone)
+	f.add("j", newStep(1, 100))
+	f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
+	clear(f.workers["a"].runs) // the start is in flight
+	f.outcome("other")         // the end is recorded
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.BeginInstance("a")
+	f.RepeatAcknowledgement("a")
+	for a, o := range f.TakeOrders(f.now) {
+		f.Expect(o.RecordedEnd).To(BeZero(), "before the first report of the new instance of %s", a)
+	}
+	w := f.workers["a"]
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &w.state, Lists: &cfcore.RunLists{Born: w.state.Born, Ended: w.ended}, UnknownStarts: 12 * time.Second})
+	f.RepeatAcknowledgement("a")
+	for a, o := range f.TakeOrders(f.now) {
+		f.Expect(o.RecordedEnd).To(BeZero(), "after it, for %s", a)
+	}
+}
--- a/pkg/cfdispatch/outdated.go
+++ b/pkg/cfdispatch/outdated.go
@@ -21,6 +21,7 @@
 	delete(p.lastReports, agent)
 	if w := p.workers[agent]; w != nil {
 		w.isUnreachable, w.awaitsInstance = true, true
+		p.bindAwaited(w)
 		w.instance++
 	}
 }
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -200,10 +200,12 @@
 // chooseWorker returns the best worker for a task, or nil.
 func (p *Planner) chooseWorker(now time.Time, t *task) *worker {
 	if w, ok := p.boundWorker(t); ok {
-		if w == nil || !p.canStart(now, t, w) {
+		if w != nil && p.canStart(now, t, w) {
+			return w
+		}
+		if !p.mayStartElsewhere(now, t) {
 			return nil
 		}
-		return w
 	}
 	k := t.placementKey(now)
 	if p.fitsNowhere(k, t) {
--- a/pkg/cfdispatch/withheld_test.go
+++ b/pkg/cfdispatch/withheld_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfjob"
 	"cranberryford/pkg/cfwire"
 )
@@ -30,3 +32,24 @@
 		})
 	}
 }
+
+// An agent of an earlier version refuses them.
+func TestLongRunningTaskThatAnAgentRefusesStartsElsewhere(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", longRunningStep())
+	n := map[string]int{}
+	for range 30 {
+		f.now = f.now.Add(50 * time.Millisecond)
+		r := &cfwire.JobReport{WithholdsStarts: true}
+		for _, s := range f.workers["a"].runs {
+			r.Results = append(r.Results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
+		}
+		clear(f.workers["a"].runs)
+		f.ApplyReport(f.now, "a", r)
+		f.report("b")
+		for _, s := range f.runPlanner() {
+			n[s]++
+		}
+	}
+	f.Expect(n).To(HaveKeyWithValue("j.0@b", 1))
+}
