Planners: count leases of an agent's earlier instance

A worker restarts with the same ID, and its agent restarts before it has noticed that, or just after. The earlier instance's calls by the former clock give leases of 10 s. The next instance knows nothing of them: it reported the leases as expired after 5.4 s, and the planner started the tasks again while the first runs were alive.

The planner can: it knows the agent from its record, or from reports of the instance before. An agent now reports until when its earlier instance, if any, possibly extended leases (JobReport.FormerLeases): 10.6 s after its first run lists, from when on the worker refuses older calls, and at most 22.6 s after its start; nothing if the worker is older than 25 s. The planner counts that time for agents with an earlier instance and the same worker ID. While a new planner waits for an agent's lists, it does not believe an instance younger than 22.6 s that reports expired leases, and waits as for a silent agent, 9.6 s at most.

TestRestartedAgentWaitsForLongLeases stays red: it asks the agent for what TestLeasesOfARestartedWorkerExpireLater, case "not known before", forbids in the same state.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -139,6 +139,9 @@
 	// longLeasesUntil is set when the worker has restarted with the same ID, see
 	// mayHaveLongLeases. Until then, leases can last longer than Lease.Lease.
 	longLeasesUntil time.Duration
+	// formerLeasesUntil is until when leases can last longer than Lease.Lease if an earlier instance of
+	// the agent has made calls for a former incarnation, see JobReport.FormerLeases.
+	formerLeasesUntil time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
 	// uncertain holds the starts with an unanswered attempt that the worker can still
@@ -346,7 +349,7 @@
 func (c *control) recordAnswer() {
 	if c.answeredID != "" && !c.hasAnswered() {
 		c.unanswered.forget()
-		c.acknowledgement.until, c.longLeasesUntil = 0, 0
+		c.acknowledgement.until, c.longLeasesUntil, c.formerLeasesUntil = 0, 0, 0
 	}
 	c.answeredAt, c.answeredID = c.bootClock.Now(), c.worker.ID
 }
@@ -555,7 +558,7 @@
 func (c *control) takeReport() *cfwire.JobReport {
 	now := c.bootClock.Now()
 	c.lastReport = max(c.lastReport+1, uint64(now))
-	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now)}
+	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now), FormerLeases: max(0, c.formerLeasesUntil-now)}
 	c.results = nil
 	c.unanswered.addTo(r, now)
 	r.WithholdsStarts = c.withholdsStarts()
--- a/internal/cfjobagent/long_lease_test.go
+++ b/internal/cfjobagent/long_lease_test.go
@@ -117,3 +117,39 @@
 	g.Expect(a.leaseUntil()).To(Equal(2*time.Minute + a.cfg.Lease.Lease))
 	g.Expect(a.takeReport().Unanswered).To(BeEmpty())
 }
+
+// An earlier instance of the agent possibly extended leases by the clock of a former incarnation until the
+// worker has answered this one, at most for as long as a late call takes. A worker that is older than that is not
+// affected.
+func TestReportsOfFormerLeases(t *testing.T) {
+	for name, c := range map[string]struct {
+		clock, answeredAfter, want time.Duration
+	}{
+		"a young worker":                 {clock: 2 * time.Second, answeredAfter: time.Second, want: leaseExpiry(cfcore.MaxLease)},
+		"an old worker":                  {clock: time.Minute, answeredAfter: time.Second},
+		"reached late":                   {clock: 15 * time.Second, answeredAfter: 14 * time.Second, want: leaseExpiry(cfcore.MaxLease) - 2*time.Second},
+		"reached after all late calls":   {clock: 2 * time.Second, answeredAfter: time.Minute},
+		"an old worker, reached at once": {clock: cfcore.MaxOrderDelay + cfcore.MaxLease},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := newTestControl()
+			clock := fakeBootClock(time.Hour)
+			a.bootClock, a.startedAt = &clock, time.Hour
+			s := workerState(born)
+			s.Clock = c.clock
+			a.handleHeartbeat(s)
+			clock += fakeBootClock(c.answeredAfter)
+			hold := holdReturned{
+				incarnation: a.fence.currentIncarnation(), worker: "w", token: a.fence.token(a.epoch),
+				lists: cfcore.RunLists{Born: born, Clock: c.clock},
+			}
+			a.handleHoldReturned(hold)
+			g.Expect(a.takeReport().FormerLeases).To(Equal(c.want))
+			clock += fakeBootClock(time.Second)
+			hold.lists.Clock += time.Second
+			a.handleHoldReturned(hold)
+			g.Expect(a.takeReport().FormerLeases).To(Equal(max(0, c.want-time.Second)), "later answers don't extend it")
+		})
+	}
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -115,6 +115,10 @@
 	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
 		return false
 	}
+	if !c.hasLists && l.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		// From now on, the worker refuses the calls of an earlier instance of the agent.
+		c.formerLeasesUntil = min(c.bootClock.Now(), c.startedAt+cfcore.MaxExecutionDelay) + leaseExpiry(cfcore.MaxLease)
+	}
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
 	if l.MoreEnds && !c.lists.MoreEnds {
--- a/pkg/cfdispatch/expiry_test.go
+++ b/pkg/cfdispatch/expiry_test.go
@@ -1,6 +1,7 @@
 package cfdispatch_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -211,3 +212,75 @@
 	f.endRuns("j", cfcore.EndDone)
 	f.Expect(f.outcome("j")).To(Equal(cfjob.OutcomeCompleted))
 }
+
+// A restarted agent does not know the leases that its earlier instance extended by the clock of a former
+// incarnation. The first instance of an agent has none.
+func TestLeasesOfAnEarlierInstanceExpireLater(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarts, isSilent, hasOtherID bool
+		former                         time.Duration
+		waits                          bool
+	}{
+		"the agent has restarted":               {restarts: true, former: 10 * time.Second, waits: true},
+		"the agent has restarted and is silent": {restarts: true, isSilent: true, former: 10 * time.Second, waits: true},
+		"the worker is old":                     {restarts: true},
+		"the worker has another ID":             {restarts: true, hasOtherID: true, former: 10 * time.Second},
+		"the first instance":                    {former: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "a", "b")
+			f.workers["b"].state.Draining = true
+			f.report()
+			if c.restarts {
+				f.BeginInstance("a")
+			}
+			a := f.workers["a"]
+			if c.hasOtherID {
+				a.state.ID, a.state.Born = "another", f.now.Add(time.Second)
+			}
+			f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &a.state, Lists: &cfcore.RunLists{Born: a.state.Born}, FormerLeases: c.former})
+			f.add("j", newStep(1, 100))
+			f.Expect(f.runPlanner()).To(ConsistOf("j.0@a"))
+			f.workers["b"].state.Draining = false
+			f.report()
+			from, moved := f.now, time.Duration(0)
+			for moved == 0 && f.now.Sub(from) < time.Minute {
+				f.now = f.now.Add(100 * time.Millisecond)
+				f.report("b")
+				if d := f.now.Sub(from); !c.isSilent {
+					f.ApplyReport(f.now, "a", &cfwire.JobReport{FormerLeases: max(0, c.former-d), Lost: &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: d > 5400*time.Millisecond}})
+				}
+				f.ExpireLeases(f.now, f.now)
+				if slices.Contains(f.runPlanner(), "j.0@b") {
+					moved = f.now.Sub(from)
+				}
+			}
+			if c.waits {
+				f.Expect(moved).To(BeNumerically(">=", c.former))
+				f.Expect(moved).To(BeNumerically("<", c.former+time.Second))
+			} else {
+				f.Expect(moved).To(BeNumerically("<", 6*time.Second))
+			}
+		})
+	}
+}
+
+// A restarted agent that has not reached its worker counts the leases of its earlier instance as expired
+// after the shortest lease. A new planner does not know them either.
+func TestNewPlannerDoesNotRelyOnARestartedAgent(t *testing.T) {
+	until := epochStart.Add(9600 * time.Millisecond)
+	f := newFleet(t, cfdispatch.New(settings, []string{"a"}, until), "b")
+	f.AddJob(f.now, &cfjob.StoredJob{Job: &cfjob.Job{ID: "old", Queue: queue, Steps: []cfjob.Step{longRunningStep()}, Accepted: f.now}}, queue, true)
+	lost := &cfwire.JobWorkerUnreachable{For: 6 * time.Second, LeasesExpired: true}
+	for f.now.Before(until) {
+		f.now = f.now.Add(200 * time.Millisecond)
+		f.report("b")
+		f.ApplyReport(f.now, "a", &cfwire.JobReport{Lost: lost, UnknownStarts: 20 * time.Second})
+		f.ExpireLeases(f.now, f.now)
+		f.Expect(f.runPlanner()).To(BeEmpty(), "after %s", f.now.Sub(epochStart))
+	}
+	f.now = f.now.Add(200 * time.Millisecond)
+	f.report("b")
+	f.ApplyReport(f.now, "a", &cfwire.JobReport{Lost: lost, UnknownStarts: 20 * time.Second})
+	f.Expect(f.runPlanner()).To(ConsistOf("old.0@b"))
+}
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -95,10 +95,12 @@
 	answeredAt  time.Time
 	leaseFrom   time.Time
 	longLeases  time.Time
-	startedAt   time.Time
-	inFlight    map[modelOrderKey]bool
-	uncertain   map[modelOrderKey]bool
-	copies      modelCopies
+	// formerLeases is until when the calls of an earlier instance possibly extended leases.
+	formerLeases time.Time
+	startedAt    time.Time
+	inFlight     map[modelOrderKey]bool
+	uncertain    map[modelOrderKey]bool
+	copies       modelCopies
 	// See acknowledgement in internal/cfjobagent.
 	ackedTo       uint64
 	ackInFlight   bool
@@ -339,6 +341,9 @@
 	if !a.m.faults.applyEarlierLists && token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return false
 	}
+	if !a.hasLists && l.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		a.formerLeases = minTime(a.m.now, a.startedAt.Add(cfcore.MaxExecutionDelay)).Add(agentLeaseExpiry(cfcore.MaxLease))
+	}
 	a.recordClock(l.Clock)
 	for _, e := range l.Ended {
 		a.lastListed = max(a.lastListed, e.Number)
@@ -362,7 +367,7 @@
 // one.
 func (a *modelAgent) takeReport() *cfwire.JobReport {
 	a.lastReport = max(a.lastReport+1, uint64(a.m.now.Sub(epochStart)))
-	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now))}
+	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now)), FormerLeases: max(0, a.formerLeases.Sub(a.m.now))}
 	a.results = nil
 	a.reportCopies(r)
 	r.WithholdsStarts = a.withholdsStarts()
--- a/pkg/cfdispatch/outdated.go
+++ b/pkg/cfdispatch/outdated.go
@@ -18,6 +18,9 @@
 // worker counts as unreachable until that instance reports it: the instance cannot tell whether a start
 // that names none of its reports is outdated.
 func (p *Planner) BeginInstance(agent string) {
+	if _, hasReported := p.lastReports[agent]; hasReported {
+		p.restartedAgents[agent] = true
+	}
 	delete(p.lastReports, agent)
 	if w := p.workers[agent]; w != nil {
 		w.isUnreachable, w.awaitsInstance = true, true
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -34,12 +34,10 @@
 		p.updateWorker(now, w, *m.Worker)
 	}
 	p.bindings.applyReport(now, w, m)
-	if until := now.Add(min(m.LongLeases, longLeaseExpiry)); m.LongLeases > 0 && until.After(w.newbornUntil) {
-		w.newbornUntil = until
-	}
+	p.applyLongLeases(now, w, m)
 	// A report of the whole state of an unreachable worker contains the last lists, which are
 	// older than the loss of the contact.
-	isExpired := m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) || m.Lost.Left)
+	isExpired := m.Lost != nil && (m.Lost.LeasesExpired && now.After(w.newbornUntil) && !p.awaitsFormerLeases(now, w, m) || m.Lost.Left)
 	if m.Lists != nil {
 		l := *m.Lists
 		if isExpired {
@@ -73,6 +71,24 @@
 	w.reportedAt, w.withholdsStarts = now, m.WithholdsStarts
 }
 
+// applyLongLeases records until when leases on a worker can be longer than its agent has allowed.
+func (p *Planner) applyLongLeases(now time.Time, w *worker, m *cfwire.JobReport) {
+	long := m.LongLeases
+	if p.restartedAgents[w.agent] {
+		long = max(long, m.FormerLeases)
+	}
+	if until := now.Add(min(long, longLeaseExpiry)); long > 0 && until.After(w.newbornUntil) {
+		w.newbornUntil = until
+	}
+}
+
+// awaitsFormerLeases reports whether the leases on a worker count as valid although its agent reports that they
+// have expired. An agent that has started recently does not know the leases that its earlier instance
+// extended, nor does a planner to which that instance has not reported.
+func (p *Planner) awaitsFormerLeases(now time.Time, w *worker, m *cfwire.JobReport) bool {
+	return p.expectedAgents[w.agent] && m.UnknownStarts > 0 && !now.After(p.expectedUntil)
+}
+
 // updateReachability records whether the worker responds to its agent.
 func (w *worker) updateReachability(m *cfwire.JobReport) {
 	w.awaitsInstance = w.awaitsInstance && m.Worker == nil
@@ -97,7 +113,9 @@
 		case s.ID != w.state.ID:
 			p.expireRuns(now, w)
 			if w.state.ID != "" {
+				// The worker refuses the calls for the previous one.
 				p.bindings.unbindWorker(w)
+				delete(p.restartedAgents, w.agent)
 			}
 		case s.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease:
 			w.newbornUntil = now.Add(longLeaseExpiry)
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -28,6 +28,9 @@
 	// LongLeases is set for a worker that has just restarted with the same ID. For that time,
 	// leases on it can last longer than the agent has allowed.
 	LongLeases time.Duration `cbor:",omitempty"`
+	// FormerLeases is set for an agent that started recently and whose worker is young. If an instance of the
+	// agent ran before, its calls for a former incarnation possibly extended leases for that time.
+	FormerLeases time.Duration `cbor:",omitempty"`
 	// Results are the results of orders since the previous report.
 	Results []JobOrderResult `cbor:",omitempty"`
 	// Unanswered are all starts with an attempt that has got no answer and can still be executed.
