--- a/internal/cfjobentry/cleanup.go
+++ b/internal/cfjobentry/cleanup.go
@@ -9,6 +9,7 @@
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfdispatch"
 	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
 )
 
 const (
@@ -118,18 +119,32 @@
 	return time.Time{}
 }
 
-// handleEntriesChange handles a change of the recorded entries. After its own record has
-// been added, for the first time or again after a drop, this entry claims no epoch until
-// Lease.Authority has passed. A planner that cannot reach the store cannot read the new
-// record. The planner polls this entry and learns from the answers that another entry
-// exists. The delay gives the planner time for that. It is left out if there was no planner
-// yet.
-func (c *control) handleEntriesChange() {
+// handleEntriesChange handles a change of the recorded entries by the record at an offset. A planner
+// that cannot reach the store gives orders while all entries that it knows of promise not to claim. After
+// its own record has been added, for the first time or again after a drop, this entry therefore claims no
+// epoch until the planner has read the record or has lost its authority. The delay is left out if
+// there was no planner yet.
+func (c *control) handleEntriesChange(offset int64) {
 	_, known := c.stored.Entries[c.cfg.Name]
 	if known && !c.selfRecorded && c.stored.Planner.Epoch > 0 {
-		c.noClaimBefore = max(c.noClaimBefore, c.bootTime()+c.cfg.Lease.Authority)
+		maxAuthority := time.Duration(float64(maxOutage)*(1+clockSlack)) + authorityMargin
+		c.unread = unreadRecord{offset: offset, until: c.bootTime() + maxAuthority}
 	}
 	c.selfRecorded = known
 	c.updateRelayAddresses()
 	c.sendEntriesToAll()
 }
+
+// unreadRecord is a record of this entry at an offset that the planner has possibly not read. Without it, the
+// planner can have authority until a time on the boot clock.
+type unreadRecord struct {
+	offset int64
+	until  time.Duration
+}
+
+// markRecordRead handles a poll of the planner, which shows what it has read.
+func (c *control) markRecordRead(poll *cfwire.JobPoll) {
+	if poll.Epoch == c.stored.Planner.Epoch && poll.ReadTo > c.unread.offset {
+		c.unread = unreadRecord{}
+	}
+}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -58,6 +58,8 @@
 	stopWatching func()
 	// selfRecorded is set while the store contains this entry's own record.
 	selfRecorded bool
+	// unread is this entry's record if the planner has possibly not read it.
+	unread unreadRecord
 	// noClaimBefore is the time on the boot clock before which this entry claims no
 	// epoch.
 	noClaimBefore time.Duration
@@ -188,6 +190,7 @@
 		if ev.poll.Epoch >= c.newestClaim().Epoch {
 			c.plannerSeenAt = c.Clock.Now()
 		}
+		c.markRecordRead(ev.poll)
 		c.answerPoll(ev)
 	case pollAnswered:
 		c.polls.handlePollAnswered(ev, c.plan)
@@ -291,7 +294,7 @@
 	case change.Planner:
 		c.handlePlannerChange(ctx)
 	case change.Entries:
-		c.handleEntriesChange()
+		c.handleEntriesChange(r.Offset)
 		if !c.selfRecorded {
 			c.recordAddress(ctx)
 		}
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -29,7 +29,8 @@
 // the newest claim is gone, or if that planner has sent no message for Planning.Silence.
 // In all three cases, the claim is delayed by rankDelay times this entry's rank. If the
 // newest claim has this entry's own address, the planner of that claim is gone, since
-// this entry is not the planner.
+// this entry is not the planner. In the third case, the planner must know this entry, see
+// handleEntriesChange.
 func (c *control) claimIfNoPlanner(ctx context.Context) {
 	if c.plan != nil || c.claimInFlight || c.stored.Next == c.conflictOffset || c.claimsStopped || !c.synced.Load() || !c.storeWorks() || c.bootTime() < c.noClaimBefore {
 		return
@@ -39,6 +40,9 @@
 	gone := claim.Epoch == 0 || claim.Epoch <= c.goneEpoch || claim.Address == c.cfg.Inner
 	wait := time.Duration(c.rank()) * rankDelay
 	if !gone {
+		if c.bootTime() < c.unread.until {
+			return
+		}
 		wait += c.cfg.Planning.Silence
 	}
 	if now.Sub(c.plannerSeenAt) < wait {
@@ -85,6 +89,8 @@
 	c.stopWatching()
 	c.stopWatching = func() {}
 	c.plannerSeenAt = c.Clock.Now()
+	// The planner of a newer claim has read all earlier records.
+	c.unread = unreadRecord{}
 	if claim.Instance != c.instance {
 		if c.plan != nil {
 			c.Log.Warn().Uint64("Epoch", uint64(claim.Epoch)).Str("Planner", claim.Address.String()).Msg("no longer the planner: a newer claim is in the store")
--- a/internal/cfjobentry/polls.go
+++ b/internal/cfjobentry/polls.go
@@ -115,7 +115,7 @@
 	}
 	p.seq++
 	p.sentAt[p.seq], p.lastSentAt = now, now
-	m := &cfwire.Message{JobPoll: &cfwire.JobPoll{Seq: p.seq, Epoch: c.plan.epoch, Config: c.configVersion()}}
+	m := &cfwire.Message{JobPoll: &cfwire.JobPoll{Seq: p.seq, Epoch: c.plan.epoch, Config: c.configVersion(), ReadTo: c.stored.Next}}
 	for l := range c.links {
 		if l.conn.Peer().Role == cfwire.RolePeer {
 			c.send(l, m)
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -144,6 +144,8 @@
 	Epoch cfcore.Epoch
 	// Config is the version of the planner's configuration.
 	Config uint64
+	// ReadTo is the store offset up to which the planner had applied records; 0 if it is not known.
+	ReadTo int64 `cbor:",omitempty"`
 }
 
 // JobPollAnswer is another entry's answer to a JobPoll.
