Entries: wait before a failed claim is repeated

What callers saw: nothing yet. In a trial with processes, the planner resigned while the store left claims unanswered: the log has 40,346 claims in two specs of 35 s together, nearly all by one entry, as fast as the store closed connections. Each is a priced write, and beyond `writes_per_s` other entries' writes get 429.

Cause: once the planner is gone, an entry waits 0.1 s times its rank before a claim. The wait of the first entry is zero, also after a claim that failed.

A conflict needs none: the entry reads the record first.

Before: TestFailedClaimIsRepeatedAfterADelay/no_answer and /rejected, "Expected <bool>: true to equal <bool>: false".

--- /dev/null
+++ b/internal/cfjobentry/claim_test.go
@@ -0,0 +1,44 @@
+package cfjobentry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfjob"
+)
+
+// Once the planner is gone, the entry of the lowest rank claims without delay. It repeated a claim that
+// failed at once, several thousand times per second.
+func TestFailedClaimIsRepeatedAfterADelay(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind  cfcore.StoreKind
+		delay time.Duration
+	}{
+		"no answer": {kind: cfcore.StoreOutcomeUnknown, delay: retryDelay},
+		"rejected":  {kind: cfcore.StoreRejected, delay: retryDelay},
+		"conflict":  {kind: cfcore.StoreConflict},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, clock := newTestControl(t)
+			c.Store = appendingStore{}
+			c.synced.Store(true)
+			c.stored.Planner = cfjob.Claim{Epoch: 4, Instance: "other", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+			c.goneEpoch = 4
+			c.claimIfNoPlanner(t.Context())
+			g.Expect(c.claimInFlight).To(BeTrue())
+			c.handleEvent(t.Context(), claimAppended{offset: 0, err: cferror.New("append records", test.kind, "x")})
+			c.stored.Next = 1
+			c.claimIfNoPlanner(t.Context())
+			g.Expect(c.claimInFlight).To(Equal(test.delay == 0))
+			*clock += fakeBootClock(test.delay)
+			c.claimIfNoPlanner(t.Context())
+			g.Expect(c.claimInFlight).To(BeTrue())
+		})
+	}
+}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -156,8 +156,11 @@
 		c.handleBatchAppended(ctx, ev)
 	case claimAppended:
 		c.claimInFlight = false
-		if cferror.Is(ev.err, cfcore.StoreConflict) {
+		switch {
+		case cferror.Is(ev.err, cfcore.StoreConflict):
 			c.conflictOffset = ev.offset
+		case ev.err != nil:
+			c.noClaimBefore = max(c.noClaimBefore, c.bootTime()+retryDelay)
 		}
 		if ev.err != nil {
 			c.Log.Warn().Err(ev.err).Msg("claim to the planner role was rejected, or its outcome is unknown")
