--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -115,10 +115,7 @@
 	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
 		return false
 	}
-	if !c.hasLists && l.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
-		// From now on, the worker refuses the calls of an earlier instance of the agent.
-		c.formerLeasesUntil = min(c.bootClock.Now(), c.startedAt+cfcore.MaxExecutionDelay) + leaseExpiry(cfcore.MaxLease)
-	}
+	c.boundFormerLeases(l)
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
 	if l.MoreEnds && !c.lists.MoreEnds {
@@ -137,6 +134,14 @@
 	return true
 }
 
+// boundFormerLeases bounds the leases that calls of an earlier instance of the agent extended: from its first
+// lists on, the worker refuses these calls.
+func (c *control) boundFormerLeases(l cfcore.RunLists) {
+	if !c.hasLists && l.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		c.formerLeasesUntil = min(c.bootClock.Now(), c.startedAt+cfcore.MaxExecutionDelay) + leaseExpiry(cfcore.MaxLease)
+	}
+}
+
 // logMalformedRow logs and counts run lists with a malformed row. It logs the error of the
 // row once, not for each call that lists it again.
 func (c *control) logMalformedRow(err error) {
