Agents: extend leases only by the clock of an incarnation that has answered

A late check-in of a former incarnation with the same ID is taken for a new one if the time of day was set back in between, or if the agent has just started. Until the next answer showed the present incarnation, the agent extended leases by the former clock, which is ahead: they lasted 10 s instead of 5 s. If the agent was lost right then, the planner started the tasks again after 7.6 s while the first runs were alive.

The first call for the run lists after a check-in of an incarnation that has not answered yet now extends no lease, and a worker that the agent has spoken to gets no starts until its answer; the call doesn't wait, so that this takes a round trip. The planner repeats starts.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -92,6 +92,8 @@
 	// answeredID is the ID of the last worker that has answered a call of this instance of the
 	// agent; empty if none has. It can still be there when worker is another one.
 	answeredID string
+	// answeredBorn is the start time of the incarnation that answered last.
+	answeredBorn time.Time
 	// successor is the state in the heartbeat of another worker, if hasSuccessor is set. It can be a
 	// late one of a former worker. The calls to the present worker decide that.
 	successor    cfcore.WorkerState
@@ -344,14 +346,18 @@
 // its heartbeat can be a late one of a former worker.
 func (c *control) hasAnswered() bool { return c.answeredID != "" && c.answeredID == c.worker.ID }
 
-// recordAnswer records that the worker has answered a call. Calls name the worker's ID, so that the
+// isConfirmed reports whether the present incarnation has answered a call of this instance of the agent.
+// Before, its heartbeat can be a late one of a former incarnation with the same ID, whose clock is ahead.
+func (c *control) isConfirmed() bool { return c.hasAnswered() && c.answeredBorn.Equal(c.worker.Born) }
+
+// recordAnswer records that the incarnation of the worker that started at born has answered a call. Calls name the worker's ID, so that the
 // one that answered before is gone if it had another ID, and its orders are refused.
-func (c *control) recordAnswer() {
+func (c *control) recordAnswer(born time.Time) {
 	if c.answeredID != "" && !c.hasAnswered() {
 		c.unanswered.forget()
 		c.acknowledgement.until, c.longLeasesUntil, c.formerLeasesUntil = 0, 0, 0
 	}
-	c.answeredAt, c.answeredID = c.bootClock.Now(), c.worker.ID
+	c.answeredAt, c.answeredID, c.answeredBorn = c.bootClock.Now(), c.worker.ID, born
 }
 
 // mayBePresent reports whether the worker with the given ID can still execute orders: it is the present
--- a/internal/cfjobagent/long_lease_test.go
+++ b/internal/cfjobagent/long_lease_test.go
@@ -55,7 +55,7 @@
 func TestStartAnsweredByTheNextIncarnation(t *testing.T) {
 	g := NewWithT(t)
 	a, w, clock := newStartingControl()
-	a.answeredID, a.hasLists = "w", true
+	a.answeredID, a.answeredBorn, a.hasLists = "w", born, true
 	w.refusal = cfcore.ExecutorRestarted
 	w.beforeStart = func() { *clock += fakeBootClock(10 * time.Millisecond) }
 	a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7})
@@ -153,3 +153,31 @@
 		})
 	}
 }
+
+// A late check-in of a former incarnation with the same ID makes the agent take it for a new one if the time of
+// day was set back. A call with a time on its clock gave a lease of up to the longest one.
+func TestLeasesFollowTheClockOfAnIncarnationThatHasAnswered(t *testing.T) {
+	g := NewWithT(t)
+	a, w := newTestControl()
+	w.holds = make(chan cfcore.HoldOptions, 1)
+	hold := func() cfcore.HoldOptions {
+		a.nextHoldAt = 0
+		a.requestRunLists(t.Context())
+		h := <-w.holds
+		a.handleEvents(t, 1)
+		return h
+	}
+	a.handleHeartbeat(workerState(born))
+	g.Expect(hold().Until).To(BeZero(), "the check-in is possibly a late one")
+	g.Expect(hold().Until).To(Equal(time.Hour + a.cfg.Lease.Lease))
+
+	former := workerState(born.Add(time.Minute))
+	former.Clock = 2 * time.Hour
+	a.handleHeartbeat(former)
+	a.startRun(t.Context(), cfwire.JobStart{Worker: "w", Born: former.Born, Task: cfcore.TaskName{Job: "j"}, Run: 7})
+	g.Consistently(w.started, "20ms").ShouldNot(Receive())
+	g.Expect(hold().Until).To(BeZero())
+	g.Expect(a.worker.Born).To(Equal(born), "the answer shows the present incarnation")
+	g.Expect(hold().Until).To(BeZero(), "no lists of the present session yet")
+	g.Expect(hold().Until).To(Equal(time.Hour + a.cfg.Lease.Lease))
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -23,7 +23,10 @@
 	if c.holdInFlight || !c.hasWorker || c.hasLeft || now < c.nextHoldAt {
 		return
 	}
-	h := cfcore.HoldOptions{Until: c.leaseUntil()}
+	h := cfcore.HoldOptions{}
+	if c.isConfirmed() {
+		h.Until = c.leaseUntil()
+	}
 	switch {
 	case c.acknowledgesNow(now):
 		h.LastSeen, c.acknowledgement.inFlight, c.acknowledgement.sentAt = c.lastRecorded, true, now
@@ -103,7 +106,7 @@
 // current session, because only then the worker refuses all orders that are missing in the lists.
 // applyLists reports whether it has recorded the lists.
 func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) bool {
-	c.recordAnswer()
+	c.recordAnswer(l.Born)
 	if !l.Born.Equal(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
 		c.resetWorker(c.worker.ID, l.Clock)
@@ -172,6 +175,10 @@
 		c.stopRun(ctx, cfwire.JobStop{Task: s.Task, Run: s.Run})
 		return
 	}
+	if c.hasAnswered() && !c.isConfirmed() {
+		// The planner repeats the order.
+		return
+	}
 	until := c.leaseUntil()
 	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.hasLeft || until == 0 {
 		// An earlier attempt, of this or an earlier incarnation of the agent, has possibly
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -71,6 +71,8 @@
 	hasWorker bool
 	// hasAnswered is set once a worker has answered this instance of the agent.
 	hasAnswered bool
+	// answeredBorn is the start time of the incarnation that answered last.
+	answeredBorn time.Time
 	// hasLeft is set once the worker has announced that it leaves, or another incarnation has answered.
 	hasLeft       bool
 	born          time.Time
@@ -167,6 +169,12 @@
 	return a.hasGrant && a.m.now.Sub(a.grantedAt) <= settings.GrantTime
 }
 
+// isConfirmed reports whether the present incarnation has answered a call. Before, its check-in can be a late
+// one of a former incarnation, whose clock is ahead.
+func (a *modelAgent) isConfirmed() bool {
+	return a.hasAnswered && a.answeredBorn.Equal(a.born) || a.m.faults.extendUnconfirmed
+}
+
 // leaseUntil returns the time on the worker's clock until which the agent may extend leases,
 // or 0.
 func (a *modelAgent) leaseUntil() time.Duration {
@@ -222,7 +230,11 @@
 		lastSeen = a.lastRecorded
 	}
 	waits := lastSeen == 0 && a.mayWait()
-	token, until, w, born, incarnation := a.token(), a.leaseUntil(), a.worker, a.born, a.incarnation
+	until := time.Duration(0)
+	if a.isConfirmed() {
+		until = a.leaseUntil()
+	}
+	token, w, born, incarnation := a.token(), a.worker, a.born, a.incarnation
 	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(born, token, until, lastSeen) })
 	if a.holdFailed {
 		a.holdDueAt, a.holdToken = a.m.now.Add(orderTimeout), token
@@ -334,7 +346,7 @@
 	}
 	a.observeBorn(l.Born, l.Clock)
 	a.m.markListed(a.worker, &l)
-	a.answeredAt, a.hasAnswered = a.m.now, true
+	a.answeredAt, a.hasAnswered, a.answeredBorn = a.m.now, true, a.born
 	if token.Session() == a.session {
 		a.hasRestarted = false
 	}
@@ -405,6 +417,9 @@
 		a.stopRun(s.Task, s.Run)
 		return
 	}
+	if a.hasAnswered && !a.isConfirmed() && !a.m.scope.newIDs {
+		return
+	}
 	until := a.leaseUntil()
 	if !a.hasWorker || !s.Born.Equal(a.born) || a.hasLeft || until == 0 {
 		return
--- a/pkg/cfdispatch/model_newer_test.go
+++ b/pkg/cfdispatch/model_newer_test.go
@@ -41,6 +41,7 @@
 		"agents report refused stops as done":                       {refusals, modelFaults{trustRefusedStops: true}, violationTwoRuns, 0},
 		"agents use run lists of an earlier epoch":                  {waitingHolds, modelFaults{applyEarlierLists: true}, violationTwoRuns, 0},
 		"agents forget long leases":                                 {longLeases, modelFaults{forgetLongLeases: true, hideUnanswered: true}, violationTwoRuns, 1800},
+		"agents extend leases by the clock of a check-in":           {formerLivesSetBack, modelFaults{extendUnconfirmed: true}, violationTwoRuns, 12000},
 		"agents ignore the clocks in answers to starts":             {rareDisruptions, modelFaults{ignoreClocks: true}, violationTwoRuns, 2800},
 		"planners forget listed ends":                               {rareWithNewIDs, modelFaults{ignoreProgress: true}, violationListed, 0},
 	} {
@@ -48,7 +49,7 @@
 			// Agents hide their unanswered starts where the planner's rule for these prevents all effects.
 			base := modelFaults{hideUnanswered: c.faults.hideUnanswered}
 			found := 0
-			for seed := c.first + 1; seed <= 3000 && found == 0; seed++ {
+			for seed := c.first + 1; seed <= max(3000, c.first+100) && found == 0; seed++ {
 				for _, v := range modelHistory(seed, c.scope, c.faults).violations {
 					if v.kind == c.kind && modelHistory(seed, c.scope, base).violation() == "" {
 						found = seed
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -198,6 +198,8 @@
 	applyEarlierLists bool
 	// forgetLongLeases makes agents ignore that leases can be longer after a restart.
 	forgetLongLeases bool
+	// extendUnconfirmed makes agents extend leases by the clock of a check-in.
+	extendUnconfirmed bool
 	// ignoreClocks makes agents ignore that the clock in the answer to a start is behind.
 	ignoreClocks bool
 }
