--- a/internal/cfjobagent/reportedlists_test.go
+++ b/internal/cfjobagent/reportedlists_test.go
@@ -48,7 +48,7 @@
 	a, w, clock := newStartingControl()
 	w.refusal = cfcore.ExecutorOutcomeUnknown
 	a.hasLists, a.reportAll = true, true
-	a.answeredID, a.answeredAt = "w", a.bootClock.Now()
+	a.answeredID, a.answeredBorn, a.answeredAt = "w", born, a.bootClock.Now()
 	g.Expect(a.takeReport().Lists).NotTo(BeNil())
 	a.startRun(t.Context(), startOfJ)
 	a.handleEvents(t, orderAttempts+1)
