--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -429,6 +429,7 @@
 		return
 	}
 	if a.withholdsStarts() {
+		a.startResults[key] = cfcore.ExecutorRefused
 		a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
 		return
 	}
@@ -469,6 +470,7 @@
 
 // stopRun sends the worker an order to stop a run.
 func (a *modelAgent) stopRun(n cfcore.TaskName, run uint64) {
+	a.waitingStarts = slices.DeleteFunc(a.waitingStarts, func(s cfwire.JobStart) bool { return s.Task == n && s.Run == run })
 	c := modelCall{key: modelOrderKey{task: n, run: run, stop: true, born: a.born}, incarnation: a.incarnation, token: a.token()}
 	if a.inFlight[c.key] || !a.hasWorker || a.hasLeft {
 		return
