--- a/pkg/cfdispatch/model_health_test.go
+++ b/pkg/cfdispatch/model_health_test.go
@@ -14,6 +14,7 @@
 var (
 	refusals     = modelScope{slowClocks: true, flaps: true, refusals: true, lateStarts: true, lateStops: true, lateHolds: true, stalls: true, workerCuts: true, newIDs: true, workerRestarts: true}
 	waitingHolds = modelScope{slowClocks: true, flaps: true, refusals: true, waitingHolds: true, lateStarts: true, lateStops: true, lateHolds: true, stalls: true, agentRestarts: true, newIDs: true, workerRestarts: true}
+	slowStops    = modelScope{slowClocks: true, slowStops: true, flaps: true, refusals: true, lateStarts: true, lateStops: true, lateHolds: true, stalls: true, workerCuts: true, newIDs: true, workerRestarts: true}
 	// No start is late, so that no run is orphaned.
 	refusalsAndFormerLives = modelScope{slowClocks: true, flaps: true, refusals: true, waitingHolds: true, formerCheckIns: true, lateGoodbyes: true, lateStops: true, lateHolds: true, workerRestarts: true, fewTakeovers: true}
 )
--- a/pkg/cfdispatch/model_newer_test.go
+++ b/pkg/cfdispatch/model_newer_test.go
@@ -24,6 +24,8 @@
 
 func TestModelWithRefusalsAndFormerLives(t *testing.T) { checkModel(t, refusalsAndFormerLives) }
 
+func TestModelWithSlowStops(t *testing.T) { checkModel(t, slowStops) }
+
 func TestModelWithListedEnds(t *testing.T) { checkModel(t, rareDisruptions) }
 
 func TestModelWithListedEndsAndNewWorkerIDs(t *testing.T) { checkModel(t, rareWithNewIDs) }
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -213,7 +213,7 @@
 func TestModelPlaysNewerDisruptions(t *testing.T) {
 	var trace strings.Builder
 	for seed := range 30 {
-		for _, scope := range []modelScope{allWithNewIDs, largeProgress, formerLivesSetBack, refusalsAndFormerLives, rareWithNewIDs} {
+		for _, scope := range []modelScope{allWithNewIDs, largeProgress, formerLivesSetBack, refusalsAndFormerLives, rareWithNewIDs, slowStops} {
 			trace.WriteString(strings.Join(modelHistory(seed, scope, modelFaults{}).trace, "\n"))
 		}
 	}
@@ -224,6 +224,7 @@
 		"a worker refuses a start": string(cfcore.ExecutorUnhealthy), "an answer is late": "answer to a record is late", "a worker leaves": "the worker has left", "a batch is split": "the batch is full", "an answer of a worker is late": "answer of the worker arrives late", "a call names a former incarnation": "refuses a call to a former incarnation",
 		"a lease is long": "shortens a lease to the maximum", "a check-in is from two incarnations ago": "check-in of the incarnation 2 before", "a goodbye arrives": "gets a goodbye", "the time of day is set back": "next start time is set back",
 		"a worker refuses other calls": "refuses a call for its lists or a stop", "a waiting call is answered late": "answers a waiting call late", "an end counts since it was listed": "counts since it was listed",
+		"a stop takes time": "is stopped after",
 	} {
 		t.Run(name, func(t *testing.T) { NewWithT(t).Expect(trace.String()).To(MatchRegexp(event)) })
 	}
@@ -243,7 +244,7 @@
 		"restartsAndLate": restartsAndLate, "restartsAndLateStarts": restartsAndLateStarts, "agentRestarts": agentRestarts, "agentAndWorkerRestarts": agentAndWorkerRestarts, "workerCuts": workerCuts,
 		"storeOutages": storeOutages, "stalls": stalls, "lateReports": lateReports, "takeoversAndLateReports": takeoversAndLateReports, "restartsAndLateReports": restartsAndLateReports, "heldOrders": heldOrders, "lateMessages": lateMessages, "allWithLateReports": allWithLateReports, "all": allDisruptions,
 		"newIDs": newIDs, "jobKinds": jobKinds, "shortLists": shortLists, "lateStore": lateStore, "flaps": flaps, "leaves": leaves, "lateCheckIns": lateCheckIns, "lateAnswers": lateAnswers, "largeProgress": largeProgress, "newerAndCuts": newerAndCuts, "allWithNewIDs": allWithNewIDs,
-		"formerLives": formerLives, "formerLivesAndAgent": formerLivesAndAgent, "formerLivesSetBack": formerLivesSetBack, "bornSetBack": bornSetBack, "longLeases": longLeases, "refusals": refusals, "waitingHolds": waitingHolds, "refusalsAndFormerLives": refusalsAndFormerLives, "rare": rareDisruptions, "rareWithNewIDs": rareWithNewIDs, "longLeasesAndTakeovers": longLeasesAndTakeovers,
+		"formerLives": formerLives, "formerLivesAndAgent": formerLivesAndAgent, "formerLivesSetBack": formerLivesSetBack, "bornSetBack": bornSetBack, "longLeases": longLeases, "refusals": refusals, "slowStops": slowStops, "waitingHolds": waitingHolds, "refusalsAndFormerLives": refusalsAndFormerLives, "rare": rareDisruptions, "rareWithNewIDs": rareWithNewIDs, "longLeasesAndTakeovers": longLeasesAndTakeovers,
 	}[os.Getenv("MODEL_SCOPE")]
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -91,6 +91,8 @@
 	formerCheckIns, lateGoodbyes bool
 	// bornSetBack lets a new incarnation have an earlier start time than a former one.
 	bornSetBack bool
+	// slowStops lets stops take up to 0.8 s, in which the run can still end as done.
+	slowStops bool
 }
 
 // The scopes of the tests.
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -20,6 +20,8 @@
 	// waited for the others.
 	fails  bool
 	waited int
+	// stopAt is when a stop takes effect; zero if there is none.
+	stopAt time.Time
 }
 
 // modelWorker is a worker. A restart resets all fields but m and name.
@@ -117,6 +119,10 @@
 			w.endRun(n, cfcore.EndFailed)
 			continue
 		}
+		if !r.stopAt.IsZero() && !w.m.now.Before(r.stopAt) {
+			w.endRun(n, cfcore.EndStopped)
+			continue
+		}
 		if w.m.now.Before(w.stalledUntil) || w.m.isGang(n) {
 			continue
 		}
@@ -285,11 +291,23 @@
 	}
 	w.highestRun[n] = max(w.highestRun[n], run)
 	if r := w.runs[n]; r != nil && r.id == run {
-		w.endRun(n, cfcore.EndStopped)
+		w.stopRun(n, r)
 	}
 	return ""
 }
 
+// stopRun stops a run, at once or after a time in which it can still end in another way.
+func (w *modelWorker) stopRun(n cfcore.TaskName, r *modelRun) {
+	if !w.m.scope.slowStops {
+		w.endRun(n, cfcore.EndStopped)
+		return
+	}
+	if r.stopAt.IsZero() {
+		r.stopAt = w.m.now.Add(w.m.ticks(3, "stop takes"))
+		w.m.tracef("%s: run %x of %s is stopped after %s", w.name, r.id, taskString(n), r.stopAt.Sub(w.m.now))
+	}
+}
+
 func taskString(n cfcore.TaskName) string {
 	if n.Occurrence > 0 || n.Step > 0 {
 		return fmt.Sprintf("%s.%d.%d.%d", n.Job[12:], n.Occurrence, n.Step, n.Index)
