--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -92,10 +92,15 @@
 	// answeredID is the ID of the last worker that has answered a call of this instance of the
 	// agent; empty if none has. It can still be there when worker is another one.
 	answeredID string
+	// answeredBorn is the start time of the incarnation that answered last.
+	answeredBorn time.Time
 	// successor is the state in the heartbeat of another worker, if hasSuccessor is set. It can be a
 	// late one of a former worker. The calls to the present worker decide that.
 	successor    cfcore.WorkerState
 	hasSuccessor bool
+	// hasRestarted is set if an answer has shown that the worker has restarted with the same ID, until
+	// the start time of its next incarnation is known. worker is the former one until then.
+	hasRestarted bool
 	// formerBorn is the start time of the last incarnation that is known to be gone.
 	formerBorn time.Time
 	// workerClock is the newest reading of the worker's clock.
@@ -136,6 +141,9 @@
 	// longLeasesUntil is set when the worker has restarted with the same ID, see
 	// mayHaveLongLeases. Until then, leases can last longer than Lease.Lease.
 	longLeasesUntil time.Duration
+	// formerLeasesUntil is until when leases can last longer than Lease.Lease if an earlier instance of
+	// the agent has made calls for a former incarnation, see JobReport.FormerLeases.
+	formerLeasesUntil time.Duration
 	// inFlight holds the orders whose calls to the worker are in flight.
 	inFlight map[orderKey]bool
 	// uncertain holds the starts with an unanswered attempt that the worker can still
@@ -153,6 +161,7 @@
 	// reportAll is set when the next report must contain the worker's whole state. results
 	// are the results of orders since the last report.
 	reportAll bool
+	reported  reportedLists
 	results   []cfwire.JobOrderResult
 	// lastReport is the sequence number of the last report.
 	lastReport uint64
@@ -235,7 +244,7 @@
 // or its heartbeat if the one before has left or is leaving. A heartbeat with another ID, or of a
 // leaving worker's predecessor, waits until calls show whether the present worker is gone.
 func (c *control) handleHeartbeat(s cfcore.WorkerState) {
-	if c.hasWorker && (s.Born.Equal(c.formerBorn) || s.Born.Before(c.worker.Born) && !c.hasLeft && !c.isLeaving) {
+	if c.hasWorker && (s.Born.Equal(c.formerBorn) || c.hasRestarted && s.Born.Equal(c.worker.Born) || s.Born.Before(c.worker.Born) && !c.hasLeft && !c.isLeaving) {
 		return
 	}
 	if c.hasWorker && c.hasAnswered() && !c.hasLeft && (s.ID != c.worker.ID || s.Born.Before(c.worker.Born)) {
@@ -271,7 +280,7 @@
 
 // recordClock records a reading of the worker's clock if it is the newest one.
 func (c *control) recordClock(reading time.Duration) {
-	if reading > c.workerClock {
+	if reading > c.workerClock && !c.hasRestarted {
 		c.workerClock, c.workerClockAt = reading, c.bootClock.Now()
 	}
 }
@@ -293,10 +302,26 @@
 	// A call to the previous incarnation is not waited for: until a call with a token of the new
 	// session, the new incarnation executes late starts of the previous one.
 	c.hasLeft, c.answeredAt, c.nextHoldAt, c.holdInFlight = false, c.bootClock.Now(), 0, false
-	c.isLeaving, c.hasSuccessor = false, false
+	c.isLeaving, c.hasSuccessor, c.hasRestarted = false, false, false
 	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
 }
 
+// handleRestart handles that the worker's next incarnation with the same ID has answered a start for the
+// present one, and possibly extended leases by the former clock. Until lists or a heartbeat name that
+// incarnation, it gets no starts and no more time, and no end is acknowledged.
+func (c *control) handleRestart() {
+	if c.hasRestarted || c.hasLeft {
+		return
+	}
+	c.Log.Info().Str("Worker", c.worker.ID).Time("Born", c.worker.Born).Msg("worker has restarted with the same ID: its clock is behind")
+	c.hasRestarted, c.workerClock, c.hasLists = true, 0, false
+	c.longLeasesUntil = c.bootClock.Now() + leaseExpiry(cfcore.MaxLease)
+	c.fence.beginIncarnation()
+	c.acknowledgement.reset()
+	c.holdInFlight, c.holdFailed, c.nextHoldAt = false, true, 0
+	c.reportAll = true
+}
+
 // handleWorkerLeft handles the goodbye of the worker with the given ID. It ignores that of
 // another worker. The runs of a worker have not ended until it is gone: it goes on for seconds if
 // its goodbye is not acknowledged in time. A goodbye names no incarnation; it can also come from an
@@ -321,14 +346,18 @@
 // its heartbeat can be a late one of a former worker.
 func (c *control) hasAnswered() bool { return c.answeredID != "" && c.answeredID == c.worker.ID }
 
-// recordAnswer records that the worker has answered a call. Calls name the worker's ID, so that the
+// isConfirmed reports whether the present incarnation has answered a call of this instance of the agent.
+// Before, its heartbeat can be a late one of a former incarnation with the same ID, whose clock is ahead.
+func (c *control) isConfirmed() bool { return c.hasAnswered() && c.answeredBorn.Equal(c.worker.Born) }
+
+// recordAnswer records that the incarnation of the worker that started at born has answered a call. Calls name the worker's ID, so that the
 // one that answered before is gone if it had another ID, and its orders are refused.
-func (c *control) recordAnswer() {
+func (c *control) recordAnswer(born time.Time) {
 	if c.answeredID != "" && !c.hasAnswered() {
 		c.unanswered.forget()
-		c.acknowledgement.until, c.longLeasesUntil = 0, 0
+		c.acknowledgement.until, c.longLeasesUntil, c.formerLeasesUntil = 0, 0, 0
 	}
-	c.answeredAt, c.answeredID = c.bootClock.Now(), c.worker.ID
+	c.answeredAt, c.answeredID, c.answeredBorn = c.bootClock.Now(), c.worker.ID, born
 }
 
 // mayBePresent reports whether the worker with the given ID can still execute orders: it is the present
@@ -462,6 +491,7 @@
 	clear(c.pendingGrants)
 	c.lastGrantRequestAt = 0
 	c.reportAll = true
+	c.reported.reset()
 }
 
 // dropPlannerLink stops using a connection. If it was the one to the planner, the agent
@@ -534,7 +564,7 @@
 func (c *control) takeReport() *cfwire.JobReport {
 	now := c.bootClock.Now()
 	c.lastReport = max(c.lastReport+1, uint64(now))
-	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now)}
+	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now), FormerLeases: max(0, c.formerLeasesUntil-now)}
 	c.results = nil
 	c.unanswered.addTo(r, now)
 	r.WithholdsStarts = c.withholdsStarts()
@@ -547,12 +577,14 @@
 		if c.hasLists {
 			l := c.lists
 			r.Lists, r.UncertainEnd = &l, c.uncertainEnd
+			c.reported.set(l, now)
 		}
 	}
 	// An agent that has not received a heartbeat yet does not know which tasks its worker
 	// runs. It therefore also reports the worker as unreachable.
 	if d, unreachable := c.unansweredFor(); c.hasLeft || unreachable || !c.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: c.leasesExpired(), Left: c.hasLeft}
+		c.reported.reset()
 	}
 	// The planner possibly ignored earlier reports. It must learn of the ends before it counts the runs as
 	// ended in another way.
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -23,10 +23,13 @@
 	if c.holdInFlight || !c.hasWorker || c.hasLeft || now < c.nextHoldAt {
 		return
 	}
-	h := cfcore.HoldOptions{Until: c.leaseUntil()}
+	h := cfcore.HoldOptions{}
+	if c.isConfirmed() {
+		h.Until = c.leaseUntil()
+	}
 	switch {
 	case c.acknowledgesNow(now):
-		h.LastSeen, c.acknowledgement.inFlight = c.lastRecorded, true
+		h.LastSeen, c.acknowledgement.inFlight, c.acknowledgement.sentAt = c.lastRecorded, true, now
 	case c.mayAcknowledge(now):
 	case !c.holdFailed && c.hasLists && c.lastListed <= c.acknowledgement.to && !c.isEnding() && !c.hasSuccessor:
 		h.Wait = c.cfg.HoldWait
@@ -34,8 +37,9 @@
 	c.holdInFlight = true
 	worker, epoch, incarnation := c.worker.ID, c.epoch, c.fence.currentIncarnation()
 	go func() {
-		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until, sentAt: now, lastSeen: h.LastSeen, waited: h.Wait > 0}
+		ev := holdReturned{worker: worker, incarnation: incarnation, until: h.Until, sentAt: now, lastSeen: h.LastSeen, waited: h.Wait > 0, notSent: true}
 		ev.token, ev.err = c.fence.send(worker, incarnation, epoch, false, func(o cfcore.Order) (err error) {
+			ev.notSent = false
 			ev.lists, err = c.Executor.Hold(ctx, o, h)
 			return err
 		})
@@ -45,7 +49,7 @@
 
 // handleHoldReturned handles the outcome of a call for the worker's run lists.
 func (c *control) handleHoldReturned(ev holdReturned) {
-	c.handleAcknowledged(ev, cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown) && !errors.Is(ev.err, syscall.ECONNREFUSED))
+	c.handleAcknowledged(ev)
 	c.recordEnds(&ev.lists)
 	if ev.incarnation != c.fence.currentIncarnation() {
 		// Another call, to the present incarnation, is in flight or due.
@@ -64,7 +68,7 @@
 		return
 	}
 	if c.applyLists(ev.lists, ev.token) && !ev.lists.MayLackRuns() {
-		c.unanswered.settle(ev.sentAt)
+		c.settleStarts(ev.sentAt)
 	}
 	c.settleSuccessor(true)
 	// A call that was sent before a restart was noticed contains a time on the earlier clock.
@@ -102,15 +106,19 @@
 // current session, because only then the worker refuses all orders that are missing in the lists.
 // applyLists reports whether it has recorded the lists.
 func (c *control) applyLists(l cfcore.RunLists, token cfcore.FencingToken) bool {
-	c.recordAnswer()
+	c.recordAnswer(l.Born)
 	if !l.Born.Equal(c.worker.Born) {
 		c.Log.Info().Str("Worker", c.worker.ID).Time("Born", l.Born).Msg("worker has restarted with the same ID")
 		c.resetWorker(c.worker.ID, l.Clock)
 		c.worker.Born, c.worker.Clock, c.worker.Sequence = l.Born, l.Clock, 0
 	}
+	if c.fence.isCurrent(token) {
+		c.hasRestarted = false
+	}
 	if token.Epoch() < c.epoch || !c.hasLists && !c.fence.isCurrent(token) || c.hasLists && l.Clock < c.lists.Clock {
 		return false
 	}
+	c.boundFormerLeases(l)
 	c.recordClock(l.Clock)
 	c.logMalformedRow(l.Malformed)
 	if l.MoreEnds && !c.lists.MoreEnds {
@@ -123,11 +131,20 @@
 	}
 	if l.Clock >= c.leasedUntil || c.moreUncertainEnds {
 		c.uncertainEnd, c.moreUncertainEnds = c.lastListed, l.MoreEnds
+		c.reported.reset()
 	}
-	c.reportAll = true
+	c.reportAll = c.reportAll || !c.reported.cover(&l, c.bootClock.Now())
 	return true
 }
 
+// boundFormerLeases bounds the leases that calls of an earlier instance of the agent extended: from its first
+// lists on, the worker refuses these calls.
+func (c *control) boundFormerLeases(l cfcore.RunLists) {
+	if !c.hasLists && l.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		c.formerLeasesUntil = min(c.bootClock.Now(), c.startedAt+cfcore.MaxExecutionDelay) + leaseExpiry(cfcore.MaxLease)
+	}
+}
+
 // logMalformedRow logs and counts run lists with a malformed row. It logs the error of the
 // row once, not for each call that lists it again.
 func (c *control) logMalformedRow(err error) {
@@ -158,6 +175,10 @@
 		c.stopRun(ctx, cfwire.JobStop{Task: s.Task, Run: s.Run})
 		return
 	}
+	if c.hasAnswered() && !c.isConfirmed() {
+		// The planner repeats the order.
+		return
+	}
 	until := c.leaseUntil()
 	if !c.hasWorker || !s.Born.Equal(c.worker.Born) || c.hasLeft || until == 0 {
 		// An earlier attempt, of this or an earlier incarnation of the agent, has possibly
@@ -170,7 +191,7 @@
 		return
 	}
 	c.inFlight[key] = true
-	c.sendStart(ctx, key, cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until})
+	c.sendStart(ctx, key, cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until, Clock: c.workerClock})
 }
 
 // sendStart calls the worker to start a run.
@@ -197,6 +218,7 @@
 // stopRun sends the worker an order to stop a run. Once the worker has answered the order,
 // either the run is in the worker's run lists, or it does not exist and will never start.
 func (c *control) stopRun(ctx context.Context, s cfwire.JobStop) {
+	c.acknowledgement.cancelWaiting(s.Task, s.Run)
 	key := orderKey{task: s.Task, run: s.Run, stop: true, born: c.worker.Born}
 	if c.inFlight[key] || !c.hasWorker || c.hasLeft {
 		return
@@ -239,15 +261,33 @@
 	}()
 }
 
-// handleOrderReturned handles the outcome of an order and adds the order's result to the
-// next report.
-func (c *control) handleOrderReturned(ctx context.Context, ev orderReturned) {
+// endOrder records that an order is in flight no more. It reports whether the incarnation that the order was
+// for is the present one. If its next incarnation has answered a start, the run counts as possibly existing
+// until lists show it.
+func (c *control) endOrder(ev orderReturned) bool {
 	delete(c.inFlight, ev.key)
+	hasRestarted := cferror.Is(ev.err, cfcore.ExecutorRestarted)
 	if !ev.key.stop {
-		c.unanswered.end(startKey{task: ev.key.task, run: ev.key.run})
+		start := startKey{task: ev.key.task, run: ev.key.run}
+		if hasRestarted && c.mayBePresent(ev.worker) {
+			c.unanswered.addExecuted(start, c.bootClock.Now())
+		}
+		c.unanswered.end(start)
+		c.reported.reset()
 	}
+	isPresent := ev.key.born.Equal(c.worker.Born)
+	if isPresent && hasRestarted {
+		c.logOrder(ev)
+		c.handleRestart()
+	}
+	return isPresent && !hasRestarted
+}
+
+// handleOrderReturned handles the outcome of an order and adds the order's result to the
+// next report.
+func (c *control) handleOrderReturned(ctx context.Context, ev orderReturned) {
 	c.recordEnds(&ev.lists)
-	if !ev.key.born.Equal(c.worker.Born) {
+	if !c.endOrder(ev) {
 		return
 	}
 	if ev.hasLists {
--- a/internal/cfjobagent/unanswered.go
+++ b/internal/cfjobagent/unanswered.go
@@ -61,6 +61,14 @@
 	u.starts[k] = s
 }
 
+// addExecuted remembers an attempt that an unknown incarnation of the worker has possibly executed by the
+// time at.
+func (u *unansweredStarts) addExecuted(k startKey, at time.Duration) {
+	s := u.starts[k]
+	s.until = max(s.until, at)
+	u.starts[k] = s
+}
+
 // end remembers that no attempt of a start is in flight any more.
 func (u *unansweredStarts) end(k startKey) {
 	s := u.starts[k]
@@ -71,12 +79,21 @@
 }
 
 // settle forgets the starts that were executed, if ever, before the time at: run lists that were
-// requested then contain their runs.
-func (u *unansweredStarts) settle(at time.Duration) {
+// requested then contain their runs. It reports whether there were any.
+func (u *unansweredStarts) settle(at time.Duration) bool {
+	before, hadUnknown := len(u.starts), u.unknownUntil > 0
 	maps.DeleteFunc(u.starts, func(_ startKey, s unansweredStart) bool { return s.inFlight <= 0 && at >= s.until })
 	if at >= u.unknownUntil {
 		u.unknownUntil = 0
 	}
+	return len(u.starts) < before || hadUnknown && u.unknownUntil == 0
+}
+
+// settleStarts settles starts. The planner unbinds their tasks by the next lists.
+func (c *control) settleStarts(at time.Duration) {
+	if c.unanswered.settle(at) {
+		c.reportAll = true
+	}
 }
 
 // forget forgets all starts: a worker with another ID refuses them.
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -58,6 +58,8 @@
 	stopWatching func()
 	// selfRecorded is set while the store contains this entry's own record.
 	selfRecorded bool
+	// unread is this entry's record if the planner has possibly not read it.
+	unread unreadRecord
 	// noClaimBefore is the time on the boot clock before which this entry claims no
 	// epoch.
 	noClaimBefore time.Duration
@@ -154,8 +156,11 @@
 		c.handleBatchAppended(ctx, ev)
 	case claimAppended:
 		c.claimInFlight = false
-		if cferror.Is(ev.err, cfcore.StoreConflict) {
+		switch {
+		case cferror.Is(ev.err, cfcore.StoreConflict):
 			c.conflictOffset = ev.offset
+		case ev.err != nil:
+			c.noClaimBefore = max(c.noClaimBefore, c.bootTime()+retryDelay)
 		}
 		if ev.err != nil {
 			c.Log.Warn().Err(ev.err).Msg("claim to the planner role was rejected, or its outcome is unknown")
@@ -188,6 +193,7 @@
 		if ev.poll.Epoch >= c.newestClaim().Epoch {
 			c.plannerSeenAt = c.Clock.Now()
 		}
+		c.markRecordRead(ev.poll)
 		c.answerPoll(ev)
 	case pollAnswered:
 		c.polls.handlePollAnswered(ev, c.plan)
@@ -291,7 +297,7 @@
 	case change.Planner:
 		c.handlePlannerChange(ctx)
 	case change.Entries:
-		c.handleEntriesChange()
+		c.handleEntriesChange(r.Offset)
 		if !c.selfRecorded {
 			c.recordAddress(ctx)
 		}
--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -41,8 +41,13 @@
 	p.SetAnswered(agent)
 }
 
-// TakeAgentRecords returns the changes of agents' records since its last call.
+// TakeAgentRecords returns the changes of agents' records since it last returned any. It scans for them every
+// scanInterval.
 func (p *Planner) TakeAgentRecords(now time.Time) []AgentRecord {
+	if now.Sub(p.lastRecordScan) < scanInterval {
+		return nil
+	}
+	p.lastRecordScan = now
 	var out []AgentRecord
 	if p.recordingSince.IsZero() {
 		p.recordingSince = now
@@ -65,18 +70,10 @@
 }
 
 func (p *Planner) hasLateStarts(now time.Time, w *worker) bool {
-	if _, ok := p.bindings.unknown[w.agent]; ok {
-		return true
-	}
 	for r := range w.runs {
 		if r.awaitsResult && now.Sub(r.sentAt) >= lateAfter {
 			return true
 		}
 	}
-	for _, x := range w.bindings {
-		if x.isLate {
-			return true
-		}
-	}
-	return false
+	return p.hasLateBindings(w)
 }
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -33,7 +34,9 @@
 	incarnation int
 	token       cfcore.FencingToken
 	until       time.Duration
-	attempt     int
+	// clock is the reading of the worker's clock that until is based on.
+	clock   time.Duration
+	attempt int
 	// sentAt is when the last attempt was sent. dueAt is when the agent gives up waiting for an answer.
 	sentAt, dueAt time.Time
 }
@@ -68,6 +71,8 @@
 	hasWorker bool
 	// hasAnswered is set once a worker has answered this instance of the agent.
 	hasAnswered bool
+	// answeredBorn is the start time of the incarnation that answered last.
+	answeredBorn time.Time
 	// hasLeft is set once the worker has announced that it leaves, or another incarnation has answered.
 	hasLeft       bool
 	born          time.Time
@@ -92,10 +97,12 @@
 	answeredAt  time.Time
 	leaseFrom   time.Time
 	longLeases  time.Time
-	startedAt   time.Time
-	inFlight    map[modelOrderKey]bool
-	uncertain   map[modelOrderKey]bool
-	copies      modelCopies
+	// formerLeases is until when the calls of an earlier instance possibly extended leases.
+	formerLeases time.Time
+	startedAt    time.Time
+	inFlight     map[modelOrderKey]bool
+	uncertain    map[modelOrderKey]bool
+	copies       modelCopies
 	// See acknowledgement in internal/cfjobagent.
 	ackedTo       uint64
 	ackInFlight   bool
@@ -162,6 +169,12 @@
 	return a.hasGrant && a.m.now.Sub(a.grantedAt) <= settings.GrantTime
 }
 
+// isConfirmed reports whether the present incarnation has answered a call. Before, its check-in can be a late
+// one of a former incarnation, whose clock is ahead.
+func (a *modelAgent) isConfirmed() bool {
+	return a.hasAnswered && a.answeredBorn.Equal(a.born) || a.m.faults.extendUnconfirmed
+}
+
 // leaseUntil returns the time on the worker's clock until which the agent may extend leases,
 // or 0.
 func (a *modelAgent) leaseUntil() time.Duration {
@@ -217,7 +230,11 @@
 		lastSeen = a.lastRecorded
 	}
 	waits := lastSeen == 0 && a.mayWait()
-	token, until, w, born, incarnation := a.token(), a.leaseUntil(), a.worker, a.born, a.incarnation
+	until := time.Duration(0)
+	if a.isConfirmed() {
+		until = a.leaseUntil()
+	}
+	token, w, born, incarnation := a.token(), a.worker, a.born, a.incarnation
 	a.holdFailed = !a.answers("hold", a.m.scope.lateHolds, func() { _, _ = w.hold(born, token, until, lastSeen) })
 	if a.holdFailed {
 		a.holdDueAt, a.holdToken = a.m.now.Add(orderTimeout), token
@@ -303,11 +320,25 @@
 }
 
 func (a *modelAgent) recordClock(reading time.Duration) {
-	if reading > a.workerClock {
+	if reading > a.workerClock && !a.hasRestarted {
 		a.workerClock, a.workerClockAt = reading, a.m.now
 	}
 }
 
+// handleRestart handles that the worker's next incarnation has answered a start for the present one.
+func (a *modelAgent) handleRestart() {
+	if a.hasRestarted || a.hasLeft {
+		return
+	}
+	a.m.tracef("%s: the worker's clock is behind, so it has restarted", a.name)
+	a.hasRestarted, a.workerClock, a.hasLists = true, 0, false
+	a.longLeases = a.m.now.Add(agentLeaseExpiry(cfcore.MaxLease))
+	a.endSession(a.token())
+	a.incarnation++
+	a.holdInFlight, a.ackInFlight, a.ackedTo, a.holdFailed = false, false, 0, true
+	a.holdToken, a.holdDueAt, a.waiting = 0, time.Time{}, nil
+}
+
 // applyLists records run lists that a call returned.
 func (a *modelAgent) applyLists(l cfcore.RunLists, token cfcore.FencingToken) bool {
 	if l.Born.Before(a.born) && !a.m.scope.playsFormerLives() {
@@ -315,10 +346,16 @@
 	}
 	a.observeBorn(l.Born, l.Clock)
 	a.m.markListed(a.worker, &l)
-	a.answeredAt, a.hasAnswered = a.m.now, true
+	a.answeredAt, a.hasAnswered, a.answeredBorn = a.m.now, true, a.born
+	if token.Session() == a.session {
+		a.hasRestarted = false
+	}
 	if !a.m.faults.applyEarlierLists && token.Epoch() < a.epoch || !a.hasLists && token.Session() != a.session || a.hasLists && l.Clock < a.lists.Clock {
 		return false
 	}
+	if !a.hasLists && l.Clock < cfcore.MaxOrderDelay+cfcore.MaxLease {
+		a.formerLeases = minTime(a.m.now, a.startedAt.Add(cfcore.MaxExecutionDelay)).Add(agentLeaseExpiry(cfcore.MaxLease))
+	}
 	a.recordClock(l.Clock)
 	for _, e := range l.Ended {
 		a.lastListed = max(a.lastListed, e.Number)
@@ -342,7 +379,7 @@
 // one.
 func (a *modelAgent) takeReport() *cfwire.JobReport {
 	a.lastReport = max(a.lastReport+1, uint64(a.m.now.Sub(epochStart)))
-	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now))}
+	r := &cfwire.JobReport{Seq: a.lastReport, Epoch: a.epoch, Results: a.results, LongLeases: max(0, a.longLeases.Sub(a.m.now)), FormerLeases: max(0, a.formerLeases.Sub(a.m.now))}
 	a.results = nil
 	a.reportCopies(r)
 	r.WithholdsStarts = a.withholdsStarts()
@@ -380,6 +417,9 @@
 		a.stopRun(s.Task, s.Run)
 		return
 	}
+	if a.hasAnswered && !a.isConfirmed() && !a.m.scope.newIDs {
+		return
+	}
 	until := a.leaseUntil()
 	if !a.hasWorker || !s.Born.Equal(a.born) || a.hasLeft || until == 0 {
 		return
@@ -389,12 +429,13 @@
 		return
 	}
 	if a.withholdsStarts() {
+		a.startResults[key] = cfcore.ExecutorRefused
 		a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
 		return
 	}
 	a.inFlight[key] = true
 	a.beginCopy(key)
-	a.sendStart(modelCall{key: key, incarnation: a.incarnation, token: a.token(), until: until, attempt: 1, sentAt: a.m.now})
+	a.sendStart(modelCall{key: key, incarnation: a.incarnation, token: a.token(), until: until, clock: a.workerClock, attempt: 1, sentAt: a.m.now})
 }
 
 func (a *modelAgent) sendStart(c modelCall) {
@@ -416,7 +457,11 @@
 			refusal = start()
 		}
 	}
-	if c.attempt > 1 && refusal != "" && refusal != cfcore.ExecutorStale {
+	hasClock := slices.Contains([]cfcore.ExecutorKind{"", cfcore.ExecutorStale, cfcore.ExecutorNoCapacity, cfcore.ExecutorLeaseExpired}, refusal)
+	switch {
+	case hasClock && w.clock() < c.clock && !a.m.faults.ignoreClocks:
+		refusal = cfcore.ExecutorRestarted
+	case c.attempt > 1 && refusal != "" && refusal != cfcore.ExecutorStale:
 		// The refusal of a retry does not prove that the first attempt had no effect.
 		refusal = cfcore.ExecutorOutcomeUnknown
 	}
@@ -425,6 +470,7 @@
 
 // stopRun sends the worker an order to stop a run.
 func (a *modelAgent) stopRun(n cfcore.TaskName, run uint64) {
+	a.waitingStarts = slices.DeleteFunc(a.waitingStarts, func(s cfwire.JobStart) bool { return s.Task == n && s.Run == run })
 	c := modelCall{key: modelOrderKey{task: n, run: run, stop: true, born: a.born}, incarnation: a.incarnation, token: a.token()}
 	if a.inFlight[c.key] || !a.hasWorker || a.hasLeft {
 		return
@@ -467,6 +513,9 @@
 // applyResult applies the outcome of an order, with the run lists after it if there are any.
 func (a *modelAgent) applyResult(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind, l cfcore.RunLists, hasLists bool) {
 	delete(a.inFlight, key)
+	if refusal == cfcore.ExecutorRestarted {
+		a.addExecutedCopy(key)
+	}
 	a.endCopy(key)
 	if hasLists {
 		a.recordEnds(&l)
@@ -474,6 +523,10 @@
 	if !key.born.Equal(a.born) {
 		return
 	}
+	if refusal == cfcore.ExecutorRestarted {
+		a.handleRestart()
+		return
+	}
 	if hasLists {
 		a.applyLists(l, token)
 	}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -91,6 +91,8 @@
 	formerCheckIns, lateGoodbyes bool
 	// bornSetBack lets a new incarnation have an earlier start time than a former one.
 	bornSetBack bool
+	// slowStops lets stops take up to 0.8 s, in which the run can still end as done.
+	slowStops bool
 }
 
 // The scopes of the tests.
@@ -198,6 +200,10 @@
 	applyEarlierLists bool
 	// forgetLongLeases makes agents ignore that leases can be longer after a restart.
 	forgetLongLeases bool
+	// extendUnconfirmed makes agents extend leases by the clock of a check-in.
+	extendUnconfirmed bool
+	// ignoreClocks makes agents ignore that the clock in the answer to a start is behind.
+	ignoreClocks bool
 }
 
 // modelPlanner is a planner together with its epoch.
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -200,10 +200,12 @@
 // chooseWorker returns the best worker for a task, or nil.
 func (p *Planner) chooseWorker(now time.Time, t *task) *worker {
 	if w, ok := p.boundWorker(t); ok {
-		if w == nil || !p.canStart(now, t, w) {
+		if w != nil && p.canStart(now, t, w) {
+			return w
+		}
+		if !p.mayStartElsewhere(now, t) {
 			return nil
 		}
-		return w
 	}
 	k := t.placementKey(now)
 	if p.fitsNowhere(k, t) {
@@ -281,7 +283,7 @@
 	if !w.isUsable(now, p.cfg.SuspectAfter) || p.holdsManyEnds(w) || w.state.Service != t.j.queue.Service {
 		return false
 	}
-	if now.Before(w.failures.quarantinedUntil) {
+	if w.withholdsStarts && !t.step.LongRunning || now.Before(w.failures.quarantinedUntil) {
 		return false
 	}
 	if r := t.step.Requirement; r != "" && !slices.Contains(w.state.Labels, r) {
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -28,6 +28,9 @@
 	// LongLeases is set for a worker that has just restarted with the same ID. For that time,
 	// leases on it can last longer than the agent has allowed.
 	LongLeases time.Duration `cbor:",omitempty"`
+	// FormerLeases is set for an agent that started recently and whose worker is young. If an instance of the
+	// agent ran before, its calls for a former incarnation possibly extended leases for that time.
+	FormerLeases time.Duration `cbor:",omitempty"`
 	// Results are the results of orders since the previous report.
 	Results []JobOrderResult `cbor:",omitempty"`
 	// Unanswered are all starts with an attempt that has got no answer and can still be executed.
@@ -35,7 +38,7 @@
 	// UnknownStarts is set if the worker can still execute starts of an earlier instance of the agent. It
 	// is the time after which their runs have certainly ended.
 	UnknownStarts time.Duration `cbor:",omitempty"`
-	// WithholdsStarts is set while the agent refuses all starts, see cfjobagent.
+	// WithholdsStarts is set while the agent refuses all starts but those of long-running tasks, see cfjobagent.
 	WithholdsStarts bool `cbor:",omitempty"`
 	// Lost is set if the worker does not respond or has left, or if the agent has just
 	// started and has not heard from the worker yet.
@@ -117,6 +120,8 @@
 	Spec       string
 	Checkpoint string `cbor:",omitempty"`
 	Ticket     string `cbor:",omitempty"`
+	// LongRunning is set if the task never ends as done.
+	LongRunning bool `cbor:",omitempty"`
 }
 
 // JobStop is the order to stop a run.
@@ -139,6 +144,8 @@
 	Epoch cfcore.Epoch
 	// Config is the version of the planner's configuration.
 	Config uint64
+	// ReadTo is the store offset up to which the planner had applied records; 0 if it is not known.
+	ReadTo int64 `cbor:",omitempty"`
 }
 
 // JobPollAnswer is another entry's answer to a JobPoll.
