--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -53,6 +53,8 @@
 	// worker last got no answer; zero if none did.
 	answeredAt   time.Duration
 	unansweredAt time.Duration
+	// calmSince is since when all calls have been answered; zero if the last one was not.
+	calmSince time.Duration
 	// answered is the number of calls up to answeredAt that were answered in a row.
 	answered int
 }
@@ -81,6 +83,12 @@
 	if isUnanswered {
 		a.unansweredAt = c.bootClock.Now()
 	}
+	switch {
+	case ev.err != nil:
+		a.calmSince = 0
+	case a.calmSince == 0:
+		a.calmSince = c.bootClock.Now()
+	}
 	if ev.err == nil && ev.lastSeen == 0 && !ev.waited {
 		if ev.sentAt-a.answeredAt > ackWindow {
 			a.answered = 0
@@ -108,7 +116,8 @@
 // to get no answer as well.
 func (c *control) withholdsStarts() bool {
 	now := c.bootClock.Now()
-	return now < c.acknowledgement.until && now-c.acknowledgement.unansweredAt < withholdTime
+	a := &c.acknowledgement
+	return now < a.until && (a.calmSince == 0 || now-a.calmSince < withholdTime)
 }
 
 // withholdStart reports whether a start is not sent now because of a call that acknowledges ends. The
@@ -119,6 +128,10 @@
 		return true
 	}
 	if c.withholdsStarts() && !s.LongRunning {
+		if _, ok := c.unanswered.starts[startKey{task: s.Task, run: s.Run}]; ok {
+			// An earlier attempt can still be executed. The planner repeats the order.
+			return true
+		}
 		c.recordStartResult(orderKey{task: s.Task, run: s.Run, born: s.Born}, cfcore.ExecutorRefused)
 		c.results = append(c.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
 		return true
@@ -132,4 +145,4 @@
 }
 
 // reset handles another incarnation of the worker.
-func (a *acknowledgement) reset() { a.to, a.inFlight, a.sentAt = 0, false, 0 }
+func (a *acknowledgement) reset() { a.to, a.inFlight, a.sentAt, a.calmSince = 0, false, 0, 0 }
--- a/internal/cfjobagent/acknowledgement_test.go
+++ b/internal/cfjobagent/acknowledgement_test.go
@@ -1,12 +1,14 @@
 package cfjobagent
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cferror"
 	"cranberryford/pkg/cfwire"
 )
 
@@ -106,20 +108,46 @@
 	g.Expect(r.Unanswered).To(HaveLen(1), "it is in flight")
 }
 
-func TestStartsAreWithheldWhileCallsGetNoAnswer(t *testing.T) {
+func TestStartsAreWithheldUntilCallsAreAnswered(t *testing.T) {
 	g := NewWithT(t)
 	a, _, clock := newStartingControl()
-	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: 3, sentAt: a.bootClock.Now(), err: errUnanswered})
+	hold := func(lastSeen uint64, err error) {
+		a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: lastSeen, sentAt: a.bootClock.Now(), lists: cfcore.RunLists{Born: born}, err: err})
+	}
+	hold(3, errUnanswered)
+	for range 30 {
+		*clock += fakeBootClock(100 * time.Millisecond)
+		hold(0, cferror.Wrap("hold", cfcore.ExecutorOutcomeUnknown, syscall.ECONNREFUSED))
+	}
+	g.Expect(a.withholdsStarts()).To(BeTrue(), "no call has been answered")
+	hold(0, nil)
+	*clock += fakeBootClock(withholdTime - time.Millisecond)
 	g.Expect(a.withholdsStarts()).To(BeTrue())
-	*clock += fakeBootClock(withholdTime)
-	g.Expect(a.withholdsStarts()).To(BeFalse(), "no other call has failed")
+	*clock += fakeBootClock(time.Millisecond)
+	g.Expect(a.withholdsStarts()).To(BeFalse())
 	a.handleEvent(t.Context(), attemptUnanswered{worker: "w", start: startKey{task: startOfJ.Task, run: 7}, at: a.bootClock.Now()})
 	g.Expect(a.withholdsStarts()).To(BeTrue(), "the acknowledgement can still be executed")
-	*clock += fakeBootClock(cfcore.MaxOrderDelay - withholdTime)
-	a.handleEvent(t.Context(), attemptUnanswered{worker: "w", start: startKey{task: startOfJ.Task, run: 8}, at: a.bootClock.Now()})
+	*clock += fakeBootClock(cfcore.MaxOrderDelay)
 	g.Expect(a.withholdsStarts()).To(BeFalse(), "it cannot")
 }
 
+// The worker can still execute the first attempt of a start, so that it must not be reported as refused.
+func TestUncertainStartIsNotReportedAsRefused(t *testing.T) {
+	g := NewWithT(t)
+	a, w, clock := newStartingControl()
+	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), lastSeen: 3, sentAt: a.bootClock.Now(), err: errUnanswered})
+	a.handleEvent(t.Context(), holdReturned{worker: "w", incarnation: a.fence.currentIncarnation(), sentAt: a.bootClock.Now(), lists: cfcore.RunLists{Born: born}})
+	*clock += fakeBootClock(withholdTime)
+	a.grantedAt, a.answeredAt = a.bootClock.Now(), a.bootClock.Now()
+	w.refusal = cfcore.ExecutorOutcomeUnknown
+	a.startRun(t.Context(), startOfJ)
+	a.handleEvents(t, orderAttempts+1)
+	g.Expect(a.takeReport().Unanswered).To(HaveLen(1))
+	g.Expect(a.withholdsStarts()).To(BeTrue())
+	a.startRun(t.Context(), startOfJ)
+	g.Expect(a.takeReport().Results).To(BeEmpty())
+}
+
 // The planner drops a run that was refused and starts its task elsewhere. It possibly repeated the order before
 // it learned of the refusal.
 func TestWithheldStartIsNotSentLater(t *testing.T) {
--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -230,7 +230,7 @@
 	case attemptUnanswered:
 		if c.mayBePresent(ev.worker) {
 			c.unanswered.addAttempt(ev.start, ev.at)
-			c.acknowledgement.unansweredAt = c.bootClock.Now()
+			c.acknowledgement.unansweredAt, c.acknowledgement.calmSince = c.bootClock.Now(), 0
 			c.reportAll = true
 		}
 	case orderReturned:
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -198,14 +198,16 @@
 	return w, w != nil
 }
 
-// longRunningWait is how long a long-running task waits for a worker that it is bound to and that cannot start
-// it. It must run again within 7 s.
+// longRunningWait is how long a long-running task waits for a worker that it is bound to and that answers, but
+// cannot start it. It must run again within 7 s.
 const longRunningWait = 3 * time.Second
 
 // mayStartElsewhere reports whether a task may start on another worker than the one that it is bound to and that
 // cannot start it.
 func (p *Planner) mayStartElsewhere(now time.Time, t *task) bool {
-	return t.step.LongRunning && !t.step.Gang && !slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool { return now.Sub(x.since) < longRunningWait })
+	return t.step.LongRunning && !t.step.Gang && !slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool {
+		return x.w.isUnreachable || !x.w.hasListed || now.Sub(x.since) < longRunningWait
+	})
 }
 
 // isBound reports whether a task, or another member of its gang, is bound to a worker.
--- a/pkg/cfdispatch/binding_test.go
+++ b/pkg/cfdispatch/binding_test.go
@@ -373,3 +373,25 @@
 		f.Expect(o.RecordedEnd).To(BeZero(), "after it, for %s", a)
 	}
 }
+
+// The worker restarts 3 s after a start that got no answer: its next incarnation can execute it for 15 s.
+func TestLongRunningTaskIsNotMovedFromAnUnreachableWorker(t *testing.T) {
+	f, run := newBoundFleet(t, longRunningStep())
+	clear(f.workers["a"].runs)
+	refused := cfwire.JobOrderResult{Task: run.Task, Run: run.Run, Refusal: cfcore.ExecutorStale}
+	r := unanswered(run, refused)
+	r.Worker, r.Lists = &f.workers["a"].state, &cfcore.RunLists{Born: f.workers["a"].state.Born, Clock: time.Hour}
+	f.ApplyReport(f.now, "a", r)
+	start := f.now
+	for f.now.Sub(start) < 12*time.Second {
+		f.now = f.now.Add(100 * time.Millisecond)
+		u := unanswered(run)
+		u.Lost = &cfwire.JobWorkerUnreachable{}
+		f.ApplyReport(f.now, "a", u)
+		f.report("b")
+		f.ExpireLeases(f.now, f.now)
+		for _, s := range f.runPlanner() {
+			f.Expect(s).NotTo(Equal("j.0@b"), "after %s", f.now.Sub(start))
+		}
+	}
+}
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -108,6 +108,7 @@
 	ackInFlight   bool
 	ackUntil      time.Time
 	unansweredAt  time.Time
+	calmSince     time.Time
 	waitingStarts []cfwire.JobStart
 	// startResults holds the refusals of starts; empty if the run has started.
 	startResults map[modelOrderKey]cfcore.ExecutorKind
@@ -258,10 +259,14 @@
 			a.leaveWorker(born)
 		}
 		if refusal != "" {
+			a.calmSince = time.Time{}
 			a.handleHoldRefusal(refusal)
 			return
 		}
 		a.recordEnds(&l)
+		if a.calmSince.IsZero() {
+			a.calmSince = a.m.now
+		}
 		if l.Born.Equal(a.born) {
 			a.ackedTo = max(a.ackedTo, lastSeen)
 		}
@@ -316,7 +321,7 @@
 	a.lastListed, a.leasedUntil, a.uncertainEnd, a.moreUncertainEnds = 0, 0, 0, false
 	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
 	a.answeredAt, a.holdDueAt, a.hasLeft = a.m.now, time.Time{}, false
-	a.holdInFlight, a.ackInFlight, a.ackedTo = false, false, 0
+	a.holdInFlight, a.ackInFlight, a.ackedTo, a.calmSince = false, false, 0, time.Time{}
 }
 
 func (a *modelAgent) recordClock(reading time.Duration) {
@@ -336,6 +341,7 @@
 	a.endSession(a.token())
 	a.incarnation++
 	a.holdInFlight, a.ackInFlight, a.ackedTo, a.holdFailed = false, false, 0, true
+	a.calmSince = time.Time{}
 	a.holdToken, a.holdDueAt, a.waiting = 0, time.Time{}, nil
 }
 
@@ -429,6 +435,9 @@
 		return
 	}
 	if a.withholdsStarts() {
+		if _, ok := a.copies.starts[modelStart{task: s.Task, run: s.Run}]; ok {
+			return
+		}
 		a.startResults[key] = cfcore.ExecutorRefused
 		a.results = append(a.results, cfwire.JobOrderResult{Task: s.Task, Run: s.Run, Refusal: cfcore.ExecutorRefused})
 		return
--- a/pkg/cfdispatch/model_copy_test.go
+++ b/pkg/cfdispatch/model_copy_test.go
@@ -48,7 +48,7 @@
 	if c.key.stop || !ok {
 		return
 	}
-	x.until, a.unansweredAt = c.sentAt.Add(cfcore.MaxOrderDelay), a.m.now
+	x.until, a.unansweredAt, a.calmSince = c.sentAt.Add(cfcore.MaxOrderDelay), a.m.now, time.Time{}
 	a.copies.starts[s] = x
 }
 
@@ -117,14 +117,14 @@
 
 // markUnanswered remembers a call that acknowledged the ends up to lastSeen and got no answer.
 func (a *modelAgent) markUnanswered(lastSeen uint64) {
-	a.unansweredAt = a.m.now
+	a.unansweredAt, a.calmSince = a.m.now, time.Time{}
 	if lastSeen > 0 {
 		a.ackUntil = a.m.now.Add(cfcore.MaxOrderDelay)
 	}
 }
 
 func (a *modelAgent) withholdsStarts() bool {
-	return a.m.now.Before(a.ackUntil) && a.m.now.Sub(a.unansweredAt) < withholdTime
+	return a.m.now.Before(a.ackUntil) && (a.calmSince.IsZero() || a.m.now.Sub(a.calmSince) < withholdTime)
 }
 
 // startWaiting sends the starts that have waited for the answer to a call that acknowledged ends.
