--- a/pkg/cfdispatch/model_check_test.go
+++ b/pkg/cfdispatch/model_check_test.go
@@ -19,6 +19,8 @@
 	// then doesn't count, even if it is acknowledged later.
 	lapsed bool
 	acked  bool
+	// ackedAt is when the end was acknowledged.
+	ackedAt time.Time
 	// restarted is set once the task has started again. isOrphaned is set if the run, or the one
 	// that started again, is orphaned.
 	restarted, isOrphaned bool
@@ -34,6 +36,9 @@
 	// violationRecorded is a start that was ordered after its task was recorded as done. The end
 	// of the earlier run possibly doesn't count. A start that was ordered before that is stopped.
 	violationRecorded = "start ordered although recorded as done"
+	// violationCopy is a start of a duplicable task over a second after an end of it was acknowledged,
+	// with no disruption near.
+	violationCopy = "copy long after an acknowledged end"
 	// violationUnstored is the acknowledgement of an end before the store has what follows from it.
 	violationUnstored = "acknowledged end is not stored"
 )
@@ -99,17 +104,35 @@
 	if x == nil {
 		return
 	}
-	x.acked = true
+	if !x.acked {
+		x.acked, x.ackedAt = true, m.now
+	}
 	m.tracef("%s: end %d (run %x of %s) is acknowledged, lapsed before: %v", w.name, e.Number, e.Run, taskString(e.Task), x.lapsed)
 	if x.restarted && !x.lapsed && !m.step(e.Task).Duplicable {
 		m.violate(violationAcked, e.Task, x.isOrphaned, "end of run %x on %s is acknowledged after the task started again", e.Run, w.name)
 	}
 }
 
+// copyGrace is how long after an acknowledged end copies of the task may start.
+const copyGrace = time.Second
+
+// checkCopy checks that a copy does not start long after an end of its task, unless a disruption is near.
+func (m *model) checkCopy(w *modelWorker, n cfcore.TaskName, run uint64) {
+	if m.now.Sub(m.disruptedAt[w.name]) < calmTime {
+		return
+	}
+	for _, x := range m.ends[m.endKey(n)] {
+		if x.acked && !x.lapsed && m.now.Sub(x.ackedAt) > copyGrace {
+			m.violate(violationCopy, n, m.isOrphaned, "run %x starts on %s, run %x has ended on %s", run, w.name, x.run, x.worker)
+		}
+	}
+}
+
 // checkStart checks that the task of a run that starts has not ended before. The rule allows copies
-// then, except those that a planner orders which is in touch with the store, see checkOrdered.
+// then for a while, except those that a planner orders which is in touch with the store, see checkOrdered.
 func (m *model) checkStart(w *modelWorker, n cfcore.TaskName, run uint64) {
 	if m.step(n).Duplicable {
+		m.checkCopy(w, n, run)
 		return
 	}
 	for _, x := range m.ends[m.endKey(n)] {
--- a/pkg/cfdispatch/model_newer_test.go
+++ b/pkg/cfdispatch/model_newer_test.go
@@ -1,6 +1,7 @@
 package cfdispatch_test
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -63,3 +64,14 @@
 		})
 	}
 }
+
+// A new planner that does not know which tasks are recorded as done starts copies of them.
+func TestModelFindsCopiesLongAfterTheEnd(t *testing.T) {
+	found := false
+	for seed := 1; seed <= 1000 && !found; seed++ {
+		m := modelHistory(seed, rareWithNewIDs, modelFaults{ignoreProgress: true})
+		found = slices.ContainsFunc(m.violations, func(v violation) bool { return v.kind == violationCopy }) &&
+			modelHistory(seed, rareWithNewIDs, modelFaults{}).violation() == ""
+	}
+	NewWithT(t).Expect(found).To(BeTrue())
+}
