--- a/integration/jobs/jobs_test.go
+++ b/integration/jobs/jobs_test.go
@@ -460,7 +460,10 @@
 	for n := range jobs {
 		Expect(f.submit(n+1, oneStep(tasks, "200ms"))).To(BeTrue())
 	}
-	Eventually(f.runs, 5*time.Second, 10*time.Millisecond).ShouldNot(BeEmpty())
+	// An agent gets no starts before the store has its record.
+	for _, w := range f.workers {
+		Eventually(w.History, 5*time.Second, 10*time.Millisecond).ShouldNot(BeEmpty())
+	}
 	f.store.SetFault(func(r *http.Request) standin.Fault {
 		if kill && r.URL.Path != "/log-append" {
 			return standin.Healthy
