--- a/internal/cfjobagent/acknowledgement.go
+++ b/internal/cfjobagent/acknowledgement.go
@@ -37,7 +37,7 @@
 // acknowledgement is the state of the acknowledgement of ends. The worker, or its next incarnation
 // under the same ID, can execute an unanswered call that acknowledges ends, and a start, late: it then
 // forgets the end of a run that the agent has never seen. There is therefore never such a call while a start
-// has no answer, and the other way round.
+// has no answer, and few starts while such a call has none, see withholdsStarts.
 type acknowledgement struct {
 	// to is the number of the last end that an answered call has acknowledged.
 	to uint64
