--- a/integration/jobs/listed_test.go
+++ b/integration/jobs/listed_test.go
@@ -27,7 +27,7 @@
 	return func(f *fleet) func() {
 		f.setStoreFaultFor(f.awaitPlanner(), standin.Down)
 		time.Sleep(d)
-		return func() { f.store.SetFault(nil) }
+		return func() { f.store.SetFault(alwaysHealthy) }
 	}
 }
 
