--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases of the second review, into review/bin.
+# Builds the stand-ins of the cases of the second review: one program, without dependencies outside
+# the standard library.
 set -euo pipefail
 cd "$(dirname "$0")"
-go build -o bin/ ./9/standins
-mv bin/standins bin/route-restart
+GOWORK=off GOFLAGS=-mod=mod go build -buildvcs=false -o bin/standins-2 ./standins-2
--- a/review/9/standins/worker.go
+++ b/review/standins-2/worker.go
@@ -15,12 +15,15 @@
 
 const (
 	cpuCapacity   = 16000
-	taskCPU       = 500
+	maxRuns       = 32
 	taskTime      = 150 * time.Millisecond
 	heartbeat     = 1500 * time.Millisecond
 	firstCheckIn  = 20 * time.Millisecond
 	longestLease  = 10_000
 	requiredLabel = "b"
+	// lastingSpec is the spec of tasks that have no end. All others take taskTime.
+	lastingSpec = "lasts"
+	farFuture   = 24 * time.Hour
 )
 
 type runRow struct {
@@ -132,6 +135,7 @@
 
 type order struct {
 	Task    string `json:"task"`
+	Spec    string `json:"spec"`
 	Run     uint64 `json:"run_id"`
 	Expires int64  `json:"expires_ms"`
 	Token   uint64 `json:"fencing_token"`
@@ -188,11 +192,15 @@
 		return "old"
 	case o.Expires <= w.clock():
 		return "late"
-	case (len(w.runs)+1)*taskCPU > cpuCapacity:
+	case len(w.runs) >= maxRuns:
 		return "room"
 	}
 	w.newest[o.Task] = o.Run
-	w.runs[o.Task] = runRow{task: o.Task, run: o.Run, end: time.Now().Add(taskTime)}
+	end := time.Now().Add(taskTime)
+	if o.Spec == lastingSpec {
+		end = time.Now().Add(farFuture)
+	}
+	w.runs[o.Task] = runRow{task: o.Task, run: o.Run, end: end}
 	verdict := "has its label"
 	if w.labels[0] != requiredLabel {
 		verdict = "LACKS its label"
@@ -201,6 +209,17 @@
 	return ""
 }
 
+// gauge is the processor time in use, in thousandths of a core, that the lists show for each run.
+const gauge = 500
+
+// percent is 100 for a task that lasts.
+func percent(r runRow) int {
+	if time.Until(r.end) > taskTime {
+		return 100
+	}
+	return 50
+}
+
 // hold answers with the lists of runs. The caller holds mu; hold gives it up while it waits.
 func (w *worker) hold(rw http.ResponseWriter, o order) {
 	for len(w.ended) > 0 && w.ended[0].number <= o.Seen {
@@ -217,7 +236,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
-		running = append(running, []any{r.task, r.run, "", 50, taskCPU})
+		running = append(running, []any{r.task, r.run, "", percent(r), gauge})
 	}
 	for _, e := range w.ended[:min(len(w.ended), 500)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
