Planners: what one has learnt of a lost agent or worker outlasts it

Lasting tasks were away for 13.7 s and more (LOST), and no task of an inherited job that doesn't last started for up to 30 s after the last election.

Cause: a new planner counts the leases of an agent that does not report from its own election, 9.6 s, and holds back all inherited tasks meanwhile; those that don't last up to 30 s, as it knows none of the starts. Planners passed on only whether an agent has late starts.

Change: an agent that has not reported, or whose worker has not responded, for 1 s is recorded as absent, with the end of the leases, the runs and the starts without an answer. While the record is there, no planner answers its requests or orders starts from it; so the record stays true, whoever is the planner. It is deleted before the agent is answered again. Times are those of a clock that planners continue one after another, and that is never ahead. An agent discards its permissions once its worker responds again, so that its report of how long leases last is certain.

Ruled out: records with the time of day (clocks jump by 2.4 s); an age in each record, renewed each second (one record an agent a second instead of one reading of the clock); shorter leases.

Injected faults (absent agents are answered, their runs ignored, permissions kept) are found.

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -317,6 +317,7 @@
 	c.inFlight, c.uncertain, c.startResults = map[orderKey]bool{}, map[orderKey]bool{}, map[orderKey]startResult{}
 	// A call to the previous incarnation is not waited for: until a call with a token of the new
 	// session, the new incarnation executes late starts of the previous one.
+	c.discardGrants()
 	c.hasLeft, c.answeredAt, c.nextHoldAt, c.holdInFlight = false, c.bootClock.Now(), 0, false
 	c.isLeaving, c.hasSuccessor, c.hasRestarted, c.awaitsCheckIn = false, false, false, false
 	c.leasedUntil, c.uncertainEnd, c.moreUncertainEnds = 0, 0, false
@@ -373,6 +374,7 @@
 		c.unanswered.forget()
 		c.acknowledgement.until, c.longLeasesUntil, c.formerLeasesUntil = 0, 0, 0
 	}
+	c.discardGrants()
 	c.answeredAt, c.answeredID, c.answeredBorn = c.bootClock.Now(), c.worker.ID, born
 }
 
@@ -545,6 +547,15 @@
 	return d, d > unreachableAfter
 }
 
+// discardGrants discards all permissions to extend leases if the worker has not responded. The planner goes by the
+// agent's report that leases can last no longer, see cfwire.JobWorkerUnreachable.LeasesFor.
+func (c *control) discardGrants() {
+	if _, unreachable := c.unansweredFor(); unreachable {
+		c.hasGrant, c.lastGrantRequestAt = false, 0
+		clear(c.pendingGrants)
+	}
+}
+
 // leasesExpired reports whether all leases on the worker have certainly expired.
 func (c *control) leasesExpired() bool {
 	now := c.bootClock.Now()
@@ -601,6 +612,9 @@
 	// runs. It therefore also reports the worker as unreachable.
 	if d, unreachable := c.unansweredFor(); c.hasLeft || unreachable || !c.hasWorker {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: c.leasesExpired(), Left: c.hasLeft}
+		if unreachable {
+			r.Lost.LeasesFor = max(0, leaseExpiry(c.cfg.Lease.Lease)-(now-c.leaseFrom))
+		}
 		c.reported.reset()
 	}
 	// The planner possibly ignored earlier reports. It must learn of the ends before it counts the runs as
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -65,6 +65,8 @@
 	unread unreadRecord
 	// mark is the newest mark of valid records, see recordsValid.
 	mark readMark
+	// clock follows the planners' clock.
+	clock plannerClock
 	// noClaimBefore is the time on the boot clock before which this entry claims no
 	// epoch.
 	noClaimBefore time.Duration
@@ -230,6 +232,7 @@
 	old := c.stored.Planner
 	c.stored = ev.stored
 	c.observeMark()
+	c.observeClock()
 	c.confirmedAt = ev.sentAt
 	c.markResigned()
 	c.plannerSeenAt = c.Clock.Now()
@@ -262,6 +265,7 @@
 		c.applyRecord(ctx, r)
 	}
 	c.observeMark()
+	c.observeClock()
 	c.stored.Next = max(c.stored.Next, ev.page.Next)
 	if ev.page.Skipped > 0 {
 		c.Scope.Counter("records_skipped").Inc(int64(ev.page.Skipped))
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -73,7 +73,7 @@
 // all records in the store. Only the records in the store decide which entry is the
 // planner.
 func (c *control) appendClaim(ctx context.Context, epoch cfcore.Epoch) {
-	r, err := c.codec.Claim(&cfjob.Claim{Epoch: epoch, Instance: c.instance, Address: c.cfg.Inner})
+	r, err := c.codec.Claim(&cfjob.Claim{Epoch: epoch, Instance: c.instance, Address: c.cfg.Inner, Elapsed: c.elapsed(), AbsencesSince: c.absencesSince(epoch)})
 	if err != nil {
 		c.Log.Error().Err(err).Msg("claim to the planner role cannot be encoded; not claiming")
 		return
@@ -189,7 +189,7 @@
 	c.ledEpoch = claim.Epoch
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
-		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, entrySeenAt: map[string]time.Time{},
+		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, heldRequests: map[string]reportReceived{}, entrySeenAt: map[string]time.Time{},
 	}
 	recordsValid := c.recordsValid()
 	for a, at := range c.stored.Agents {
@@ -203,6 +203,7 @@
 	for _, e := range c.stored.Jobs {
 		c.addInheritedJob(e)
 	}
+	c.restoreAbsences(claim)
 	c.Log.Info().Uint64("Epoch", uint64(claim.Epoch)).Int("Jobs", len(c.stored.Jobs)).Int("Agents", len(agents)).Msg("this entry is the planner")
 	c.Scope.Counter("planner_terms").Inc(1)
 	c.sendEntriesToAll()
--- a/internal/cfjobentry/plannerbatch.go
+++ b/internal/cfjobentry/plannerbatch.go
@@ -36,9 +36,10 @@
 	// Each worker numbers its ended runs. ends holds, for workers, the number up to which
 	// the ended runs are recorded once the batch is in the store. agents are the agents
 	// whose records the batch contains. Both are marked as recorded once the batch is in
-	// the store.
-	ends   []cfdispatch.EndedRunsPosition
-	agents []string
+	// the store. returned are the agents whose records of absences the batch deletes.
+	ends     []cfdispatch.EndedRunsPosition
+	agents   []string
+	returned []string
 	// sequence is the producer's sequence number of the append.
 	sequence uint64
 	// inFlight is set while the append is in flight. After a failed attempt, the next
@@ -82,6 +83,8 @@
 		c.plan.extraRecords = append(c.plan.extraRecords, r)
 	}
 	c.recordLateStarts(now)
+	c.recordAbsences(now)
+	c.recordClock(now)
 }
 
 // recordLateStarts records which agents have late starts, by the zero time. A later planner then
@@ -113,7 +116,7 @@
 // lasting effect.
 func (c *control) dropAgent(agent string) {
 	isAgent := func(a string) bool { return a == agent }
-	c.plan.extraRecords = append(c.plan.extraRecords, c.codec.DropAgent(agent))
+	c.plan.extraRecords = append(c.plan.extraRecords, c.codec.DropAgent(agent), c.codec.DropAbsence(agent))
 	c.plan.recordingAgents = slices.DeleteFunc(c.plan.recordingAgents, isAgent)
 	if b := c.plan.pendingBatch; b != nil {
 		b.agents = slices.DeleteFunc(b.agents, isAgent)
@@ -165,8 +168,8 @@
 		c.plan.MarkEndsRecorded(ends)
 		return nil
 	}
-	b := &plannerBatch{records: records, progress: progress, ends: ends, agents: c.plan.recordingAgents, sequence: c.plan.sequence}
-	c.plan.recordingAgents = nil
+	b := &plannerBatch{records: records, progress: progress, ends: ends, agents: c.plan.recordingAgents, returned: c.plan.returningAgents, sequence: c.plan.sequence}
+	c.plan.recordingAgents, c.plan.returningAgents = nil, nil
 	c.plan.sequence++
 	return b
 }
@@ -204,6 +207,9 @@
 			c.plan.recordedAgents[agent] = true
 			c.plan.MarkAgentRecorded(agent)
 		}
+		for _, agent := range b.returned {
+			c.endAbsence(agent)
+		}
 		c.plan.pendingBatch = nil
 		c.publishRecords(ctx, b.progress)
 	case cferror.Is(ev.err, cfcore.StoreFenced):
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -24,8 +24,14 @@
 	// whose records go into the next batch.
 	recordedAgents  map[string]bool
 	recordingAgents []string
+	// returningAgents are those whose records of absences the next batch deletes. heldRequests holds, by agent, the
+	// newest request of an absent agent to extend leases.
+	returningAgents []string
+	heldRequests    map[string]reportReceived
 	// markedAt is when the mark of valid records was last renewed.
 	markedAt time.Time
+	// clockRecordedAt is when a reading of the planners' clock was last recorded.
+	clockRecordedAt time.Time
 	// othersUntil is the time on the boot clock until which an earlier planner possibly gives
 	// orders.
 	othersUntil time.Duration
@@ -153,11 +159,21 @@
 		return
 	}
 	if ev.report.Ask > 0 {
-		c.send(ev.link, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch, Answer: ev.report.Ask}})
-		c.plan.MarkAnswered(ev.link.name, c.Clock.Now())
+		c.answerRequest(ev)
 	}
 }
 
+// answerRequest lets an agent extend leases. An agent whose absence is on record has to wait until it no longer is.
+func (c *control) answerRequest(ev reportReceived) {
+	if !c.plan.MayAnswer(ev.link.name) {
+		c.plan.heldRequests[ev.link.name] = ev
+		c.Scope.Counter("answers_withheld").Inc(1)
+		return
+	}
+	c.send(ev.link, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch, Answer: ev.report.Ask}})
+	c.plan.MarkAnswered(ev.link.name, c.Clock.Now())
+}
+
 // applyReport applies a report unless it is outdated. This entry can have been the planner of the
 // epoch in which a report was sent. Its run lists can lack runs that still start, see
 // cfjobagent.
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -75,6 +75,8 @@
 	sessions  modelSessions
 	hasGrant  bool
 	grantedAt time.Time
+	// grantsFrom is the time before which no permission was requested that counts.
+	grantsFrom time.Time
 
 	hasWorker bool
 	// hasAnswered is set once a worker has answered this instance of the agent.
@@ -202,13 +204,23 @@
 // leaseUntil returns the time on the worker's clock until which the agent may extend leases,
 // or 0.
 func (a *modelAgent) leaseUntil() time.Duration {
-	if !a.hasValidGrant() || a.workerClock == 0 || a.m.now.Sub(a.answeredAt) > unreachableAfter {
+	if !a.hasValidGrant() || a.workerClock == 0 || a.isUnreachable() {
 		return 0
 	}
 	a.leaseFrom = a.workerClockAt
 	return a.workerClock + settings.LeaseTime
 }
 
+// isUnreachable reports whether the worker has not responded for long.
+func (a *modelAgent) isUnreachable() bool { return a.m.now.Sub(a.answeredAt) > unreachableAfter }
+
+// discardGrants discards all permissions if the worker has not responded.
+func (a *modelAgent) discardGrants() {
+	if a.isUnreachable() && !a.m.faults.keepGrants {
+		a.hasGrant, a.grantsFrom = false, a.m.now
+	}
+}
+
 // leasesExpired reports whether all leases on the worker have expired.
 func (a *modelAgent) leasesExpired() bool {
 	if a.m.faults.expireUnreachable {
@@ -366,6 +378,7 @@
 	a.lastListed, a.leasedUntil, a.uncertainEnd, a.moreUncertainEnds = 0, 0, 0, false
 	a.results = nil
 	a.inFlight, a.uncertain, a.startResults = map[modelOrderKey]bool{}, map[modelOrderKey]bool{}, map[modelOrderKey]cfcore.ExecutorKind{}
+	a.discardGrants()
 	a.answeredAt, a.holdDueAt, a.hasLeft = a.m.now, time.Time{}, false
 	a.holdInFlight, a.ackInFlight, a.ackedTo, a.calmSince = false, false, 0, time.Time{}
 }
@@ -400,6 +413,7 @@
 	a.observeBorn(l.Born, l.Clock)
 	a.answered.awaitsCheckIn = a.answered.awaitsCheckIn || !before.Equal(a.born)
 	a.m.markListed(a.worker, &l)
+	a.discardGrants()
 	a.answeredAt, a.hasAnswered, a.answeredBorn = a.m.now, true, a.born
 	if token.Session() == a.session {
 		a.hasRestarted = false
@@ -451,6 +465,9 @@
 	}
 	if d := a.m.now.Sub(a.answeredAt); d > unreachableAfter || !a.hasWorker || a.hasLeft {
 		r.Lost = &cfwire.JobWorkerUnreachable{For: d, LeasesExpired: a.leasesExpired(), Left: a.hasLeft}
+		if a.isUnreachable() {
+			r.Lost.LeasesFor = max(0, agentLeaseExpiry(settings.LeaseTime)-a.m.now.Sub(a.leaseFrom))
+		}
 	}
 	a.reportEnds(r)
 	if !a.hasValidGrant() && !a.m.faults.ignoreSilence || r.Lost != nil && r.Lost.LeasesExpired {
--- a/pkg/cfdispatch/model_links_test.go
+++ b/pkg/cfdispatch/model_links_test.go
@@ -87,6 +87,9 @@
 		a.takeReport()
 	case a.epoch == p.epoch:
 		m.applyReport(p, a, a.takeReport())
+		if !m.mayAnswer(p, a) {
+			return true
+		}
 		p.MarkAnswered(a.name, m.now)
 		if m.faults.grantUnanswered {
 			a.hasGrant, a.grantedAt = true, m.now
@@ -177,10 +180,16 @@
 		return
 	}
 	m.applyReport(p, a, s.report)
+	if !m.mayAnswer(p, a) {
+		return
+	}
 	p.MarkAnswered(a.name, m.now)
 	if a.epoch != p.epoch || !slices.Contains(m.agents, a) || m.isDisconnected(p, a) || m.losesOrders(p, a) {
 		return
 	}
+	if s.takenAt.Before(a.grantsFrom) {
+		return
+	}
 	if !a.hasGrant || s.takenAt.After(a.grantedAt) {
 		m.tracef("planner %d answers the request of %s from %.1f late", p.epoch, a.name, s.takenAt.Sub(epochStart).Seconds())
 		a.hasGrant, a.grantedAt = true, s.takenAt
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -253,8 +253,10 @@
 		"drains": drains, "allDrains": allDrains, "clockSteps": clockSteps, "clockStepsAndTakeovers": clockStepsAndTakeovers, "formerLivesAndLate": formerLivesAndLate,
 		"fullWorkers": fullWorkers, "fullWorkersAndRestarts": fullWorkersAndRestarts, "answersAfterTimeout": answersAfterTimeout, "checkpoints": checkpointScope, "allWithCheckpoints": allWithCheckpoints,
 	}[os.Getenv("MODEL_SCOPE")]
-	if s, ok := linkScopes[os.Getenv("MODEL_SCOPE")]; ok {
-		scope = s
+	for _, scopes := range []map[string]modelScope{linkScopes, lossScopes} {
+		if s, ok := scopes[os.Getenv("MODEL_SCOPE")]; ok {
+			scope = s
+		}
 	}
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
--- a/pkg/cfdispatch/model_store_test.go
+++ b/pkg/cfdispatch/model_store_test.go
@@ -96,6 +96,7 @@
 			m.tracef("%s is recorded to have late starts: %v", r.Agent, r.HasLateStarts)
 		}
 	}
+	m.recordAbsences(p, accepts)
 	for _, name := range p.UnrecordedAgents() {
 		if accepts {
 			m.recordedAgents[name], p.recordedAgents[name] = true, true
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -107,6 +107,8 @@
 	// oneWayCuts cut planners from agents in one direction, and pausedPlanners stop planners after a check
 	// of their authority.
 	oneWayCuts, pausedPlanners bool
+	// losses lets machines be lost, and planners be replaced in series soon after.
+	losses bool
 }
 
 // The scopes of the tests.
@@ -230,6 +232,11 @@
 	ignoreFailedCalls bool
 	// grantUnanswered lets agents use a permission whose answer is lost.
 	grantUnanswered bool
+	// answerAbsent makes planners let absent agents extend leases. trustAbsences makes new planners take absent
+	// agents for such without runs.
+	answerAbsent, trustAbsences bool
+	// keepGrants makes agents keep their permissions although the worker has not responded.
+	keepGrants bool
 }
 
 // modelPlanner is a planner together with its epoch.
@@ -264,6 +271,9 @@
 	readEnds map[string]bool
 	// pause is the stop that the planner is in, or nil.
 	pause *modelPause
+	// absenceChanges are not in the store yet. hasEnded is set once the planner has resigned or was killed.
+	absenceChanges []absenceChange
+	hasEnded       bool
 }
 
 // unreadJob is an accepted job that a planner has not read in the store yet.
@@ -344,6 +354,7 @@
 	violations  []violation
 	trace       []string
 	modelCheckpoints
+	modelAbsences
 }
 
 // electPlanner creates a new planner.
@@ -380,6 +391,7 @@
 		}
 		p.AddJob(m.now, &e, queue, true)
 	}
+	m.restoreAbsences(p)
 	m.planners = append(m.planners, p)
 	for _, a := range m.agents {
 		if split && !near[a] || !split && m.oneIn(2, "unreached") {
@@ -424,7 +436,7 @@
 }
 
 func (m *model) isDisconnected(p *modelPlanner, a *modelAgent) bool {
-	return m.now.Before(m.disconnectedUntil[fmt.Sprint(p.epoch, a.name)])
+	return m.now.Before(m.disconnectedUntil[fmt.Sprint(p.epoch, a.name)]) || m.now.Before(m.lostUntil[a.name])
 }
 
 // advance simulates one tick.
@@ -444,11 +456,11 @@
 	for _, a := range m.agents {
 		a.advance()
 	}
-	if newest := m.planners[len(m.planners)-1]; newest.pause == nil {
+	if newest := m.planners[len(m.planners)-1]; newest.pause == nil && !newest.hasEnded {
 		newest.confirmedAt = m.now
 	}
 	for _, p := range m.planners {
-		if m.resume(p) {
+		if p.hasEnded || m.resume(p) {
 			continue
 		}
 		if m.now.Sub(p.confirmedAt) < leadershipTime {
@@ -500,6 +512,9 @@
 			return
 		}
 		m.applyReport(p, a, a.takeReport())
+		if !m.mayAnswer(p, a) {
+			continue
+		}
 		p.MarkAnswered(a.name, m.now)
 		a.hasGrant, a.grantedAt, p.reachedAt[a.name] = true, m.now, m.now
 	}
@@ -549,6 +564,9 @@
 	slices.Sort(names)
 	for _, name := range names {
 		delete(p.recordedAgents, name)
+		if p == m.planners[len(m.planners)-1] {
+			m.dropAbsence(p, name)
+		}
 		m.tracef("planner %d: leases of %s have expired", p.epoch, name)
 	}
 	return names
@@ -586,7 +604,8 @@
 		t: t, scope: scope, faults: faults, now: epochStart, jobs: map[string]*cfjob.StoredJob{}, taskTicks: map[string]int{}, recordedAgents: map[string]bool{}, lateAgents: map[string]bool{},
 		links: map[string]*modelLink{}, gangs: map[modelGang]*modelGangRun{}, disconnectedUntil: map[string]time.Time{}, oneWay: map[string]*oneWayCut{},
 		orderedAt: map[uint64]time.Time{}, recordedAt: map[cfcore.TaskName]time.Time{},
-		disruptedAt: map[string]time.Time{}, ends: map[cfcore.TaskName][]*modelEnd{}, twoRuns: map[cfcore.TaskName]bool{},
+		modelAbsences: modelAbsences{absences: map[string]cfdispatch.Absence{}, lostUntil: map[string]time.Time{}},
+		disruptedAt:   map[string]time.Time{}, ends: map[cfcore.TaskName][]*modelEnd{}, twoRuns: map[cfcore.TaskName]bool{},
 	}
 	for i := range 3 {
 		w := &modelWorker{m: m, name: fmt.Sprintf("a%d", i)}
@@ -608,6 +627,7 @@
 		m.injectFullWorker()
 		m.injectDrain()
 		m.injectOneWayCut()
+		m.injectLoss()
 		m.advance()
 	}
 	return m
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -280,7 +280,7 @@
 // isEligibleWithoutTicket reports whether a worker meets all conditions for running a task
 // except free capacity and the ticket.
 func (p *Planner) isEligibleWithoutTicket(now time.Time, t *task, w *worker) bool {
-	if !w.isUsable(now, p.cfg.SuspectAfter) || p.holdsManyEnds(w) || w.state.Service != t.j.queue.Service {
+	if !w.isUsable(now, p.cfg.SuspectAfter) || !p.MayAnswer(w.agent) || p.holdsManyEnds(w) || w.state.Service != t.j.queue.Service {
 		return false
 	}
 	if w.withholdsStarts && !t.step.LongRunning || now.Before(w.failures.quarantinedUntil) {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -91,6 +91,8 @@
 	// the instance of the agent that it was sent to.
 	awaitsResult bool
 	instance     int
+	// isRestored is set for a run that is known from an Absence, until a worker lists it.
+	isRestored bool
 	// isCopy is set for the second run of a task. Its start is ordered once.
 	isCopy bool
 	// checkpoint is the last reported checkpoint. Before the first one, it is the
@@ -227,6 +229,11 @@
 	restartedAgents map[string]bool
 	// inheritedRecords are the agents that were on record before this planner, and are not taken off the record.
 	inheritedRecords map[string]bool
+	// absent are the agents whose absence is on record, or is being recorded, with Absence.LeasesUntil. returning are
+	// those of them that have reported their workers, and returned those that TakeReturnedAgents has not returned yet.
+	absent    map[string]time.Time
+	returning map[string]bool
+	returned  []string
 	// storeReadAt is a time: the planner has all jobs that were stored before it.
 	storeReadAt time.Time
 	// unrecordedJobs holds the jobs whose progress must be recorded, by ID.
@@ -282,7 +289,7 @@
 // answer (see bindings).
 func New(cfg Settings, agents []string, expectedUntil time.Time) *Planner {
 	p := &Planner{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, removedIDs: map[string]string{}, expectedAgents: map[string]bool{}, silentAgents: map[string]bool{}, restartedAgents: map[string]bool{}, inheritedRecords: map[string]bool{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, lastReports: map[string]uint64{}, removedIDs: map[string]string{}, expectedAgents: map[string]bool{}, silentAgents: map[string]bool{}, restartedAgents: map[string]bool{}, inheritedRecords: map[string]bool{}, absent: map[string]time.Time{}, returning: map[string]bool{},
 		expectedUntil: expectedUntil, unrecordedJobs: map[string]*job{}, durationRatios: queueRatios{}, headroomModel: cfinterference.NewHeadroomModel(), orders: map[string]*Orders{},
 		open: map[string]*job{}, ackPending: map[*worker]bool{}, unrecordedAgents: map[string]bool{}, noFit: map[placementKey][]cfcore.Resources{}, changed: true,
 	}
--- a/pkg/cfdispatch/released.go
+++ b/pkg/cfdispatch/released.go
@@ -27,7 +27,12 @@
 	if !w.state.Draining || !w.hasListed || w.lacksRuns || w.isUnreachable || p.expectedAgents[w.agent] || p.mayExecuteStarts(w) {
 		return false
 	}
-	return len(w.runs) == 0 && len(w.unsettled.running) == 0 && w.ends.isRecorded() && !slices.ContainsFunc(p.formerEnds, func(f *formerEnds) bool {
+	return len(w.runs) == 0 && len(w.unsettled.running) == 0 && !p.hasUnrecordedEnds(w)
+}
+
+// hasUnrecordedEnds reports whether ends of the worker's incarnations are not recorded.
+func (p *Planner) hasUnrecordedEnds(w *worker) bool {
+	return !w.ends.isRecorded() || slices.ContainsFunc(p.formerEnds, func(f *formerEnds) bool {
 		return f.w.agent == w.agent && !f.ends.isRecorded()
 	})
 }
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -23,7 +23,7 @@
 func (p *Planner) applyNewest(now time.Time, agent string, m *cfwire.JobReport) {
 	w := p.workers[agent]
 	if w == nil {
-		w = &worker{agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), ends: newEndedRuns(), unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{}}
+		w = newWorker(agent)
 		w.isRecordedLate = p.bindings.recordedLate[agent]
 		w.state.ID = p.removedIDs[agent]
 		p.addWorker(w)
@@ -46,6 +46,9 @@
 		p.applyLists(now, w, &l, m.UncertainEnd)
 	}
 	w.updateReachability(m)
+	if !w.isUnreachable {
+		p.markReturned(agent)
+	}
 	if isExpired {
 		p.expireRuns(now, w)
 		w.hasListed = false
@@ -93,6 +96,10 @@
 func (w *worker) updateReachability(m *cfwire.JobReport) {
 	w.awaitsInstance = w.awaitsInstance && m.Worker == nil
 	w.isUnreachable = m.Lost != nil || w.awaitsInstance
+	w.lostFor, w.leasesFor = 0, 0
+	if m.Lost != nil {
+		w.lostFor, w.leasesFor = m.Lost.For, m.Lost.LeasesFor
+	}
 }
 
 // markLeft records that a worker has left. Later planners need not wait for the worker's
@@ -246,6 +253,9 @@
 func (p *Planner) applyRunning(now time.Time, w *worker, row cfcore.RunningTask) {
 	t := p.lookupTask(row.Task)
 	r := p.findRun(w, row.Task, row.Run)
+	if r == nil {
+		p.dropRestoredRuns(t)
+	}
 	if r == nil && len(t.runs) > 0 && !t.step.Duplicable {
 		p.stopUnexpectedRun(now, w, row, "task has another run")
 		return
@@ -262,7 +272,7 @@
 		r.phase = running
 	}
 	r.born = w.state.Born
-	r.listedAt = now
+	r.listedAt, r.isRestored = now, false
 	if t.step.LongRunning && r.percent < fullPercent && row.Percent >= fullPercent {
 		// The start of a long-running task has succeeded; the task itself does not end.
 		w.failures.reset()
@@ -399,7 +409,7 @@
 }
 
 // expireMissingRuns drops the runs that were started on an earlier incarnation of a worker and
-// are not in the run lists of the present one. A worker that restarts with the same ID can
+// are not in the run lists of the present one, and those that only an earlier planner has seen. A worker that restarts with the same ID can
 // execute a late start of its earlier incarnation until it has returned its first lists, see
 // cfjobagent. Until then, the runs count as existing.
 func (p *Planner) expireMissingRuns(now time.Time, w *worker, l *cfcore.RunLists) {
@@ -407,7 +417,8 @@
 		return
 	}
 	for r := range w.runs {
-		if r.born.Equal(w.state.Born) || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
+		isUnseen := r.isRestored && !r.awaitsResult && !l.MoreEnds && !l.LacksEnds
+		if r.born.Equal(w.state.Born) && !isUnseen || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
 			continue
 		}
 		p.expireRun(now, r)
@@ -475,7 +486,11 @@
 			w.isGone = false
 			gone = append(gone, GoneAgent{Agent: w.agent, HasLeft: true})
 		}
-		if confirmed.Sub(w.lastContact()) <= p.cfg.LeaseExpiryTime() || !confirmed.After(w.newbornUntil) {
+		if !confirmed.After(w.newbornUntil) {
+			continue
+		}
+		if confirmed.Sub(w.lastContact()) <= p.cfg.LeaseExpiryTime() {
+			p.expireAbsent(now, confirmed, w)
 			continue
 		}
 		p.expireRuns(now, w)
@@ -492,7 +507,9 @@
 		p.giveUpExpectedAgents()
 	}
 	gone = append(gone, p.releaseEmptyWorkers(now)...)
-	return append(gone, p.takeSilentAgents()...)
+	gone = append(gone, p.takeSilentAgents()...)
+	p.endAbsences(gone)
+	return gone
 }
 
 // giveUpExpectedAgents ends the wait for agents that have not reported.
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -29,6 +29,9 @@
 	// awaitsInstance is set: a new instance of the agent has not reported the worker yet.
 	isUnreachable  bool
 	awaitsInstance bool
+	// lostFor is how long the worker had not responded at the agent's last report; zero if it does.
+	// leasesFor is how much longer leases on it can last then, if the agent knows.
+	lostFor, leasesFor time.Duration
 	// isRecorded is set once the agent is on record in the store. The agent gets no starts
 	// before, since only agents on record are known to later planners.
 	isRecorded bool
@@ -97,6 +100,13 @@
 // refusal.
 const refusalBackoff = 100 * time.Millisecond
 
+func newWorker(agent string) *worker {
+	return &worker{
+		agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), ends: newEndedRuns(),
+		unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{},
+	}
+}
+
 // addRun adds a run to the worker and to the worker's totals.
 func (w *worker) addRun(r *run) {
 	w.runs[r] = true
--- a/pkg/cfjob/malformed_test.go
+++ b/pkg/cfjob/malformed_test.go
@@ -88,6 +88,12 @@
 		"claim: epoch of 2^40":             {Key: "planner", Value: encode(t, claim(1<<40, good))},
 		"claim: negative epoch":            {Key: "planner", Value: encode(t, map[string]any{"Epoch": -1, "Address": good})},
 		"claim: no address":                {Key: "planner", Value: encode(t, map[string]any{"Epoch": 8, "Instance": "x"})},
+		"absence: deeply nested":           {Key: "absent/x", Value: deep},
+		"absence: no leases":               {Key: "absent/x", Value: encode(t, map[string]any{"Epoch": 7})},
+		"absence: epoch of 2^40":           {Key: "absent/x", Value: encode(t, map[string]any{"Epoch": 1 << 40, "LeasesUntil": 1})},
+		"clock: wrong type":                {Key: "clock", Value: encode(t, "x")},
+		"clock: epoch of 2^40":             {Key: "clock", Value: encode(t, map[string]any{"Epoch": 1 << 40, "Elapsed": 1})},
+		"clock: negative":                  {Key: "clock", Value: encode(t, map[string]any{"Epoch": 7, "Elapsed": -1})},
 		"claim: port 0":                    {Key: "planner", Value: encode(t, claim(8, addrBytes("10.0.0.1:0")))},
 	}
 	for name, r := range malformed {
@@ -98,6 +104,8 @@
 			f.Expect(err).To(HaveOccurred())
 			f.Expect(f.stored.Jobs).To(BeEmpty())
 			f.Expect(f.stored.Entries).To(BeEmpty())
+			f.Expect(f.stored.Absences).To(BeEmpty())
+			f.Expect(f.stored.Clock.Epoch).To(BeEquivalentTo(7))
 			f.Expect(f.stored.Planner.Epoch).To(BeEquivalentTo(7))
 			f.apply(f.codec.Job(validJob()))
 			f.apply(f.codec.Progress(jobID, &cfjob.Progress{Stamp: 7<<32 | 2, Started: true}))
--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -24,6 +24,9 @@
 	keyLearned     = "learnt"
 	// keyRecordsMark is the key of the record that says when the planner last recorded anything.
 	keyRecordsMark = "mark"
+	// keyPlannerClock is the key of the newest reading of the planners' clock.
+	keyPlannerClock = "clock"
+	prefixAbsence   = "absent/"
 	// keyResigned is the key of the record of the newest resignation.
 	keyResigned = "resigned"
 )
@@ -117,6 +120,10 @@
 	Instance string
 	// Address is the address at which other entries and agents reach the entry.
 	Address netip.AddrPort
+	// Elapsed is the time on the planners' clock. All planners since the epoch AbsencesSince keep to Absence. Both
+	// are zero in the claims of builds that do not know absences.
+	Elapsed       time.Duration `cbor:",omitempty"`
+	AbsencesSince cfcore.Epoch  `cbor:",omitempty"`
 }
 
 // Resignation says that the planner of an epoch gives no orders any more.
--- a/pkg/cfjob/storestate.go
+++ b/pkg/cfjob/storestate.go
@@ -62,6 +62,9 @@
 	Agents map[string]time.Time
 	// MarkedAt is when a planner last recorded anything, by the clock of its entry.
 	MarkedAt time.Time
+	// Absences holds the recorded absences, by agent. Clock is the newest reading of the planners' clock.
+	Absences map[string]*Absence
+	Clock    PlannerClock
 	// Planner is the claim with the highest epoch.
 	Planner Claim
 	// Resigned is the resignation with the highest epoch.
@@ -77,7 +80,7 @@
 
 // NewStoreState returns a StoreState without records.
 func NewStoreState(codec Codec) *StoreState {
-	return &StoreState{codec: codec, Jobs: map[string]*StoredJob{}, Entries: map[string]EntryInfo{}, Agents: map[string]time.Time{}}
+	return &StoreState{codec: codec, Jobs: map[string]*StoredJob{}, Entries: map[string]EntryInfo{}, Agents: map[string]time.Time{}, Absences: map[string]*Absence{}}
 }
 
 // Change says what applying one record has changed.
@@ -121,13 +124,10 @@
 		return s.applyClaim(r.Value)
 	case keyResigned:
 		return s.applyResignation(r.Value)
-	case keyRecordsMark:
-		var at *time.Time
-		if err := decodeInto(s.codec, &at, r.Value); err != nil || at == nil {
-			return Change{}, err
-		}
-		s.MarkedAt = *at
-		return Change{}, nil
+	case prefixAbsence:
+		return Change{}, s.applyAbsence(name, r.Value)
+	case keyRecordsMark, keyPlannerClock:
+		return Change{}, s.applyTime(kind, r.Value)
 	case keyLearned:
 		s.Learned = r.Value
 		return Change{}, nil
@@ -135,6 +135,27 @@
 	return Change{}, cferror.New("apply record", KindRecord, "unknown key %q", r.Key)
 }
 
+// applyTime applies a mark of valid records or a reading of the planners' clock.
+func (s *StoreState) applyTime(kind string, value []byte) error {
+	if kind == keyRecordsMark {
+		var at *time.Time
+		if err := decodeInto(s.codec, &at, value); err != nil || at == nil {
+			return err
+		}
+		s.MarkedAt = *at
+		return nil
+	}
+	var clock *PlannerClock
+	if err := decodeInto(s.codec, &clock, value); err != nil || clock == nil {
+		return err
+	}
+	if clock.Epoch > MaxEpoch || clock.Elapsed <= 0 {
+		return newRecordError("reading of the planners' clock of epoch %d, %s", clock.Epoch, clock.Elapsed)
+	}
+	s.applyClock(*clock)
+	return nil
+}
+
 // applyJob applies a record of a job with apply. A job is dropped when the last of its records
 // is deleted.
 func (s *StoreState) applyJob(id string, apply func(*StoredJob) error) error {
@@ -303,6 +324,7 @@
 		return Change{}, nil
 	}
 	s.Planner = *c
+	s.applyClock(PlannerClock{Epoch: c.Epoch, Elapsed: c.Elapsed})
 	return Change{Planner: true}, nil
 }
 
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -57,6 +57,9 @@
 type JobWorkerUnreachable struct {
 	// For is how long the worker has not responded.
 	For time.Duration
+	// LeasesFor is how much longer leases on the worker can last; zero if that is not known. The agent extends
+	// none before it has a permission that it requested after the worker had responded again.
+	LeasesFor time.Duration `cbor:",omitempty"`
 	// LeasesExpired is set if the leases of all runs on the worker have expired.
 	LeasesExpired bool `cbor:"Lapsed"`
 	// Left is set if the worker announced its shutdown.
