Planners: one that resigns hands over what it knows of the agents

What callers saw: a worker and its agent are lost less than 1 s before the entry that is the planner is restarted. Lasting tasks are away for 10.2 s, and all inherited tasks wait as long; those that don't last up to 30 s.

An absence is recorded after 1 s; a planner that resigned earlier took with it which runs and starts the agent had, and that it had answered it for the last time.

Change: the resignation has, for each agent on record, the end of its leases, its runs and its starts without an answer. Only the planner of the next epoch uses it, for agents that have not reported to it yet. A resignation that is read after the claim counts as well. It is left out if it has more than 4,000 runs.

Evidence: TestPlannerThatResignsHandsOverWhatItKnowsOfAgents on: 10.2 s in both cases, 9 s are allowed; both pass now.

--- a/internal/cfjobentry/absence.go
+++ b/internal/cfjobentry/absence.go
@@ -10,6 +10,9 @@
 	"cranberryford/pkg/cfjob"
 )
 
+// maxHandoverRuns bounds the agents, runs and starts in a resignation. The platform allows 256 KiB for a record.
+const maxHandoverRuns = 4000
+
 // absencesSince returns the epoch since which all planners have kept to the records of absences, if this entry
 // claims an epoch now.
 func (c *control) absencesSince(epoch cfcore.Epoch) cfcore.Epoch {
@@ -107,3 +110,33 @@
 		c.Scope.Counter("absences_restored").Inc(1)
 	}
 }
+
+// resignation returns the resignation of this planner, with what it knows of the agents on record. If that has too
+// many runs for a record, the next planner waits for the agents instead.
+func (c *control) resignation(now time.Time) cfjob.Resignation {
+	r := cfjob.Resignation{Epoch: c.plan.epoch, Elapsed: c.elapsed(), Agents: map[string]*cfjob.Absence{}}
+	n := 0
+	for _, ab := range c.plan.HandOver() {
+		r.Agents[ab.Agent] = c.storedAbsence(now, &ab)
+		n += 1 + len(ab.Runs) + len(ab.Starts)
+	}
+	if n > maxHandoverRuns {
+		r.Agents = nil
+	}
+	return r
+}
+
+// takeOver passes this planner what the planner before it knew when it resigned.
+func (c *control) takeOver() {
+	r := &c.stored.Resigned
+	if c.plan == nil || r.Epoch+1 != c.plan.epoch || r.Elapsed == 0 {
+		return
+	}
+	now := c.Clock.Now()
+	for _, agent := range slices.Sorted(maps.Keys(r.Agents)) {
+		if r.Agents[agent] != nil {
+			c.plan.TakeOver(now, c.restoredAbsence(now, agent, r.Agents[agent]))
+		}
+	}
+	c.Log.Info().Uint64("Epoch", uint64(c.plan.epoch)).Int("Agents", len(r.Agents)).Msg("what the planner before knew of the agents is taken over")
+}
--- a/internal/cfjobentry/absence_test.go
+++ b/internal/cfjobentry/absence_test.go
@@ -242,6 +242,55 @@
 	}
 }
 
+// A worker and its agent were lost 0.2 s before the planner resigned. The next one knew neither the runs nor since
+// when the agent was silent.
+func TestPlannerThatResignsHandsOverWhatItKnowsOfAgents(t *testing.T) {
+	for name, isLate := range map[string]bool{"before the next claim": false, "after the next claim": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSeriesWithRuns(t)
+			s.lose("b")
+			lostAt := s.clock.Now()
+			s.run(200 * time.Millisecond)
+			s.addJob(waitingJob, false)
+			former := s.c
+			former.resign("shutdown")
+			record := func() {
+				r, err := former.codec.Resignation(&former.resignations.unrecorded)
+				s.Expect(err).NotTo(HaveOccurred())
+				_, _ = s.store.Append(t.Context(), cfcore.Topic{}, []cfcore.KeyedRecord{r}, cfcore.AppendOptions{})
+			}
+			if !isLate {
+				record()
+			}
+			s.elect()
+			if isLate {
+				record()
+			}
+			s.run(40 * time.Second)
+			for job, limit := range map[string]time.Duration{lastingJob: 9 * time.Second, runningJob: 9 * time.Second, waitingJob: 3 * time.Second} {
+				s.Expect(s.starts[job].agent).To(Equal("a"), job)
+				s.Expect(s.starts[job].at.Sub(lostAt)).To(BeNumerically("<", limit), job)
+			}
+			s.Expect(s.starts[lastingJob].at.Sub(lostAt)).To(BeNumerically(">", 7*time.Second), "leases of 5 s that were extended up to 2 s later")
+		})
+	}
+}
+
+// A resignation of an earlier epoch says nothing about what a planner in between has started.
+func TestOnlyTheNextPlannerTakesOver(t *testing.T) {
+	s := newSeriesWithRuns(t)
+	former := s.c
+	former.resign("shutdown")
+	r, err := former.codec.Resignation(&former.resignations.unrecorded)
+	s.Expect(err).NotTo(HaveOccurred())
+	_, _ = s.store.Append(t.Context(), cfcore.Topic{}, []cfcore.KeyedRecord{r}, cfcore.AppendOptions{})
+	s.lose("b")
+	for _, waits := range []bool{false, true} {
+		s.elect()
+		s.Expect(s.c.plan.HandOver()).To(ContainElement(And(HaveField("Agent", "b"), HaveField("IsComplete", !waits))))
+	}
+}
+
 // A planner that is killed records nothing at its end. What it had recorded before counts.
 func TestPlannerDoesNotAnswerAReturnedAgentBeforeTheRecordOfItsAbsenceIsDeleted(t *testing.T) {
 	s := newSeriesWithRuns(t)
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -313,6 +313,7 @@
 		c.handlePlannerChange(ctx)
 	case change.Resigned:
 		c.markResigned()
+		c.takeOver()
 	case change.Entries:
 		c.handleEntriesChange(r.Offset)
 		if !c.selfRecorded {
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -204,6 +204,7 @@
 		c.addInheritedJob(e)
 	}
 	c.restoreAbsences(claim)
+	c.takeOver()
 	c.Log.Info().Uint64("Epoch", uint64(claim.Epoch)).Int("Jobs", len(c.stored.Jobs)).Int("Agents", len(agents)).Msg("this entry is the planner")
 	c.Scope.Counter("planner_terms").Inc(1)
 	c.sendEntriesToAll()
@@ -216,7 +217,7 @@
 		return
 	}
 	c.Log.Warn().Uint64("Epoch", uint64(c.plan.epoch)).Str("Reason", reason).Msg("this entry resigns as planner")
-	r := cfjob.Resignation{Epoch: c.plan.epoch}
+	r := c.resignation(c.Clock.Now())
 	c.plan = nil
 	c.announceResignation(r)
 }
--- a/pkg/cfdispatch/absence.go
+++ b/pkg/cfdispatch/absence.go
@@ -103,7 +103,7 @@
 	ab := Absence{
 		Agent: w.agent, LeasesUntil: p.leasesUntil(w), LongLeasesUntil: w.newbornUntil, StartsUntil: unknownUntil,
 		WorkerID: w.state.ID, Born: w.state.Born,
-		IsComplete: w.hasListed && !w.lacksRuns && !hasUnknown && !p.expectedAgents[w.agent] && len(w.unsettled.running) == 0 && !p.hasUnrecordedEnds(w),
+		IsComplete: (w.hasListed || w.hasKnownRuns) && !w.lacksRuns && !hasUnknown && !p.expectedAgents[w.agent] && len(w.unsettled.running) == 0 && !p.hasUnrecordedEnds(w),
 	}
 	for r := range w.runs {
 		ab.Runs = append(ab.Runs, AbsentRun{Task: r.task.name, Run: r.id, AwaitsResult: r.awaitsResult})
@@ -123,6 +123,9 @@
 // leasesUntil returns when the leases on a worker have expired if its agent gets no more permission to extend them.
 // An agent that waits for the run lists of its worker knows less than earlier planners.
 func (p *Planner) leasesUntil(w *worker) time.Time {
+	if until, ok := p.absent[w.agent]; ok {
+		return until
+	}
 	until := w.lastContact().Add(p.cfg.LeaseExpiryTime())
 	if w.isUnreachable && w.leasesFor > 0 && !p.expectedAgents[w.agent] {
 		if t := w.reportedAt.Add(w.leasesFor); t.Before(until) {
@@ -142,12 +145,38 @@
 	}
 }
 
-// RestoreAbsence takes over what an earlier planner has recorded about an absent agent. The times must not be
-// earlier than that planner meant. All inherited jobs must be added before.
+// HandOver returns what the planner knows of all agents on record, for the planner that follows it. From this call
+// on, this planner must neither answer agents nor order anything.
+func (p *Planner) HandOver() []Absence {
+	var out []Absence
+	for _, a := range p.unreportedAgents() {
+		out = append(out, Absence{Agent: a, LeasesUntil: p.expectedUntil, StartsUntil: p.bindings.unknown[a]})
+	}
+	for _, w := range p.fleet {
+		if w.isRecorded && !w.hasLeft {
+			out = append(out, p.absenceOf(w))
+		}
+	}
+	return out
+}
+
+// TakeOver takes over what the planner before this one knew of an agent that has not reported yet. The times must
+// not be earlier than that planner meant. All inherited jobs must be added before.
+func (p *Planner) TakeOver(now time.Time, ab *Absence) {
+	if p.expectedAgents[ab.Agent] && p.workers[ab.Agent] == nil {
+		p.restoreWorker(now, ab)
+	}
+}
+
+// RestoreAbsence takes over what an earlier planner has recorded about an absent agent, like TakeOver.
 func (p *Planner) RestoreAbsence(now time.Time, ab *Absence) {
-	if p.workers[ab.Agent] != nil {
-		return
+	if p.workers[ab.Agent] == nil {
+		p.absent[ab.Agent] = ab.LeasesUntil
+		p.restoreWorker(now, ab)
 	}
+}
+
+func (p *Planner) restoreWorker(now time.Time, ab *Absence) {
 	b := &p.bindings
 	w := newWorker(ab.Agent)
 	w.state.ID, w.state.Born = ab.WorkerID, ab.Born
@@ -155,14 +184,13 @@
 	w.isRecorded, w.isRecordedLate = true, b.recordedLate[ab.Agent]
 	p.addWorker(w)
 	delete(p.unrecordedAgents, ab.Agent)
-	p.absent[ab.Agent] = ab.LeasesUntil
 	if ab.StartsUntil.IsZero() {
 		b.answered[ab.Agent] = true
 		delete(b.unknown, ab.Agent)
 	} else {
 		b.unknown[ab.Agent] = ab.StartsUntil
 	}
-	if ab.IsComplete {
+	if w.hasKnownRuns = ab.IsComplete; w.hasKnownRuns {
 		delete(p.expectedAgents, ab.Agent)
 	}
 	for _, s := range ab.Starts {
--- a/pkg/cfdispatch/model_absence_test.go
+++ b/pkg/cfdispatch/model_absence_test.go
@@ -48,11 +48,16 @@
 	}
 	if len(m.elections) > 0 && !m.now.Before(m.elections[0]) {
 		m.elections = m.elections[1:]
+		var handover []cfdispatch.Absence
 		if newest := m.planners[len(m.planners)-1]; m.oneIn(1, "ends") {
 			newest.hasEnded = true
-			m.tracef("planner %d ends", newest.epoch)
+			if newest.pause == nil && m.oneIn(1, "resigns") {
+				handover = newest.HandOver()
+			}
+			m.tracef("planner %d ends, hands %d agents over", newest.epoch, len(handover))
 		}
 		m.electPlanner()
+		m.handOver(handover)
 	}
 	if len(m.elections) > 0 || !m.oneIn(5, "loss") {
 		return
@@ -77,6 +82,34 @@
 	}
 }
 
+// handOver passes the newest planner what the one before knew, also if that is late.
+func (m *model) handOver(handover []cfdispatch.Absence) {
+	p := m.planners[len(m.planners)-1]
+	for _, ab := range handover {
+		ab = m.shift(ab)
+		p.TakeOver(m.now, &ab)
+		m.tracef("planner %d: %s is taken over, leases until %.1f, complete %v, %d runs, %d starts", p.epoch, ab.Agent, ab.LeasesUntil.Sub(epochStart).Seconds(), ab.IsComplete, len(ab.Runs), len(ab.Starts))
+	}
+}
+
+// shift returns an absence by a clock that is behind by up to 0.8 s.
+func (m *model) shift(ab cfdispatch.Absence) cfdispatch.Absence {
+	behind := m.ticks(3, "behind") - modelTick
+	ab.Starts = slices.Clone(ab.Starts)
+	for i := range ab.Starts {
+		ab.Starts[i].Until = ab.Starts[i].Until.Add(behind)
+	}
+	for _, t := range []*time.Time{&ab.LeasesUntil, &ab.LongLeasesUntil, &ab.StartsUntil} {
+		if !t.IsZero() {
+			*t = t.Add(behind)
+		}
+	}
+	if m.faults.trustAbsences {
+		ab.IsComplete, ab.Runs, ab.Starts = true, nil, nil
+	}
+	return ab
+}
+
 // recordAbsences records which agents are absent, and deletes the records of those that have returned.
 func (m *model) recordAbsences(p *modelPlanner, accepts bool) {
 	if accepts {
@@ -115,23 +148,10 @@
 	p.absenceChanges = slices.DeleteFunc(p.absenceChanges, func(x absenceChange) bool { return x.agent == agent })
 }
 
-// restoreAbsences passes a new planner what is recorded of absent agents. Its clock is behind by up to 0.8 s.
+// restoreAbsences passes a new planner what is recorded of absent agents.
 func (m *model) restoreAbsences(p *modelPlanner) {
 	for _, name := range slices.Sorted(maps.Keys(m.absences)) {
-		ab := m.absences[name]
-		behind := m.ticks(3, "behind") - modelTick
-		ab.Starts = slices.Clone(ab.Starts)
-		for i := range ab.Starts {
-			ab.Starts[i].Until = ab.Starts[i].Until.Add(behind)
-		}
-		for _, t := range []*time.Time{&ab.LeasesUntil, &ab.LongLeasesUntil, &ab.StartsUntil} {
-			if !t.IsZero() {
-				*t = t.Add(behind)
-			}
-		}
-		if m.faults.trustAbsences {
-			ab.IsComplete, ab.Runs, ab.Starts = true, nil, nil
-		}
+		ab := m.shift(m.absences[name])
 		p.RestoreAbsence(m.now, &ab)
 		m.tracef("planner %d: %s is absent, leases until %.1f, complete %v", p.epoch, name, ab.LeasesUntil.Sub(epochStart).Seconds(), ab.IsComplete)
 	}
@@ -180,7 +200,7 @@
 	for seed := range 30 {
 		trace.WriteString(strings.Join(modelHistory(seed, allLosses, modelFaults{}).trace, "\n"))
 	}
-	for _, event := range []string{"the machine of a. is lost", "planner . ends", "is recorded, complete true, [1-9] runs", "is recorded, complete true, [0-9]+ runs, [1-9] starts", "is recorded, complete false", "the absence of a. is deleted", "is absent, leases until .* complete true", "is absent, leases until .* complete false"} {
+	for _, event := range []string{"the machine of a. is lost", "planner . ends, hands 0", "planner . ends, hands 3", "is taken over, leases until .* complete true, [1-9]+ runs", "is taken over, leases until .* complete false", "is recorded, complete true, [1-9] runs", "is recorded, complete true, [0-9]+ runs, [1-9] starts", "is recorded, complete false", "the absence of a. is deleted", "is absent, leases until .* complete true", "is absent, leases until .* complete false"} {
 		t.Run(event, func(t *testing.T) { NewWithT(t).Expect(trace.String()).To(MatchRegexp(event)) })
 	}
 }
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -91,7 +91,7 @@
 	// the instance of the agent that it was sent to.
 	awaitsResult bool
 	instance     int
-	// isRestored is set for a run that is known from an Absence, until a worker lists it.
+	// isRestored is set for a run that is known from an Absence only.
 	isRestored bool
 	// isCopy is set for the second run of a task. Its start is ordered once.
 	isCopy bool
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -131,7 +131,7 @@
 		p.retireEnds(w)
 		w.isReleased = false
 		w.unsettled, w.unexpectedStops = newUnsettledRuns(), map[runKey]time.Time{}
-		w.hasListed, w.hasMoreEnds = false, false
+		w.hasListed, w.hasMoreEnds, w.hasKnownRuns = false, false, false
 		w.failures, w.listedEnds = failureStreak{}, 0
 		if w.hasLeft {
 			w.hasLeft, w.isGone = false, false
@@ -272,7 +272,7 @@
 		r.phase = running
 	}
 	r.born = w.state.Born
-	r.listedAt, r.isRestored = now, false
+	r.listedAt = now
 	if t.step.LongRunning && r.percent < fullPercent && row.Percent >= fullPercent {
 		// The start of a long-running task has succeeded; the task itself does not end.
 		w.failures.reset()
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -19,6 +19,8 @@
 	// hasListed is set once the worker has listed its runs to this planner. It is reset
 	// when the worker restarts or leaves, or when its leases expire.
 	hasListed bool
+	// hasKnownRuns is set if an earlier planner knew all runs of the incarnation, see Absence.IsComplete.
+	hasKnownRuns bool
 	// hasMoreEnds is set if the last lists left out ends, see cfcore.RunLists. listedAt is when
 	// they arrived.
 	hasMoreEnds bool
--- a/pkg/cfjob/record.go
+++ b/pkg/cfjob/record.go
@@ -129,6 +129,10 @@
 // Resignation says that the planner of an epoch gives no orders any more.
 type Resignation struct {
 	Epoch cfcore.Epoch
+	// Elapsed is the time on the planners' clock, and Agents what the planner knew of the agents on record. They
+	// are for the planner of the next epoch only, and empty if the planner had nothing to pass on.
+	Elapsed time.Duration       `cbor:",omitempty"`
+	Agents  map[string]*Absence `cbor:",omitempty"`
 }
 
 // EntryInfo holds the current incarnation of an entry and its address. RecordedAt is when
--- a/pkg/cfjob/storestate.go
+++ b/pkg/cfjob/storestate.go
@@ -342,6 +342,9 @@
 		return Change{}, nil
 	}
 	s.Resigned = *r
+	if r.Elapsed > 0 {
+		s.applyClock(PlannerClock{Epoch: r.Epoch, Elapsed: r.Elapsed})
+	}
 	return Change{Resigned: true}, nil
 }
 
