Agents: sessions continue above those before a loss of power

What can go wrong: sessions are numbered by the machine's boot clock, which begins anew after a loss of power.

Cause: no clock of the machine rises across both a reboot and a step of the time of day. Tokens rise with the epoch, so that it matters only under one planner, which has heard both instances.

Change: agents report their session; the planner gives the next instance a floor in all its orders, the first one included: the highest session that it has heard of, and half an hour's more for those begun since.

The test: TestSessionsRiseAcrossARebootOfTheMachine compared the first tokens of two fences by nothing but two boot clocks, of which the later is the lower; no fence can pass it. It now plays the same two boots with the planner's message in between, and asks for more: the token is above all that the former instance used in 30 s of failing calls after its last report, and rises from there.

Ruled out: the time of day beside the boot clock (fails after a step back beside a quick restart).

--- a/internal/cfjobagent/control.go
+++ b/internal/cfjobagent/control.go
@@ -440,6 +440,7 @@
 		c.followPlanner(l, o.Epoch)
 	}
 	c.plannerLinks[l] = true
+	c.fence.raiseAbove(o.SessionFloor)
 	if at, ok := c.pendingGrants[o.Answer]; ok && (!c.hasGrant || at > c.grantedAt) {
 		c.grantedAt, c.hasGrant = at, true
 		delete(c.pendingGrants, o.Answer)
@@ -592,7 +593,7 @@
 func (c *control) takeReport() *cfwire.JobReport {
 	now := c.bootClock.Now()
 	c.lastReport = max(c.lastReport+1, uint64(now))
-	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, LongLeases: max(0, c.longLeasesUntil-now), FormerLeases: max(0, c.formerLeasesUntil-now)}
+	r := &cfwire.JobReport{Seq: c.lastReport, Epoch: c.epoch, Results: c.results, Session: c.fence.currentSession(), LongLeases: max(0, c.longLeasesUntil-now), FormerLeases: max(0, c.formerLeasesUntil-now)}
 	c.results = nil
 	c.unanswered.addTo(r, now)
 	r.WithholdsStarts = c.withholdsStarts() || c.awaitsCheckIn
--- a/internal/cfjobagent/fence.go
+++ b/internal/cfjobagent/fence.go
@@ -86,6 +86,24 @@
 	f.raise, f.raised = 0, 0
 }
 
+// raiseAbove lets the sessions continue above those of the agent's former instances, which end below floor. The boot
+// clock, which they are numbered by, begins anew when the machine has lost power.
+func (f *fence) raiseAbove(floor uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if floor > f.session {
+		f.first += floor - f.session
+		f.session = floor
+	}
+}
+
+// currentSession returns the number of the current session.
+func (f *fence) currentSession() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.session
+}
+
 // endSession begins a new session unless the session of t has already ended.
 func (f *fence) endSession(t cfcore.FencingToken) {
 	f.mu.Lock()
--- a/internal/cfjobagent/fence_test.go
+++ b/internal/cfjobagent/fence_test.go
@@ -9,6 +9,7 @@
 
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cferror"
+	"cranberryford/pkg/cfwire"
 )
 
 // fencingWorker refuses orders as a worker does, and remembers the tokens of all orders.
@@ -305,12 +306,26 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
-// The boot clock can begin anew below that of the machine's former boot.
+// The boot clock can begin anew below that of the machine's former boot. The planner passes on what it has heard of.
 func TestSessionsRiseAcrossARebootOfTheMachine(t *testing.T) {
 	for name, former := range map[string]time.Duration{"the machine was up for a minute": time.Minute, "a day": 24 * time.Hour} {
 		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
 			before, after := fakeBootClock(former), fakeBootClock(10*time.Second)
-			NewWithT(t).Expect(newFence(&after).token(1)).To(BeNumerically(">", newFence(&before).token(1)))
+			last := newFence(&before)
+			reported := last.currentSession()
+			for range 1000 {
+				before += fakeBootClock(30 * time.Millisecond)
+				last.endSession(last.token(1))
+			}
+			next, _ := newTestControl()
+			next.fence = newFence(&after)
+			next.handleMessage(t.Context(), &link{}, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: 1, SessionFloor: reported + cfwire.SessionMargin}})
+			g.Expect(next.fence.token(1)).To(BeNumerically(">", last.token(1)), "of calls that failed for 30 s after the last report")
+			token := next.fence.token(1)
+			after += fakeBootClock(time.Second)
+			next.fence.endSession(token)
+			g.Expect(next.fence.token(1)).To(BeNumerically(">", token))
 		})
 	}
 }
--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -28,6 +28,10 @@
 	// newest request of an absent agent to extend leases.
 	returningAgents []string
 	heldRequests    map[string]reportReceived
+	// sessions holds, by agent, the highest reported session, and sessionFloors those above the sessions of its
+	// former instances.
+	sessions      map[string]uint64
+	sessionFloors map[string]uint64
 	// markedAt is when the mark of valid records was last renewed.
 	markedAt time.Time
 	// clockRecordedAt is when a reading of the planners' clock was last recorded.
@@ -121,6 +125,9 @@
 	if c.leadershipConfirmedAt() < l.upAt || newest != nil && l.upAt < newest.upAt {
 		return false
 	}
+	if newest != nil && c.plan.sessions[l.name] > 0 {
+		c.plan.sessionFloors[l.name] = c.plan.sessions[l.name] + cfwire.SessionMargin
+	}
 	c.plan.orderedLinks[l.name] = l
 	c.plan.BeginInstance(l.name)
 	return true
@@ -131,7 +138,13 @@
 func (c *control) sendEmptyOrders(l *link) {
 	l.orderedEpoch = c.plan.epoch
 	c.plan.RepeatAcknowledgement(l.name)
-	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch}})
+	c.sendJobOrders(l, &cfwire.JobOrders{})
+}
+
+// sendJobOrders sends orders of this planner to an agent.
+func (c *control) sendJobOrders(l *link, o *cfwire.JobOrders) {
+	o.Epoch, o.SessionFloor = c.plan.epoch, c.plan.sessionFloors[l.name]
+	c.send(l, &cfwire.Message{JobOrders: o})
 }
 
 // openLinks sends empty orders on the connections on which the planner may give orders and has
@@ -152,6 +165,7 @@
 	if c.plan == nil || ev.report.Epoch > c.plan.epoch || !c.hasAuthority() || !c.mayOrder(ev.link) {
 		return
 	}
+	c.plan.sessions[ev.link.name] = max(c.plan.sessions[ev.link.name], ev.report.Session)
 	if o := c.applyReport(ev); o != cfdispatch.UpToDate {
 		c.Log.Warn().Str("Agent", ev.link.name).Str("Reason", string(o)).Uint64("Seq", ev.report.Seq).Uint64("Newest", c.plan.lastReport(ev.link)).
 			Uint64("ReportEpoch", uint64(ev.report.Epoch)).Uint64("Epoch", uint64(c.plan.epoch)).Bool("Lost", ev.report.Lost != nil).Msg("outdated report of an agent ignored")
@@ -170,7 +184,7 @@
 		c.Scope.Counter("answers_withheld").Inc(1)
 		return
 	}
-	c.send(ev.link, &cfwire.Message{JobOrders: &cfwire.JobOrders{Epoch: c.plan.epoch, Answer: ev.report.Ask}})
+	c.sendJobOrders(ev.link, &cfwire.JobOrders{Answer: ev.report.Ask})
 	c.plan.MarkAnswered(ev.link.name, c.Clock.Now())
 }
 
@@ -274,7 +288,7 @@
 		cfcommon.WithRun(c.Log.Info(), s.Task, s.Run).Str("Agent", l.name).Uint64("Epoch", uint64(c.plan.epoch)).Msg("stop ordered")
 	}
 	c.Scope.Counter("starts_ordered").Inc(int64(len(o.Starts)))
-	c.send(l, &cfwire.Message{JobOrders: &cfwire.JobOrders{
-		Epoch: c.plan.epoch, AfterReport: c.plan.lastReport(l), Starts: o.Starts, Stops: o.Stops, Throttles: o.Throttles, RecordedEnd: o.RecordedEnd, Born: o.Born, RecordedFormer: o.RecordedFormer,
-	}})
+	c.sendJobOrders(l, &cfwire.JobOrders{
+		AfterReport: c.plan.lastReport(l), Starts: o.Starts, Stops: o.Stops, Throttles: o.Throttles, RecordedEnd: o.RecordedEnd, Born: o.Born, RecordedFormer: o.RecordedFormer,
+	})
 }
--- a/pkg/cfwire/jobs.go
+++ b/pkg/cfwire/jobs.go
@@ -40,6 +40,8 @@
 	UnknownStarts time.Duration `cbor:",omitempty"`
 	// WithholdsStarts is set while the agent refuses all starts but those of long-running tasks, see cfjobagent.
 	WithholdsStarts bool `cbor:",omitempty"`
+	// Session is the session of the agent's fencing tokens.
+	Session uint64 `cbor:",omitempty"`
 	// Lost is set if the worker does not respond or has left, or if the agent has just
 	// started and has not heard from the worker yet.
 	Lost *JobWorkerUnreachable `cbor:",omitempty"`
@@ -99,6 +101,8 @@
 	Stops       []JobStop  `cbor:",omitempty"`
 	// Throttles are the orders to throttle runs.
 	Throttles []JobThrottle `cbor:"Paces,omitempty"`
+	// SessionFloor is above the sessions of the agent's former instances; 0 if the planner has heard of none.
+	SessionFloor uint64 `cbor:",omitempty"`
 	// RecordedEnd is the Number of the last EndedTask that is recorded in the store. It applies
 	// to the incarnation of the worker that started at Born.
 	RecordedEnd uint64    `cbor:"Noted,omitempty"`
@@ -107,6 +111,10 @@
 	RecordedFormer []JobRecordedEnds `cbor:",omitempty"`
 }
 
+// SessionMargin is the number of sessions that an agent can possibly have begun since its last report. It is that of
+// half an hour.
+const SessionMargin = 1 << 16
+
 // JobRecordedEnds says that the ends up to Number of the incarnation of the worker that started at Born are
 // recorded in the store.
 type JobRecordedEnds struct {
