Planners: the absence of a worker that has left names its late starts

What callers saw: a worker leaves, and a start that was ordered between its last lists and its goodbye gets no answer. Its agent stays on record for up to 27 s.

Cause: absences were recorded only of workers that had not left; the agent of one that has left can be on record as well.

Change: it is recorded as absent once the worker has been gone for 1 s. The worker has no runs any more, so that only the tasks of the named starts wait.

Evidence: TestNewPlannerHoldsBackOnlyTheStartsOfAWorkerThatHasLeft fails without the change (no absence is returned), passes with it.

--- a/pkg/cfdispatch/absence.go
+++ b/pkg/cfdispatch/absence.go
@@ -72,7 +72,7 @@
 		if len(out) >= maxAbsences {
 			break
 		}
-		if w.isRecorded && !w.hasLeft && p.MayAnswer(w.agent) && w.isAbsent(now) && len(w.runs)+len(w.bindings) <= maxAbsentRuns {
+		if w.isOnRecord() && p.MayAnswer(w.agent) && w.isAbsent(now) && len(w.runs)+len(w.bindings) <= maxAbsentRuns {
 			ab := p.absenceOf(w)
 			p.absent[w.agent] = ab.LeasesUntil
 			out = append(out, ab)
@@ -81,6 +81,10 @@
 	return out
 }
 
+// isOnRecord reports whether the agent is on record. That of a worker that has left is, as long as the worker's
+// next incarnation under its ID can execute starts.
+func (w *worker) isOnRecord() bool { return w.isRecorded && !w.hasLeft || w.isGone }
+
 // isAbsent reports whether the agent has not reported, or the worker has not responded to it, for absentAfter.
 func (w *worker) isAbsent(now time.Time) bool {
 	return now.Sub(w.lastContact()) >= absentAfter || w.isUnreachable && w.lostFor >= absentAfter
@@ -103,7 +107,7 @@
 	ab := Absence{
 		Agent: w.agent, LeasesUntil: p.leasesUntil(w), LongLeasesUntil: w.newbornUntil, StartsUntil: unknownUntil,
 		WorkerID: w.state.ID, Born: w.state.Born,
-		IsComplete: (w.hasListed || w.hasKnownRuns) && !w.lacksRuns && !hasUnknown && !p.expectedAgents[w.agent] && len(w.unsettled.running) == 0 && !p.hasUnrecordedEnds(w),
+		IsComplete: (w.hasListed || w.hasKnownRuns || w.hasLeft) && !w.lacksRuns && !hasUnknown && !p.expectedAgents[w.agent] && len(w.unsettled.running) == 0 && !p.hasUnrecordedEnds(w),
 	}
 	for r := range w.runs {
 		ab.Runs = append(ab.Runs, AbsentRun{Task: r.task.name, Run: r.id, AwaitsResult: r.awaitsResult})
@@ -153,7 +157,7 @@
 		out = append(out, Absence{Agent: a, LeasesUntil: p.expectedUntil, StartsUntil: p.bindings.unknown[a]})
 	}
 	for _, w := range p.fleet {
-		if w.isRecorded && !w.hasLeft {
+		if w.isOnRecord() {
 			out = append(out, p.absenceOf(w))
 		}
 	}
--- a/pkg/cfdispatch/absence_test.go
+++ b/pkg/cfdispatch/absence_test.go
@@ -206,3 +206,34 @@
 	f.Expect(startedAt["lasting.0@a"]).To(BeTemporally("~", until, 200*time.Millisecond))
 	f.Expect(startedAt["other.0@a"]).To(BeTemporally("~", out[0].StartsUntil, 200*time.Millisecond))
 }
+
+// A start was ordered between the worker's last lists and its goodbye, and got no answer. The agent stays on record
+// as long as a worker can execute it, and later planners held back all tasks of inherited jobs for that time.
+func TestNewPlannerHoldsBackOnlyTheStartsOfAWorkerThatHasLeft(t *testing.T) {
+	f := newFleet(t, newPlanner(), "b")
+	f.TakeAgentRecords(f.now)
+	started, other := f.job("started", newStep(1, 100)), f.job("other", newStep(1, 5000))
+	f.Expect(f.runPlanner()).To(ConsistOf("started.0@b"))
+	f.Expect(f.TakeAbsences(f.now)).To(BeEmpty())
+	var unanswered []cfwire.JobUnansweredStart
+	for _, r := range f.workers["b"].runs {
+		unanswered = append(unanswered, cfwire.JobUnansweredStart{Task: r.Task, Run: r.Run, For: 20 * time.Second, IsLate: true})
+	}
+	left := func(d time.Duration) {
+		f.ApplyReport(f.now, "b", &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreachable{For: d, Left: true}, Unanswered: unanswered})
+		f.Expect(f.ExpireLeases(f.now, f.now)).To(BeEmpty(), "the start can be executed late")
+	}
+	left(0)
+	f.now = f.now.Add(time.Second)
+	left(time.Second)
+	out := f.TakeAbsences(f.now)
+	f.Expect(out).To(HaveLen(1))
+	f.Expect(out[0].IsComplete).To(BeTrue())
+	f.Expect(out[0].Starts).To(HaveLen(1))
+	f.succeed(&out[0], []string{"a", "b"}, started, other)
+	f.workers = map[string]*fakeWorker{"a": newFleet(t, newPlanner(), "a").workers["a"]}
+	f.workers["a"].state.Capacity.MilliCores = 16000
+	f.report()
+	f.MarkAgentRecorded("a")
+	f.Expect(f.runPlanner()).To(ConsistOf("other.0@a"))
+}
