Planners: starts of an earlier planner are not repeated

What can go wrong: a task runs twice. The record of an absence names a run whose start got no answer. Its leases expire, and the planner starts the task elsewhere; the record stays. The next planner took that run for its own, and repeated its start once the agent was back. The same beside an older planner that still has authority.

Cause: absences are restored as runs, and runs without a result are repeated. All other inherited tasks wait until every agent on record has reported.

Change: such a start isn't repeated. The first complete lists without the run drop it, and the task is bound to that worker like after any other start without an answer.

TestStartOfAnEarlierPlannerIsNotRepeated fails before: a start is ordered, "j.0@b".

--- a/pkg/cfdispatch/absence_test.go
+++ b/pkg/cfdispatch/absence_test.go
@@ -142,6 +142,35 @@
 	}
 }
 
+// The earlier planner gave the start up when the leases had expired, and started the task elsewhere. A planner that
+// repeated the start would run the task twice.
+func TestStartOfAnEarlierPlannerIsNotRepeated(t *testing.T) {
+	f := newFleet(t, newPlanner(), "b")
+	job := f.job("j", newStep(1, 100))
+	f.Expect(f.runPlanner()).To(HaveLen(1))
+	started := f.workers["b"].runs
+	f.workers["b"].runs = map[string]cfwire.JobStart{}
+	ab := f.loseAgent("b")
+	f.Expect(ab.Runs).To(HaveLen(1))
+	f.Expect(ab.Runs[0].AwaitsResult).To(BeTrue())
+	f.succeed(&ab, []string{"a", "b"}, job)
+	f.EndAbsence("b")
+	for range 20 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.report("b")
+		f.Expect(f.runPlanner()).To(BeEmpty(), "the agent that the task possibly runs at has not reported")
+	}
+	w := newFleet(t, newPlanner(), "a").workers["a"]
+	for key, r := range started {
+		r.Run++
+		w.runs[key] = r
+	}
+	f.workers["a"] = w
+	f.report()
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.Expect(w.stops).To(BeEmpty(), "its run is adopted")
+}
+
 // A later planner that takes an absence for complete starts tasks before the agent has reported to it.
 func TestAbsenceIsNotCompleteWhile(t *testing.T) {
 	task := cfcore.TaskName{Job: "unknown"}
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -113,7 +113,9 @@
 }
 
 // resendOrders repeats starts that have had no result for cfg.ResendAfter, and stops of runs
-// that have not ended in this time. It stops copies without a result: the first run has possibly ended since. It also sends the stops that could not be sent before.
+// that have not ended in this time. It stops copies without a result: the first run has possibly ended since. Starts
+// of earlier planners are not repeated, since one of them has possibly started the task elsewhere. It also sends the
+// stops that could not be sent before.
 func (p *Planner) resendOrders(now time.Time) {
 	if now.Sub(p.lastResendScan) < scanInterval {
 		return
@@ -124,7 +126,7 @@
 			continue
 		}
 		for r := range w.runs {
-			if r.phase == running || now.Sub(r.sentAt) < p.cfg.ResendAfter {
+			if r.phase == running || now.Sub(r.sentAt) < p.cfg.ResendAfter || r.isRestored && r.phase == starting {
 				continue
 			}
 			switch {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -417,7 +417,7 @@
 		return
 	}
 	for r := range w.runs {
-		isUnseen := r.isRestored && !r.awaitsResult && !l.MoreEnds && !l.LacksEnds
+		isUnseen := r.isRestored && !l.MoreEnds && !l.LacksEnds
 		if r.born.Equal(w.state.Born) && !isUnseen || slices.ContainsFunc(l.Ended, func(e cfcore.EndedTask) bool { return e.Task == r.task.name && e.Run == r.id }) {
 			continue
 		}
