Planners: a run of an absence counts as seen once it is listed

What can go wrong: a task runs twice. The record of an absence names a run that has ended since, and whose task the planner has started elsewhere. The agent returns to the next planner with a late result of that run's start. The run then counted as confirmed, the other worker's run as unexpected, and it was stopped; before the stop had arrived, the task started a third time.

Cause: a result says that a run has started, not that it still runs.

Change: only the worker's list makes the run one that another worker's must give way to.

TestRunOnAnotherWorkerIsNotStoppedForOneOfAnAbsentAgent has a second case, which fails before: run is stopped.

--- a/pkg/cfdispatch/absence_test.go
+++ b/pkg/cfdispatch/absence_test.go
@@ -128,17 +128,26 @@
 // The earlier planner found out that the run had ended, after it had recorded the absence. The run that it then
 // started elsewhere must not be stopped for one that has ended.
 func TestRunOnAnotherWorkerIsNotStoppedForOneOfAnAbsentAgent(t *testing.T) {
-	f := newFleet(t, newPlanner(), "b")
-	job := f.job("j", longRunningStep())
-	f.Expect(f.runPlanner()).To(HaveLen(1))
-	f.report()
-	ab := f.loseAgent("b")
-	f.succeed(&ab, []string{"a", "b"}, job)
-	a := cfcore.WorkerState{ID: "w-a", Service: "dispatch", Born: epochStart, Clock: time.Hour}
-	row := cfcore.RunningTask{Task: cfcore.TaskName{Job: "j"}, Run: ab.Runs[0].Run + 1, Percent: 100}
-	f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &a, Lists: &cfcore.RunLists{Born: a.Born, Running: []cfcore.RunningTask{row}}})
-	for _, o := range f.TakeOrders(f.now) {
-		f.Expect(o.Stops).To(BeEmpty())
+	for name, hasResult := range map[string]bool{"the agent does not report": false, "the agent reports a late result of the start": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "b")
+			job := f.job("j", longRunningStep())
+			f.Expect(f.runPlanner()).To(HaveLen(1))
+			f.report()
+			b := f.workers["b"].state
+			ab := f.loseAgent("b")
+			f.succeed(&ab, []string{"a", "b"}, job)
+			task, run := cfcore.TaskName{Job: "j"}, ab.Runs[0].Run
+			if hasResult {
+				f.ApplyReport(f.now, "b", &cfwire.JobReport{Worker: &b, Results: []cfwire.JobOrderResult{{Task: task, Run: run}}})
+			}
+			a := cfcore.WorkerState{ID: "w-a", Service: "dispatch", Born: epochStart, Clock: time.Hour}
+			row := cfcore.RunningTask{Task: task, Run: run + 1, Percent: 100}
+			f.ApplyReport(f.now, "a", &cfwire.JobReport{Worker: &a, Lists: &cfcore.RunLists{Born: a.Born, Running: []cfcore.RunningTask{row}}})
+			for _, o := range f.TakeOrders(f.now) {
+				f.Expect(o.Stops).To(BeEmpty())
+			}
+		})
 	}
 }
 
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -171,7 +171,7 @@
 	if r.instance != r.w.instance {
 		p.bindLost(r)
 	}
-	r.awaitsResult, r.isRestored = false, false
+	r.awaitsResult = false
 }
 
 // boundWorker reports whether a task can start on one worker at most, because of starts without an answer.
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -75,7 +75,7 @@
 		// An earlier instance of the agent possibly made an attempt that this one does not know of.
 		p.bindLost(r)
 	}
-	r.sentAt, r.awaitsResult, r.isRestored, r.instance = now, true, false, r.w.instance
+	r.sentAt, r.awaitsResult, r.instance = now, true, r.w.instance
 	o := p.ordersFor(r.w)
 	o.Starts = append(o.Starts, cfwire.JobStart{
 		Worker: r.w.state.ID, Born: r.w.state.Born, Task: r.task.name, Run: r.id,
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -91,7 +91,8 @@
 	// the instance of the agent that it was sent to.
 	awaitsResult bool
 	instance     int
-	// isRestored is set for a run that is known from an Absence only.
+	// isRestored is set for a run that is known from an Absence, and that its worker has not listed since. A result
+	// of its start does not show that it still runs.
 	isRestored bool
 	// isCopy is set for the second run of a task. Its start is ordered once.
 	isCopy bool
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -271,7 +271,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
-	r.born = w.state.Born
+	r.born, r.isRestored = w.state.Born, false
 	r.listedAt = now
 	if t.step.LongRunning && r.percent < fullPercent && row.Percent >= fullPercent {
 		// The start of a long-running task has succeeded; the task itself does not end.
