Tests: wait until the other entry has applied the first plan

Entry 1 had not applied the record yet; a change is in force everywhere within seconds, not at once.

The spec now waits for that, within the bound that other specs ask for (configBound). All it expects is as before.

--- a/integration/state/plans_test.go
+++ b/integration/state/plans_test.go
@@ -56,6 +56,7 @@
 		c := newCluster(2, 2)
 		c.PlanAndConfirm(0, cfdriver.Intent(cfdriver.Service("dispatch", 1)))
 		api := []*cfapi.Client{c.Entries[0].API, c.Entries[1].API}
+		c.Eventually(configBound, "the other entry has applied the first plan", func() bool { return c.Tasks(1, "dispatch") != nil })
 		var ids []string
 		for i, replicas := range []int{2, 1} {
 			in := cfdriver.Intent(cfdriver.Service("dispatch", replicas))
