--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -189,7 +189,8 @@
 	c.ledEpoch = claim.Epoch
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
-		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, heldRequests: map[string]reportReceived{}, sessions: map[string]uint64{}, sessionFloors: map[string]uint64{}, entrySeenAt: map[string]time.Time{},
+		othersUntil: c.bootTime() + othersFor, orderedLinks: map[string]*link{}, entrySeenAt: map[string]time.Time{},
+		heldRequests: map[string]reportReceived{}, sessions: map[string]uint64{}, sessionFloors: map[string]uint64{},
 	}
 	recordsValid := c.recordsValid()
 	for a, at := range c.stored.Agents {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -409,9 +409,10 @@
 }
 
 // expireMissingRuns drops the runs that were started on an earlier incarnation of a worker and
-// are not in the run lists of the present one, and those that only an earlier planner has seen. A worker that restarts with the same ID can
+// are not in the run lists of the present one. A worker that restarts with the same ID can
 // execute a late start of its earlier incarnation until it has returned its first lists, see
-// cfjobagent. Until then, the runs count as existing.
+// cfjobagent. Until then, the runs count as existing. Runs that only an earlier planner has seen
+// are dropped in the same way, unless the lists lack ends.
 func (p *Planner) expireMissingRuns(now time.Time, w *worker, l *cfcore.RunLists) {
 	if l.MayLackRuns() {
 		return
