--- a/internal/cfjobentry/planning.go
+++ b/internal/cfjobentry/planning.go
@@ -263,6 +263,10 @@
 		case cfdispatch.EventOtherRun:
 			l.Time("Born", e.Born)
 			c.Scope.Counter("tasks_done_with_other_runs").Inc(1)
+		case cfdispatch.EventWaitsForStart:
+			c.Scope.Counter("tasks_waiting_for_starts").Inc(1)
+		case cfdispatch.EventSecondStart:
+			c.Scope.Counter("second_starts").Inc(1)
 		case cfdispatch.EventLost, cfdispatch.EventStalled, cfdispatch.EventAdopted, cfdispatch.EventQuarantined:
 		}
 		l.Uint64("Epoch", uint64(c.plan.epoch)).Msg(string(e.Kind))
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -198,6 +198,29 @@
 	return w, w != nil
 }
 
+// markBound records that a task does not start because of its bindings.
+func (p *Planner) markBound(now time.Time, t *task) {
+	if !t.boundSince.IsZero() {
+		return
+	}
+	t.boundSince = now
+	x := p.bindings.byTask[t.name][0]
+	p.addEvent(Event{Kind: EventWaitsForStart, Agent: x.w.agent, Task: t.name, Run: x.run})
+}
+
+// checkSecondStart adds an event if a task starts on a worker although another start of it can still be executed.
+func (p *Planner) checkSecondStart(t *task, w *worker, id uint64) {
+	if t.step.Duplicable {
+		return
+	}
+	for _, x := range p.bindings.byTask[t.name] {
+		if x.w != w || x.run != id {
+			p.addEvent(Event{Kind: EventSecondStart, Agent: x.w.agent, Task: t.name, Run: x.run})
+			return
+		}
+	}
+}
+
 // longRunningWait is how long a long-running task waits for a worker that it is bound to and that answers, but
 // cannot start it. It must run again within 7 s.
 const longRunningWait = 3 * time.Second
--- a/pkg/cfdispatch/events.go
+++ b/pkg/cfdispatch/events.go
@@ -25,6 +25,10 @@
 	// EventOtherRun is the successful end of a run whose task has another run. The planner
 	// stops the other run, to which the event's agent, run and incarnation belong.
 	EventOtherRun EventKind = "task is done and has another run; stopping that run"
+	// EventWaitsForStart is a task that does not start because of an earlier start without an answer, which
+	// Agent's worker can still execute. EventSecondStart is one that starts all the same.
+	EventWaitsForStart EventKind = "task waits: an earlier start got no answer and can still be executed"
+	EventSecondStart   EventKind = "task starts although an earlier start can still be executed"
 	// EventStalled is a run that makes no progress and that the planner therefore stops.
 	EventStalled EventKind = "run stalled; stopping it"
 	// EventAdopted is a run that an earlier planner started and that this planner adopts.
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -33,6 +33,7 @@
 
 // start creates a run of a task on a worker and orders the start. id is the run number.
 func (p *Planner) start(now time.Time, t *task, w *worker, id uint64) {
+	p.checkSecondStart(t, w, id)
 	p.orderStart(now, t.place(now, w, id))
 }
 
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -144,7 +144,7 @@
 			}
 			continue
 		}
-		t.waitingSince, t.j.starvingSince = time.Time{}, time.Time{}
+		t.waitingSince, t.boundSince, t.j.starvingSince = time.Time{}, time.Time{}, time.Time{}
 		p.start(now, t, w, p.runNumberFor(t, w))
 	}
 }
@@ -203,6 +203,7 @@
 		if w != nil && p.canStart(now, t, w) {
 			return w
 		}
+		p.markBound(now, t)
 		if !p.mayStartElsewhere(now, t) {
 			return nil
 		}
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -143,6 +143,9 @@
 	// waitingSince is when the task first found no free capacity; zero if the task is not
 	// waiting.
 	waitingSince time.Time
+	// boundSince is when the task first could not start because of its bindings; zero if it did not try since the
+	// last start.
+	boundSince time.Time
 	// avoidAgent is the agent of the worker where the task last failed, stalled or was slow.
 	avoidAgent string
 }
