Planners: no second run number while a worker can still execute a start under the first one

A worker leaves a start unanswered and refuses the number afterwards, since the run was stopped or has ended there. The planner gave the task another number on the same worker, which can get no answer either. The worker's next incarnation executes both.

Cause: runNumberFor gave a new number whenever the first one could not be repeated. Now the task waits until the start is proved over: until the agent no longer lists it. Long-running tasks wait for 3 s from when they could not start, not from when the planner learned of the start, which can be long before their run ended; they must run again within 7 calm seconds. Refusals other than "stopped or ended there" don't bar the number.

Ruled out: reusing the number of a run that has ended.

--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -33,7 +33,7 @@
 	isLate bool
 	// isSettled is set if the agent's last report does not list the start any more.
 	isSettled bool
-	// refusedIn is when the incarnation of the worker started that refuses the run; zero if there is none.
+	// refusedIn is when the incarnation of the worker started that refuses the run for good; zero if there is none.
 	refusedIn time.Time
 }
 
@@ -222,15 +222,13 @@
 }
 
 // longRunningWait is how long a long-running task waits for a worker that it is bound to and that answers, but
-// cannot start it. It must run again within 7 s.
+// cannot start it under the same run number. It must run again within 7 s.
 const longRunningWait = 3 * time.Second
 
-// mayStartElsewhere reports whether a task may start on another worker than the one that it is bound to and that
-// cannot start it.
-func (p *Planner) mayStartElsewhere(now time.Time, t *task) bool {
-	return t.step.LongRunning && !t.step.Gang && !slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool {
-		return x.w.isUnreachable || !x.w.hasListed || now.Sub(x.since) < longRunningWait
-	})
+// mayStartAgain reports whether a task may have a second start although its worker can still execute the first one.
+func (p *Planner) mayStartAgain(now time.Time, t *task) bool {
+	return t.step.LongRunning && !t.step.Gang && now.Sub(t.boundSince) >= longRunningWait &&
+		!slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool { return x.w.isUnreachable || !x.w.hasListed })
 }
 
 // isBound reports whether a task, or another member of its gang, is bound to a worker.
@@ -260,21 +258,30 @@
 // runNumberFor returns the number of a task's next run on a worker. If the worker can still execute a start
 // of the task, the next run has the same number: a worker executes only one start of a run.
 func (p *Planner) runNumberFor(t *task, w *worker) uint64 {
+	if id := p.repeatableRun(t, w); id != 0 {
+		return id
+	}
+	return p.newRunNumber()
+}
+
+// repeatableRun returns the number of a start that a worker can still execute and that can be repeated there, or zero.
+func (p *Planner) repeatableRun(t *task, w *worker) uint64 {
 	id := uint64(0)
+	if t.step.Duplicable || t.step.Gang {
+		return id
+	}
 	for _, x := range p.bindings.byTask[t.name] {
 		if x.w == w && x.run > t.lastRun && !x.refusedIn.Equal(w.state.Born) && !slices.Contains(t.failedRuns, x.run) {
 			id = max(id, x.run)
 		}
 	}
-	if id == 0 || t.step.Duplicable || t.step.Gang {
-		return p.newRunNumber()
-	}
 	return id
 }
 
-// markRefused remembers that the present incarnation of a worker refuses a run.
-func (b *bindings) markRefused(n cfcore.TaskName, w *worker, run uint64) {
-	if x := w.bindings[runKey{task: n, run: run}]; x != nil {
+// markRefused remembers that the present incarnation of a worker refuses a run for good: it was stopped or has ended
+// there. Other refusals don't bar the run number.
+func (b *bindings) markRefused(w *worker, res cfwire.JobOrderResult) {
+	if x := w.bindings[runKey{task: res.Task, run: res.Run}]; x != nil && res.Refusal == cfcore.ExecutorStale {
 		x.refusedIn = w.state.Born
 	}
 }
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -197,16 +197,23 @@
 	return j.liveRuns == j.placing && !j.starvingSince.IsZero() && now.Sub(j.starvingSince) >= d
 }
 
-// chooseWorker returns the best worker for a task, or nil.
+// chooseWorker returns the best worker for a task, or nil. A task that is bound starts on its worker, under the number
+// of the start that the worker can still execute.
 func (p *Planner) chooseWorker(now time.Time, t *task) *worker {
 	if w, ok := p.boundWorker(t); ok {
-		if w != nil && p.canStart(now, t, w) {
+		isStartable := w != nil && p.canStart(now, t, w)
+		if isStartable && p.repeatableRun(t, w) != 0 {
 			return w
 		}
 		p.markBound(now, t)
-		if !p.mayStartElsewhere(now, t) {
+		if !p.mayStartAgain(now, t) {
 			return nil
 		}
+		if isStartable {
+			return w
+		}
+	} else {
+		t.boundSince = time.Time{}
 	}
 	k := t.placementKey(now)
 	if p.fitsNowhere(k, t) {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -150,7 +150,7 @@
 	r := p.findRun(w, res.Task, res.Run)
 	switch {
 	case r == nil && res.Refusal != "":
-		p.bindings.markRefused(res.Task, w, res.Run)
+		p.bindings.markRefused(w, res)
 	case r == nil:
 	case res.Refusal == "":
 		p.confirmStart(r)
@@ -161,7 +161,7 @@
 		p.addEvent(Event{Kind: EventDropped, Agent: w.agent, Task: res.Task, Run: res.Run, Refusal: res.Refusal})
 		p.confirmStart(r)
 		p.dropRun(r)
-		p.bindings.markRefused(res.Task, w, res.Run)
+		p.bindings.markRefused(w, res)
 		switch res.Refusal {
 		case cfcore.ExecutorNoTicket:
 			r.task.forgetTicket(w)
