Model: check that no task has a second start while an earlier one can be executed

The model counted only what workers execute. The check looks at each tick at all starts that run or can still be executed: attempts that are carried out late, repeated, wait at agents, are on connections or at paused planners, by the present incarnation of the worker or a next one under its ID. Searches count what it finds apart, by cause; no test fails on it yet.

--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -50,6 +50,8 @@
 	at     time.Time
 	worker string
 	run    func()
+	// start is set for a start.
+	start *modelLateStart
 }
 
 // lateAnswer is an answer that arrives at the time at.
@@ -129,6 +131,8 @@
 	lastReport, startsAfter uint64
 	// lastCheckpoint is that of the last start.
 	lastCheckpoint string
+	// sending is the start that is being sent.
+	sending *modelLateStart
 }
 
 func newModelAgent(m *model, w *modelWorker) *modelAgent {
@@ -163,7 +167,7 @@
 	if late && rapid.Bool().Draw(a.m.t, kind) {
 		after := min(a.m.ticks(7, "late"), maxOrderDelay)
 		a.m.tracef("%s: %s is carried out after %s", a.name, kind, after)
-		a.m.lateOrders = append(a.m.lateOrders, lateOrder{at: a.m.now.Add(after), worker: a.name, run: call})
+		a.m.lateOrders = append(a.m.lateOrders, lateOrder{at: a.m.now.Add(after), worker: a.name, run: call, start: a.sending})
 	}
 }
 
@@ -533,7 +537,10 @@
 		defer func() { a.m.isOrphaned = false }()
 		return w.start(c.key.born, c.token, c.key.task, c.key.run, c.until, c.checkpoint)
 	}
-	if !a.answers(fmt.Sprintf("start of run %x of %s", c.key.run, taskString(c.key.task)), a.m.scope.lateStarts, func() { start() }) {
+	a.sending = &modelLateStart{call: c, w: w}
+	isAnswered := a.answers(fmt.Sprintf("start of run %x of %s", c.key.run, taskString(c.key.task)), a.m.scope.lateStarts, func() { start() })
+	a.sending = nil
+	if !isAnswered {
 		a.awaitAnswer(c)
 		return
 	}
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -261,7 +261,7 @@
 	counts, seeds := map[string]int{}, map[string][]int{}
 	for seed := first; seed < first+n; seed++ {
 		m := modelHistory(seed, scope, modelFaults{})
-		for i, v := range m.violations {
+		for i, v := range slices.Concat(m.violations, m.startViolations()) {
 			kind := v.kind
 			if v.isOrphaned {
 				kind += ", with an orphaned run"
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -355,6 +355,7 @@
 	trace       []string
 	modelCheckpoints
 	modelAbsences
+	modelStarts
 }
 
 // electPlanner creates a new planner.
@@ -469,6 +470,7 @@
 	}
 	m.checkUniqueRuns()
 	m.noteListedEnds()
+	m.checkOpenStarts()
 }
 
 func (m *model) runLateOrders() {
