Model: tasks that last, and a test that no task has a second start

The model had no tasks that last, so that no history showed what is exempt for them (LOST). Other scopes draw the same histories as before. An agent that needs a new permission drops the starts that it has: the check no longer counts these.

TestModelFindsSecondStartsThatNoWorkerExecutes finds four injected faults in histories in which no worker executes both starts.

--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -17,6 +17,10 @@
 	if m.scope.largeProgress || m.scope.checkpoints && m.oneIn(1, "checkpoints") {
 		e.Job.Steps[0].Checkpointing = true
 	}
+	if m.scope.lasting && m.oneIn(3, "lasting") {
+		e.Job.Steps = []cfjob.Step{newStep(1, 1000)}
+		e.Job.Steps[0].LongRunning = true
+	}
 	m.jobs[id] = e
 	m.taskTicks[id] = shortTask
 	if m.oneIn(2, "long") {
--- a/pkg/cfdispatch/model_starts_test.go
+++ b/pkg/cfdispatch/model_starts_test.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
 	"cranberryford/pkg/cfcore"
 	"cranberryford/pkg/cfwire"
 )
@@ -173,8 +177,24 @@
 	}
 }
 
+// maySendStarts reports whether an agent can still send the starts that it has, or gets on a connection. It drops
+// them if its permission has ended, or its worker has not responded for long: it then needs a new permission, and
+// drops them when it asks for it.
+func (m *model) maySendStarts(a *modelAgent) bool {
+	if a.isUnreachable() && !m.faults.keepGrants {
+		return false
+	}
+	return a.hasValidGrant() || m.faults.ignoreSilence || slices.ContainsFunc(m.planners, func(p *modelPlanner) bool {
+		s := p.pause
+		return s != nil && s.point == pauseInReport && s.agent == a && m.now.Sub(s.takenAt) <= settings.GrantTime && !s.takenAt.Before(a.grantsFrom)
+	})
+}
+
 // addAgentStarts adds the starts that an agent sends once it can.
 func (m *model) addAgentStarts(a *modelAgent, starts []cfwire.JobStart, source startSource) {
+	if len(starts) == 0 || !m.maySendStarts(a) {
+		return
+	}
 	for i := range starts {
 		s := &starts[i]
 		key := modelOrderKey{task: s.Task, run: s.Run, born: s.Born}
@@ -253,3 +273,48 @@
 	}
 	return out
 }
+
+// A history can violate the invariant although no worker executes both starts.
+func TestModelHasNoSecondStart(t *testing.T) {
+	for name, scope := range map[string]modelScope{
+		"late starts": lateStarts, "full workers": fullWorkersAndRestarts, "kinds of jobs": jobKinds, "held orders": heldOrders,
+		"checkpoints and flapping workers": checkpointScope, "all disruptions": allDisruptions, "former incarnations": formerLivesAndLate,
+		"tasks that last": lasting, "tasks that last, and drains": lastingAndDrains, "tasks that last, and former incarnations": lastingAndFormer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				if m := runModel(t, scope, modelFaults{}); len(m.secondStarts) > 0 {
+					t.Fatal(m.secondStarts[0].text)
+				}
+			})
+		})
+	}
+}
+
+// Without this, the check could pass because it sees no starts. Planners that do not know of starts without an answer
+// start their tasks on other workers.
+func TestModelFindsSecondStartsThatNoWorkerExecutes(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope  modelScope
+		faults modelFaults
+		kind   string
+	}{
+		"planners forget starts without an answer":  {lateStarts, modelFaults{hideUnanswered: true}, violationSecondStart},
+		"agents execute outdated starts":            {heldOrders, modelFaults{executeOutdated: true}, violationSecondStart},
+		"planners acknowledge ends beside starts":   {restartsAndLate, modelFaults{hideUnanswered: true}, violationStartOfEnded},
+		"planners trust refusals of later attempts": {fullWorkersAndRestarts, modelFaults{trustRoom: true}, violationSecondStart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := false
+			for seed := 1; seed <= 1000 && !found; seed++ {
+				m := modelHistory(seed, c.scope, c.faults)
+				found = len(m.violations) == 0 && m.hasSecondStart(c.kind) && !modelHistory(seed, c.scope, modelFaults{}).hasSecondStart(c.kind)
+			}
+			NewWithT(t).Expect(found).To(BeTrue())
+		})
+	}
+}
+
+func (m *model) hasSecondStart(kind string) bool {
+	return slices.ContainsFunc(m.secondStarts, func(s secondStart) bool { return s.kind == kind })
+}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -109,6 +109,8 @@
 	oneWayCuts, pausedPlanners bool
 	// losses lets machines be lost, and planners be replaced in series soon after.
 	losses bool
+	// lasting lets some jobs have a task that lasts.
+	lasting bool
 }
 
 // The scopes of the tests.
