Planner tests: check that no task has a second start while an agent reports an earlier one

Reports and orders of all fleets pass through a watch that remembers the starts an agent has listed as unanswered, until a report with lists or the result no longer names them. expectNoSecondStart asserts that no order named the task under another number or on another worker meanwhile.

Asserted in all tests with a fleet, as a trial, three more tests order a second start: TestTaskOfAnUnansweredStartStartsOnNoOtherWorker (a long-running task), TestBoundTaskStartsAgainOnItsWorker (refused, lapsed: both ask for another number) and TestLongRunningTaskDoesNotWaitForADrainingWorker. They stay as they are.

--- a/pkg/cfdispatch/absence_test.go
+++ b/pkg/cfdispatch/absence_test.go
@@ -83,7 +83,7 @@
 	f.Expect(ab.Runs).To(HaveLen(2))
 	f.Expect(ab.LeasesUntil).To(Equal(lostAt.Add(settings.LeaseExpiryTime())))
 	f.succeed(&ab, []string{"a", "b"}, lasting, running, waiting)
-	*f = fleet{WithT: f.WithT, Planner: f.Planner, now: f.now, workers: map[string]*fakeWorker{"a": newFleet(t, newPlanner(), "a").workers["a"]}, stoppedTasks: map[cfcore.TaskName]bool{}}
+	*f = fleet{WithT: f.WithT, Planner: f.Planner, now: f.now, workers: map[string]*fakeWorker{"a": newFleet(t, newPlanner(), "a").workers["a"]}, stoppedTasks: map[cfcore.TaskName]bool{}, watch: newStartWatch()}
 	f.report()
 	f.MarkAgentRecorded("a")
 	f.Expect(f.runPlanner()).To(ConsistOf("waiting.0@a"))
--- a/pkg/cfdispatch/fleet_test.go
+++ b/pkg/cfdispatch/fleet_test.go
@@ -31,6 +31,7 @@
 	workers map[string]*fakeWorker
 	// stoppedTasks are the tasks for which a stop was ordered.
 	stoppedTasks map[cfcore.TaskName]bool
+	watch        startWatch
 }
 
 // fakeWorker is a worker that carries out starts. The tests end its runs.
@@ -51,7 +52,7 @@
 }
 
 func newFleet(t *testing.T, p *cfdispatch.Planner, agents ...string) *fleet {
-	f := &fleet{WithT: NewWithT(t), Planner: p, now: epochStart, workers: map[string]*fakeWorker{}, stoppedTasks: map[cfcore.TaskName]bool{}}
+	f := &fleet{WithT: NewWithT(t), Planner: p, now: epochStart, workers: map[string]*fakeWorker{}, stoppedTasks: map[cfcore.TaskName]bool{}, watch: newStartWatch()}
 	for i, a := range agents {
 		f.workers[a] = &fakeWorker{
 			state: cfcore.WorkerState{
