Test: inherited tasks wait for starts of a superseded planner

A planner that is superseded orders starts for up to 2 s more, from agents that the newer one does not reach. They are on no record. If the agent restarts as well, the newer planner goes by the agent's record, which it read before, and starts the task elsewhere.

--- /dev/null
+++ b/pkg/cfdispatch/superseded_test.go
@@ -0,0 +1,92 @@
+package cfdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
+	"cranberryford/pkg/cfdispatch"
+	"cranberryford/pkg/cfjob"
+	"cranberryford/pkg/cfwire"
+)
+
+// supersededFor is how long an earlier planner gives orders after the election of the next one.
+const supersededFor = 2 * time.Second
+
+// newSupersedingPlanner returns the planner that follows another one at the time now. According to their records,
+// the agents a and b had no late starts. It inherits a task.
+func newSupersedingPlanner(now time.Time) *cfdispatch.Planner {
+	p := cfdispatch.New(settings, []string{"a", "b"}, now.Add(supersededFor+settings.LeaseExpiryTime()))
+	p.SetAnswered("a")
+	p.SetAnswered("b")
+	p.AddJob(now, &cfjob.StoredJob{Job: &cfjob.Job{ID: "old", Queue: queue, Steps: []cfjob.Step{newStep(1, 100)}, Accepted: now}}, queue, true)
+	return p
+}
+
+// reportInstance delivers the lists of an instance of an agent that started at a time.
+func (f *fleet) reportInstance(agent string, startedAt time.Time) {
+	w := f.workers[agent]
+	m := &cfwire.JobReport{Worker: &w.state, Lists: &cfcore.RunLists{Born: w.state.Born, Clock: time.Hour}}
+	if age := f.now.Sub(startedAt); age < cfcore.MaxExecutionDelay {
+		m.UnknownStarts = cfcore.MaxExecutionDelay + time.Duration(float64(cfcore.MaxLease)*1.04) + 200*time.Millisecond - age
+	}
+	f.ApplyReport(f.now, agent, m)
+	f.MarkAgentRecorded(agent)
+}
+
+// The superseded planner orders starts until 2 s after the election, from agents that the new planner does not reach.
+// They are not on record: the store refuses its records. If the agent restarts as well, nobody knows of them, and
+// the worker's next incarnation can execute them.
+func TestInheritedTaskWaitsForStartsOfASupersededPlanner(t *testing.T) {
+	for name, c := range map[string]struct {
+		// startedAfter is the time from the election to the start of the agent's instance.
+		startedAfter time.Duration
+		waits        bool
+	}{
+		"the instance is older than the election":                 {-5 * time.Second, false},
+		"the instance was there a second before the election":     {-time.Second, false},
+		"the instance started as the election was on its way":     {-100 * time.Millisecond, true},
+		"the instance started while the planner was superseded":   {1300 * time.Millisecond, true},
+		"the instance started after the planner had to end":       {4 * time.Second, true},
+		"the instance is new, and all its workers' starts listed": {-cfcore.MaxExecutionDelay, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "a", "b")
+			f.Planner = newSupersedingPlanner(f.now)
+			startedAt := f.now.Add(c.startedAfter)
+			f.now = f.now.Add(5 * time.Second)
+			f.reportInstance("a", startedAt)
+			f.report("b")
+			f.MarkAgentRecorded("b")
+			if !c.waits {
+				f.Expect(f.runPlanner()).To(ConsistOf(HavePrefix("old.0")))
+				return
+			}
+			for ; f.now.Sub(startedAt) < cfcore.MaxExecutionDelay; f.now = f.now.Add(100 * time.Millisecond) {
+				f.reportInstance("a", startedAt)
+				f.report("b")
+				f.ExpireLeases(f.now, f.now)
+				f.Expect(f.runPlanner()).To(BeEmpty(), "%s after the start of the instance", f.now.Sub(startedAt))
+			}
+			f.reportInstance("a", startedAt)
+			f.Expect(f.runPlanner()).To(ConsistOf(HavePrefix("old.0")))
+		})
+	}
+}
+
+// Another instance reports once an earlier one has reported to this planner, which then knows its starts.
+func TestInheritedTaskDoesNotWaitForInstancesAfterAKnownOne(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.Planner = newSupersedingPlanner(f.now)
+	f.reportInstance("b", f.now.Add(-time.Minute))
+	unreachable := &cfwire.JobReport{Lost: &cfwire.JobWorkerUnreachable{}, UnknownStarts: 15 * time.Second}
+	f.ApplyReport(f.now, "a", unreachable)
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.now = f.now.Add(time.Second)
+	f.BeginInstance("a")
+	f.reportInstance("a", f.now)
+	f.reportInstance("b", f.now.Add(-time.Minute))
+	f.Expect(f.runPlanner()).To(ConsistOf(HavePrefix("old.0")))
+}
