Planners: starts of a superseded planner are not on record

A planner that is superseded orders starts for up to 2 s more, from agents that the newer planner does not reach. The store refuses its records. The agent restarts, its new instance reports to the newer planner, and that went by the agent's record, "no late starts", which it had read at its claim: it counted all starts as known, started the task elsewhere, and the worker's next incarnation executed the first start.

Now the record counts only for an instance that started before the claim was sent, less the 0.3 s that a record takes. For a later one, inherited tasks wait until 12 s after its start, as for an agent without a record.

Ruled out: a lost binding (neither the planner nor the agent's instance has ever had one); the absence's record, which is "complete" only because the starts counted as known, 2 s after that.

--- a/internal/cfjobentry/claim_test.go
+++ b/internal/cfjobentry/claim_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"cranberryford/pkg/cfcore"
@@ -42,3 +43,40 @@
 		})
 	}
 }
+
+// Starts that the planner before orders from then on are not on record. A claim without an answer is possibly stored,
+// until another record is read at its offset.
+func TestPlannerKnowsWhenItsClaimWasSent(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind  cfcore.StoreKind
+		next  int64
+		first bool
+	}{
+		"no answer":                             {kind: cfcore.StoreOutcomeUnknown, first: true},
+		"no answer, another record was stored":  {kind: cfcore.StoreOutcomeUnknown, next: 1},
+		"a conflict with another record":        {kind: cfcore.StoreConflict, next: 1},
+		"rejected, and sent again at the start": {kind: cfcore.StoreRejected, first: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, clock := newTestControl(t)
+			c.Store = appendingStore{}
+			c.synced.Store(true)
+			c.stored.Planner = cfjob.Claim{Epoch: 4, Instance: "other", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+			c.goneEpoch = 4
+			sentAt := c.Clock.Now()
+			c.claimIfNoPlanner(t.Context())
+			c.handleEvent(t.Context(), claimAppended{offset: 0, err: cferror.New("append records", test.kind, "x")})
+			c.Clock.(*clockwork.FakeClock).Advance(time.Second)
+			*clock += fakeBootClock(time.Second)
+			c.stored.Next = test.next
+			c.claimIfNoPlanner(t.Context())
+			g.Expect(c.claimInFlight).To(BeTrue())
+			if !test.first {
+				sentAt = sentAt.Add(time.Second)
+			}
+			g.Expect(c.claimedAt(cfjob.Claim{Epoch: 5})).To(Equal(sentAt))
+			g.Expect(c.claimedAt(cfjob.Claim{Epoch: 6})).To(BeZero())
+		})
+	}
+}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -55,6 +55,7 @@
 	// claimInFlight is set while the append of a claim is in flight. claimsStopped is set
 	// once a graceful shutdown has begun; this entry then claims no more epochs.
 	claimInFlight bool
+	sentClaim     sentClaim
 	claimsStopped bool
 	// stopWatching ends the goroutine that keeps a connection to the current planner. It
 	// does nothing if there is none.
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -81,6 +81,7 @@
 	c.claimInFlight = true
 	c.plannerSeenAt = c.Clock.Now()
 	offset := c.stored.Next
+	c.sentClaim.send(epoch, offset, c.Clock.Now())
 	c.Log.Info().Uint64("Epoch", uint64(epoch)).Int64("At", offset).Msg("appending a claim to the planner role")
 	go func() {
 		_, err := c.Store.Append(ctx, c.topic, []cfcore.KeyedRecord{r}, cfcore.AppendOptions{
@@ -90,6 +91,28 @@
 	}()
 }
 
+// sentClaim is the last claim that this entry sent, and since when the store possibly has it.
+type sentClaim struct {
+	epoch  cfcore.Epoch
+	offset int64
+	sentAt time.Time
+}
+
+// send remembers that a claim is sent. One at the same offset whose outcome is unknown is possibly in the store.
+func (s *sentClaim) send(epoch cfcore.Epoch, offset int64, now time.Time) {
+	if s.epoch != epoch || s.offset != offset {
+		*s = sentClaim{epoch: epoch, offset: offset, sentAt: now}
+	}
+}
+
+// claimedAt returns since when the store possibly refuses the records of the planners before a claim.
+func (c *control) claimedAt(claim cfjob.Claim) time.Time {
+	if c.sentClaim.epoch == claim.Epoch {
+		return c.sentClaim.sentAt
+	}
+	return time.Time{}
+}
+
 // handlePlannerChange makes this entry the planner if the newest claim is its own.
 // Otherwise this entry stops being the planner and connects to the new one.
 func (c *control) handlePlannerChange(ctx context.Context) {
@@ -175,7 +198,7 @@
 // the permission of earlier planners have expired.
 func (c *control) becomePlanner(claim cfjob.Claim) {
 	s := cfdispatch.Settings{
-		Epoch: claim.Epoch, GrantTime: c.cfg.Lease.Grant, LeaseTime: c.cfg.Lease.Lease,
+		Epoch: claim.Epoch, ClaimedAt: c.claimedAt(claim), GrantTime: c.cfg.Lease.Grant, LeaseTime: c.cfg.Lease.Lease,
 		ResendAfter: c.cfg.Planning.Resend, SuspectAfter: c.cfg.Suspect,
 	}
 	agents := make([]string, 0, len(c.stored.Agents))
--- a/pkg/cfdispatch/absence.go
+++ b/pkg/cfdispatch/absence.go
@@ -189,7 +189,6 @@
 	p.addWorker(w)
 	delete(p.unrecordedAgents, ab.Agent)
 	if ab.StartsUntil.IsZero() {
-		b.answered[ab.Agent] = true
 		delete(b.unknown, ab.Agent)
 	} else {
 		b.unknown[ab.Agent] = ab.StartsUntil
--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -15,6 +15,8 @@
 	// silentAfter is how long a new planner waits for an agent's report before the agent is recorded to
 	// have late starts: an earlier planner can still order starts from it.
 	silentAfter = time.Second
+	// recordDelay is how long after an order a late start is on record, if the store answers.
+	recordDelay = lateAfter + scanInterval + 50*time.Millisecond
 	// RecordsValidFor is how long the records of agents are valid after the planner last recorded anything.
 	// After that, a late start is possibly not on record.
 	RecordsValidFor = 5 * time.Second
@@ -28,9 +30,10 @@
 }
 
 // SetAnswered tells a new planner that an agent had no late starts according to its valid record. If
-// another instance of the agent reports, there are none that this planner does not know of.
+// another instance of the agent reports that started before this planner's claim, there are none that this
+// planner does not know of. Later ones are not on record: the store refuses what the earlier planner records.
 func (p *Planner) SetAnswered(agent string) {
-	p.bindings.answered[agent] = true
+	p.bindings.answered[agent] = p.cfg.ClaimedAt.Add(-recordDelay)
 	delete(p.bindings.recordedLate, agent)
 }
 
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -16,6 +16,9 @@
 // answer.
 const maxBinding = cfcore.MaxOrderDelay + longLeaseExpiry
 
+// maxUnknownStarts is JobReport.UnknownStarts of an instance that has just started, without the agent's margin.
+const maxUnknownStarts = cfcore.MaxExecutionDelay + cfcore.MaxLease*(100+100*clockSlack)/100
+
 // binding binds a task to a worker: a start of the task got no answer there, and the worker, or its next
 // incarnation under the same ID, can still execute it. Until then, the task starts on no other worker, and
 // its ends are not acknowledged. Whatever else ends meanwhile, only an agent's report or another ID of
@@ -43,14 +46,15 @@
 	// unknown holds the agents whose workers can still execute starts of earlier planners that this
 	// planner does not know of, and until when. Tasks of inherited jobs can be bound to these workers.
 	unknown map[string]time.Time
-	// answered holds the agents that had no late start according to their records.
-	answered map[string]bool
+	// answered holds the agents that had no late start according to their records, and when an instance of the
+	// agent must have started for the records to have all starts of the instances before it.
+	answered map[string]time.Time
 	// recordedLate holds the agents that are recorded to have late starts and have not reported yet.
 	recordedLate map[string]bool
 }
 
 func newBindings(agents []string, until time.Time) bindings {
-	b := bindings{byTask: map[cfcore.TaskName][]*binding{}, unknown: map[string]time.Time{}, answered: map[string]bool{}, recordedLate: map[string]bool{}}
+	b := bindings{byTask: map[cfcore.TaskName][]*binding{}, unknown: map[string]time.Time{}, answered: map[string]time.Time{}, recordedLate: map[string]bool{}}
 	for _, a := range agents {
 		b.unknown[a], b.recordedLate[a] = until, true
 	}
@@ -113,7 +117,7 @@
 	hasLists := m.Lists != nil
 	if until, ok := b.unknown[w.agent]; ok {
 		limit := now.Add(m.UnknownStarts)
-		w.startsKnown = m.UnknownStarts == 0 || b.answered[w.agent]
+		w.startsKnown = m.UnknownStarts == 0 || b.areStartsRecorded(now, w, m)
 		switch {
 		case w.startsKnown && hasLists:
 			delete(b.unknown, w.agent)
@@ -135,6 +139,23 @@
 	})
 }
 
+// areStartsRecorded reports whether the starts of earlier instances of an agent are on record, or were reported to
+// this planner. Those that an earlier planner ordered after the claim of this one are not.
+func (b *bindings) areStartsRecorded(now time.Time, w *worker, m *cfwire.JobReport) bool {
+	by, ok := b.answered[w.agent]
+	if ok && !w.startsKnown && instanceStart(now, m).After(by) {
+		delete(b.answered, w.agent)
+		return false
+	}
+	return ok
+}
+
+// instanceStart returns when the instance of an agent that has unknown starts began at the latest.
+func instanceStart(now time.Time, m *cfwire.JobReport) time.Time {
+	age := max(0, maxUnknownStarts-m.UnknownStarts)
+	return now.Add(-time.Duration(float64(age) / (1 + clockSlack)))
+}
+
 // removeSettled removes what the agent has no longer listed from a worker whose leases have all expired.
 func (b *bindings) removeSettled(w *worker) {
 	if w.startsKnown {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -17,6 +17,9 @@
 type Settings struct {
 	// Epoch is the planner's fencing token.
 	Epoch cfcore.Epoch
+	// ClaimedAt is when this planner claimed its epoch. If it is zero, earlier planners give orders for
+	// defaultAuthority after the claim.
+	ClaimedAt time.Time
 	// An agent may extend leases for GrantTime, counted from when it sent its last request
 	// that the planner has answered.
 	GrantTime time.Duration
@@ -40,6 +43,8 @@
 	leaseExpiryMargin = 300 * time.Millisecond
 	// longLeaseExpiry is the time after which the longest lease has certainly expired.
 	longLeaseExpiry = cfcore.MaxLease*(100+100*clockSlack)/100 + leaseExpiryMargin
+	// defaultAuthority is the default of the setting lease.authority.
+	defaultAuthority = 2 * time.Second
 	// startedDelay is how long the planner delays the record of a job's start. If other
 	// progress of the job must be recorded within this time, one record holds both. The
 	// delay is limited because the job counts as waiting until its start is on record, and
@@ -297,6 +302,9 @@
 		expectedUntil: expectedUntil, unrecordedJobs: map[string]*job{}, durationRatios: queueRatios{}, headroomModel: cfinterference.NewHeadroomModel(), orders: map[string]*Orders{},
 		open: map[string]*job{}, ackPending: map[*worker]bool{}, unrecordedAgents: map[string]bool{}, noFit: map[placementKey][]cfcore.Resources{}, changed: true,
 	}
+	if p.cfg.ClaimedAt.IsZero() {
+		p.cfg.ClaimedAt = expectedUntil.Add(-cfg.LeaseExpiryTime() - defaultAuthority)
+	}
 	for _, a := range agents {
 		p.expectedAgents[a], p.restartedAgents[a], p.inheritedRecords[a] = true, true, true
 	}
