Model: superseded planners beside restarts of agents and workers

The scopes superseded and supersededAndLate replace the planner while an agent still follows the former one, restart the agent, and later its worker.

--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -111,6 +111,8 @@
 	losses bool
 	// lasting lets some jobs have a task that lasts.
 	lasting bool
+	// superseded lets agents and workers restart while a superseded planner still orders starts from them.
+	superseded bool
 }
 
 // The scopes of the tests.
@@ -237,6 +239,8 @@
 	// answerAbsent makes planners let absent agents extend leases. trustAbsences makes new planners take absent
 	// agents for such without runs.
 	answerAbsent, trustAbsences bool
+	// trustRecords makes new planners take agents' records for complete, also for starts after their claims.
+	trustRecords bool
 	// keepGrants makes agents keep their permissions although the worker has not responded.
 	keepGrants bool
 }
@@ -358,6 +362,7 @@
 	modelCheckpoints
 	modelAbsences
 	modelStarts
+	modelSuperseded
 }
 
 // electPlanner creates a new planner.
@@ -372,6 +377,9 @@
 	if m.faults.ignoreLeases {
 		s.GrantTime, s.LeaseTime = 0, 0
 	}
+	if m.faults.trustRecords {
+		s.ClaimedAt = m.now.Add(time.Hour)
+	}
 	names := slices.Sorted(maps.Keys(m.recordedAgents))
 	if m.faults.expectNoAgents {
 		names = nil
@@ -632,6 +640,7 @@
 		m.injectDrain()
 		m.injectOneWayCut()
 		m.injectLoss()
+		m.injectSuperseded()
 		m.advance()
 	}
 	return m
