--- a/pkg/cfdispatch/superseded_test.go
+++ b/pkg/cfdispatch/superseded_test.go
@@ -90,3 +90,30 @@
 	f.reportInstance("b", f.now.Add(-time.Minute))
 	f.Expect(f.runPlanner()).To(ConsistOf(HavePrefix("old.0")))
 }
+
+// The planner between the two has neither heard of the agent nor recorded it as silent. The superseded planner
+// possibly ordered starts from it after that planner's claim, so that the record is older than the last claim shows.
+func TestInheritedTaskWaitsForStartsThatWereUnknownToThePlannerBefore(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.Planner = newSupersedingPlanner(f.now)
+	startedAt := f.now.Add(200 * time.Millisecond)
+	f.report("b")
+	f.MarkAgentRecorded("b")
+	f.now = f.now.Add(900 * time.Millisecond)
+	f.Expect(f.TakeAgentRecords(f.now)).To(BeEmpty())
+	handover := f.HandOver()
+	f.Expect(handover).To(HaveLen(2))
+	f.now = f.now.Add(200 * time.Millisecond)
+	f.Planner = newSupersedingPlanner(f.now)
+	for i := range handover {
+		f.TakeOver(f.now, &handover[i])
+	}
+	f.now = f.now.Add(time.Second)
+	f.reportInstance("a", startedAt)
+	f.reportInstance("b", f.now.Add(-time.Minute))
+	f.Expect(f.runPlanner()).To(BeEmpty())
+	f.now = startedAt.Add(cfcore.MaxExecutionDelay)
+	f.reportInstance("a", startedAt)
+	f.reportInstance("b", f.now.Add(-time.Minute))
+	f.Expect(f.runPlanner()).To(ConsistOf(HavePrefix("old.0")))
+}
