Planners: starts unknown to the planner before stay unknown

Cause: what a planner hands over, or has recorded of an absence, can say that it does not know all starts of an agent. The next one kept that, but let the first report of a new instance end it if the agent's record named no late starts. The planner before writes that record only after a second.

Now the record doesn't count for such an agent. After a second of silence the record says "late starts" anyway, so that only planners in series within a second differ.

--- a/pkg/cfdispatch/absence.go
+++ b/pkg/cfdispatch/absence.go
@@ -191,6 +191,8 @@
 	if ab.StartsUntil.IsZero() {
 		delete(b.unknown, ab.Agent)
 	} else {
+		// Starts that were unknown to the planner before are possibly not on record.
+		delete(b.answered, ab.Agent)
 		b.unknown[ab.Agent] = ab.StartsUntil
 	}
 	if w.hasKnownRuns = ab.IsComplete; w.hasKnownRuns {
