Planners: records of agents are complete if the planner before had ended at the claim

A single agent whose starts count as unknown holds back all of them.

Only a planner that still acts can order starts after that. One that has resigned, whose port refuses connections, or whose process was replaced, does not; nor do those before it, if its claim was read longer ago than their authority lasts.

Open: an entry that has started within 2 s of the claim before takes the planners before that one for ended.

--- a/internal/cfjobentry/claim_test.go
+++ b/internal/cfjobentry/claim_test.go
@@ -80,3 +80,32 @@
 		})
 	}
 }
+
+// Its agents' records then have all late starts. Planners before it possibly still order starts.
+func TestPlannerKnowsWhetherThoseBeforeHadEndedAtItsClaim(t *testing.T) {
+	for name, test := range map[string]struct {
+		gone  cfcore.Epoch
+		read  time.Duration
+		ended bool
+	}{
+		"the planner is silent":                       {gone: 3},
+		"the planner has ended":                       {gone: 4, ended: true},
+		"it has ended long after its claim":           {gone: 4, read: 3 * time.Second, ended: true},
+		"it has ended while the one before can order": {gone: 4, read: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, _ := newTestControl(t)
+			c.Store = appendingStore{}
+			c.synced.Store(true)
+			c.stored.Planner = cfjob.Claim{Epoch: 4, Instance: "other", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+			if test.read > 0 {
+				c.lastClaimRead = claimRead{epoch: 4, at: c.Clock.Now().Add(-test.read)}
+			}
+			c.goneEpoch = test.gone
+			c.appendClaim(t.Context(), 5)
+			c.goneEpoch = 4
+			g.Expect(c.sentClaim.predecessorEnded).To(Equal(test.ended))
+		})
+	}
+}
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -56,6 +56,7 @@
 	// once a graceful shutdown has begun; this entry then claims no more epochs.
 	claimInFlight bool
 	sentClaim     sentClaim
+	lastClaimRead claimRead
 	claimsStopped bool
 	// stopWatching ends the goroutine that keeps a connection to the current planner. It
 	// does nothing if there is none.
@@ -311,6 +312,7 @@
 			}
 		}
 	case change.Planner:
+		c.lastClaimRead = claimRead{epoch: c.stored.Planner.Epoch, at: c.Clock.Now()}
 		c.handlePlannerChange(ctx)
 	case change.Resigned:
 		c.markResigned()
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -81,7 +81,7 @@
 	c.claimInFlight = true
 	c.plannerSeenAt = c.Clock.Now()
 	offset := c.stored.Next
-	c.sentClaim.send(epoch, offset, c.Clock.Now())
+	c.sentClaim.send(epoch, offset, c.Clock.Now(), c.predecessorEnded(epoch))
 	c.Log.Info().Uint64("Epoch", uint64(epoch)).Int64("At", offset).Msg("appending a claim to the planner role")
 	go func() {
 		_, err := c.Store.Append(ctx, c.topic, []cfcore.KeyedRecord{r}, cfcore.AppendOptions{
@@ -91,17 +91,19 @@
 	}()
 }
 
-// sentClaim is the last claim that this entry sent, and since when the store possibly has it.
+// sentClaim is the last claim that this entry sent, and since when the store possibly has it. predecessorEnded is set
+// if the planners before had ended by then.
 type sentClaim struct {
-	epoch  cfcore.Epoch
-	offset int64
-	sentAt time.Time
+	epoch            cfcore.Epoch
+	offset           int64
+	sentAt           time.Time
+	predecessorEnded bool
 }
 
 // send remembers that a claim is sent. One at the same offset whose outcome is unknown is possibly in the store.
-func (s *sentClaim) send(epoch cfcore.Epoch, offset int64, now time.Time) {
+func (s *sentClaim) send(epoch cfcore.Epoch, offset int64, now time.Time, predecessorEnded bool) {
 	if s.epoch != epoch || s.offset != offset {
-		*s = sentClaim{epoch: epoch, offset: offset, sentAt: now}
+		*s = sentClaim{epoch: epoch, offset: offset, sentAt: now, predecessorEnded: predecessorEnded}
 	}
 }
 
@@ -113,6 +115,27 @@
 	return time.Time{}
 }
 
+// claimRead is when this entry read a claim after its start.
+type claimRead struct {
+	epoch cfcore.Epoch
+	at    time.Time
+}
+
+// predecessorEnded reports whether the planner before an epoch, which this entry claims, is known to have resigned or
+// ended, and those before it have no authority left.
+func (c *control) predecessorEnded(epoch cfcore.Epoch) bool {
+	if c.goneEpoch < epoch-1 {
+		return false
+	}
+	read := c.lastClaimRead
+	return read.epoch != epoch-1 || c.Clock.Now().Sub(read.at) >= c.othersFor()
+}
+
+// othersFor bounds how long an earlier planner gives orders after a newer claim is in the store.
+func (c *control) othersFor() time.Duration {
+	return time.Duration(float64(c.cfg.Lease.Authority)*(1+clockSlack)) + authorityMargin
+}
+
 // handlePlannerChange makes this entry the planner if the newest claim is its own.
 // Otherwise this entry stops being the planner and connects to the new one.
 func (c *control) handlePlannerChange(ctx context.Context) {
@@ -198,7 +221,7 @@
 // the permission of earlier planners have expired.
 func (c *control) becomePlanner(claim cfjob.Claim) {
 	s := cfdispatch.Settings{
-		Epoch: claim.Epoch, ClaimedAt: c.claimedAt(claim), GrantTime: c.cfg.Lease.Grant, LeaseTime: c.cfg.Lease.Lease,
+		Epoch: claim.Epoch, ClaimedAt: c.claimedAt(claim), PredecessorEnded: c.sentClaim.epoch == claim.Epoch && c.sentClaim.predecessorEnded, GrantTime: c.cfg.Lease.Grant, LeaseTime: c.cfg.Lease.Lease,
 		ResendAfter: c.cfg.Planning.Resend, SuspectAfter: c.cfg.Suspect,
 	}
 	agents := make([]string, 0, len(c.stored.Agents))
@@ -207,7 +230,7 @@
 		agents = append(agents, a)
 		recordedAgents[a] = true
 	}
-	othersFor := time.Duration(float64(c.cfg.Lease.Authority)*(1+clockSlack)) + authorityMargin
+	othersFor := c.othersFor()
 	until := c.Clock.Now().Add(othersFor + s.LeaseExpiryTime())
 	c.ledEpoch = claim.Epoch
 	c.plan = &planning{
--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -31,9 +31,14 @@
 
 // SetAnswered tells a new planner that an agent had no late starts according to its valid record. If
 // another instance of the agent reports that started before this planner's claim, there are none that this
-// planner does not know of. Later ones are not on record: the store refuses what the earlier planner records.
+// planner does not know of. Later ones are not on record, unless the planner before had ended: the store refuses what it
+// records.
 func (p *Planner) SetAnswered(agent string) {
-	p.bindings.answered[agent] = p.cfg.ClaimedAt.Add(-recordDelay)
+	by := p.cfg.ClaimedAt.Add(-recordDelay)
+	if p.cfg.PredecessorEnded {
+		by = time.Time{}
+	}
+	p.bindings.answered[agent] = by
 	delete(p.bindings.recordedLate, agent)
 }
 
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -47,7 +47,7 @@
 	// planner does not know of, and until when. Tasks of inherited jobs can be bound to these workers.
 	unknown map[string]time.Time
 	// answered holds the agents that had no late start according to their records, and when an instance of the
-	// agent must have started for the records to have all starts of the instances before it.
+	// agent must have started for the records to have all starts of the instances before it; zero if that does not matter.
 	answered map[string]time.Time
 	// recordedLate holds the agents that are recorded to have late starts and have not reported yet.
 	recordedLate map[string]bool
@@ -143,7 +143,7 @@
 // this planner. Those that an earlier planner ordered after the claim of this one are not.
 func (b *bindings) areStartsRecorded(now time.Time, w *worker, m *cfwire.JobReport) bool {
 	by, ok := b.answered[w.agent]
-	if ok && !w.startsKnown && instanceStart(now, m).After(by) {
+	if ok && !by.IsZero() && !w.startsKnown && instanceStart(now, m).After(by) {
 		delete(b.answered, w.agent)
 		return false
 	}
