Entries: a job's memory is reserved in the control goroutine

Cause: a submission read the free memory from the control goroutine and then compared it with a counter that other goroutines changed. A job that was added in between was in neither: its reservation had ended, and the free memory was from before. The reservation also ended when the caller stopped waiting, while the append could still add the job.

Change: the lookup of a submission reserves the memory in the control goroutine. The reservation ends when the job's record is applied, when the store has rejected it, or after 30 s with an unknown outcome (a full queue of the appender takes about 20 s if the store answers none of its calls).

Ruled out: the estimate of a job's memory; it is the same on both sides.

Open: each entry counts its own reservations only. Jobs that other entries accept count once their records are applied here. The bodies in flight are not bounded yet.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -78,6 +78,8 @@
 	// the records that this entry has read.
 	peerClaim cfjob.Claim
 
+	reservations reservations
+
 	// unseenSince holds, by job ID, the end time of each job whose outcome callers cannot
 	// see yet because the record with the outcome is not applied.
 	unseenSince map[string]time.Time
@@ -154,10 +156,8 @@
 		for _, r := range ev.records {
 			c.applyRecord(ctx, r)
 		}
-	case lookup:
-		c.handleLookup(ev)
-	case countRequested:
-		ev.reply <- c.stored.Waiting(ev.queue)
+	case lookup, countRequested, submissionRefused:
+		c.handleCallerEvent(ev)
 	case configChanged:
 		c.applyConfig(ev.config)
 	case adviceReceived:
@@ -184,6 +184,18 @@
 	}
 }
 
+// handleCallerEvent handles events of callers' requests.
+func (c *control) handleCallerEvent(ev event) {
+	switch ev := ev.(type) {
+	case lookup:
+		c.handleLookup(ev)
+	case countRequested:
+		ev.reply <- c.stored.Waiting(ev.queue)
+	case submissionRefused:
+		c.reservations.release(ev.id, ev.memory)
+	}
+}
+
 // handlePeerEvent handles events of agents and other entries, and the recording of a resignation.
 func (c *control) handlePeerEvent(ctx context.Context, ev event) {
 	switch ev := ev.(type) {
@@ -219,12 +231,15 @@
 	}
 }
 
-// handleLookup answers a request for the state of a job.
+// handleLookup answers a request for the state of a job, and reserves memory for an unknown one.
 func (c *control) handleLookup(ev lookup) {
 	e, known := c.stored.Lookup(ev.id)
-	result := lookupResult{known: known, next: c.stored.Next, freeMemory: c.jobMemoryLimit() - c.stored.Memory}
-	if known {
+	result := lookupResult{known: known, next: c.stored.Next}
+	switch {
+	case known:
 		result.state = e.State()
+	case ev.memory > 0:
+		result.reserved = c.reservations.reserve(ev.id, ev.memory, c.jobMemoryLimit()-c.stored.Memory, c.Clock.Now())
 	}
 	ev.reply <- result
 }
@@ -241,7 +256,8 @@
 	if old.Epoch != c.stored.Planner.Epoch || !c.synced.Load() {
 		c.handlePlannerChange(ctx)
 	}
-	for _, e := range c.stored.Jobs {
+	for id, e := range c.stored.Jobs {
+		c.dropReservation(id, e)
 		c.addJob(e)
 	}
 	c.Log.Info().Int64("Offset", c.stored.Next).Int("Jobs", len(c.stored.Jobs)).Uint64("Epoch", uint64(c.stored.Planner.Epoch)).Msg("state read from the store")
@@ -306,6 +322,7 @@
 			c.plan.Forget(change.JobID)
 		}
 		if e := c.stored.Jobs[change.JobID]; e != nil {
+			c.dropReservation(change.JobID, e)
 			c.addJob(e)
 			if e.Ended() {
 				c.recordOutcomeDelay(change.JobID)
--- a/internal/cfjobentry/entry.go
+++ b/internal/cfjobentry/entry.go
@@ -77,8 +77,6 @@
 	storeDown atomic.Bool
 	// storeAnsweredAt is when the store last answered a read, in nanoseconds since 1970.
 	storeAnsweredAt atomic.Int64
-	// reservedMemory is the memory for jobs that are being accepted, in bytes.
-	reservedMemory atomic.Int64
 	// leave is closed to request a graceful shutdown. resigned is closed once the control
 	// goroutine has handled that request; this entry is then not the planner.
 	leave     chan struct{}
--- a/internal/cfjobentry/events.go
+++ b/internal/cfjobentry/events.go
@@ -32,10 +32,17 @@
 	// recordsStored holds records that are in the store. This entry has possibly not read
 	// them yet.
 	recordsStored struct{ records []cfcore.KeyedRecord }
-	// lookup requests the state of a job by its ID.
+	// lookup requests the state of a job by its ID. If the job is unknown and memory is not 0, it
+	// also reserves this number of bytes for the job.
 	lookup struct {
-		id    string
-		reply chan<- lookupResult
+		id     string
+		memory int
+		reply  chan<- lookupResult
+	}
+	// submissionRefused ends the reservation of a submission that the store rejected.
+	submissionRefused struct {
+		id     string
+		memory int
 	}
 	// countRequested requests the number of waiting jobs of a queue.
 	countRequested struct {
@@ -105,25 +112,26 @@
 	leaveRequested struct{}
 )
 
-func (restored) isEvent()        {}
-func (pageRead) isEvent()        {}
-func (recordsStored) isEvent()   {}
-func (lookup) isEvent()          {}
-func (countRequested) isEvent()  {}
-func (configPart) isEvent()      {}
-func (configChanged) isEvent()   {}
-func (linkUp) isEvent()          {}
-func (linkDown) isEvent()        {}
-func (reportReceived) isEvent()  {}
-func (plannerMessage) isEvent()  {}
-func (plannerGone) isEvent()     {}
-func (entriesReceived) isEvent() {}
-func (pollReceived) isEvent()    {}
-func (pollAnswered) isEvent()    {}
-func (batchAppended) isEvent()   {}
-func (claimAppended) isEvent()   {}
-func (adviceReceived) isEvent()  {}
-func (leaveRequested) isEvent()  {}
+func (restored) isEvent()          {}
+func (pageRead) isEvent()          {}
+func (recordsStored) isEvent()     {}
+func (lookup) isEvent()            {}
+func (submissionRefused) isEvent() {}
+func (countRequested) isEvent()    {}
+func (configPart) isEvent()        {}
+func (configChanged) isEvent()     {}
+func (linkUp) isEvent()            {}
+func (linkDown) isEvent()          {}
+func (reportReceived) isEvent()    {}
+func (plannerMessage) isEvent()    {}
+func (plannerGone) isEvent()       {}
+func (entriesReceived) isEvent()   {}
+func (pollReceived) isEvent()      {}
+func (pollAnswered) isEvent()      {}
+func (batchAppended) isEvent()     {}
+func (claimAppended) isEvent()     {}
+func (adviceReceived) isEvent()    {}
+func (leaveRequested) isEvent()    {}
 
 // lookupResult is the state of a job in the records applied so far. known is set if they
 // contain the job.
@@ -132,6 +140,6 @@
 	state cfjob.State
 	// next is the offset of the next record to read.
 	next int64
-	// freeMemory is how much memory is left for further jobs, in bytes.
-	freeMemory int
+	// reserved is set if the memory that the lookup asked for is reserved.
+	reserved bool
 }
--- a/internal/cfjobentry/memory_test.go
+++ b/internal/cfjobentry/memory_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -36,25 +35,12 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			ctl, _ := newTestControl(t)
-			ctl.Store = appendOnlyStore{}
-			ctl.submissions = newAppender(ctl.Entry)
 			ctl.stored.Entries["other"] = cfjob.EntryInfo{MemoryMB: c.smallest}
-			ctx, cancel := context.WithCancel(t.Context())
-			var wg sync.WaitGroup
-			defer func() { cancel(); wg.Wait() }()
-			wg.Go(func() { _ = ctl.submissions.run(ctx) })
-			wg.Go(func() {
-				for {
-					select {
-					case ev := <-ctl.events:
-						ctl.handleEvent(ctx, ev)
-					case <-ctx.Done():
-						return
-					}
-				}
-			})
+			stop := startSubmissions(t, ctl, appendOnlyStore{}, ctl.handleEvent)
+			defer stop()
+			ctx := t.Context()
 			submit := func(n int) cfjob.Reply {
-				return ctl.Submit(ctx, &cfjob.Job{ID: fmt.Sprintf("%016x", n), Steps: []cfjob.Step{{Count: cfjob.MaxTasks}}})
+				return ctl.Submit(ctx, wideJob(n))
 			}
 			accepted := 0
 			for submit(accepted).Verdict == cfjob.VerdictDone {
@@ -68,7 +54,12 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			ctl.post(ctx, recordsStored{records: []cfcore.KeyedRecord{r}})
 			g.Expect(submit(accepted).Verdict).To(Equal(cfjob.VerdictDone), "after another job was cancelled")
-			g.Expect(ctl.reservedMemory.Load()).To(BeZero())
+			// The lookup is handled after all earlier events.
+			_, err = ctl.lookupJob(ctx, lookup{id: wideJob(0).ID})
+			g.Expect(err).NotTo(HaveOccurred())
+			stop()
+			g.Expect(ctl.reservations.total).To(BeZero())
+			g.Expect(ctl.reservations.byJob).To(BeEmpty())
 		})
 	}
 }
--- a/internal/cfjobentry/service.go
+++ b/internal/cfjobentry/service.go
@@ -25,29 +25,20 @@
 
 // Submit implements cfjob.Service.
 func (e *Entry) Submit(ctx context.Context, j *cfjob.Job) cfjob.Reply {
-	start := e.Clock.Now()
-	result, err := e.lookupJob(ctx, j.ID)
-	if err == nil && result.known {
+	start, memory := e.Clock.Now(), j.EstimateMemory()
+	result, err := e.lookupJob(ctx, lookup{id: j.ID, memory: memory})
+	switch {
+	case err != nil:
+		e.releaseMemory(ctx, j.ID, memory)
+		return e.refuse(j, "the request has timed out", outageRetryAfter)
+	case result.known:
 		e.Log.Info().Str("Job", j.ID).Str("State", string(result.state)).Msg("duplicate submission: the job exists; replying with its state")
 		return cfjob.Reply{Verdict: cfjob.VerdictDone, State: result.state}
-	}
-	if err != nil {
-		return e.refuse(j, "the request has timed out", outageRetryAfter)
-	}
-	releaseMemory, ok := e.reserveMemory(j, result.freeMemory)
-	if !ok {
+	case !result.reserved:
 		return e.refuse(j, "the entries have no memory for the job", memoryRetryAfter)
 	}
-	defer releaseMemory()
 	j.Accepted = start
-	r, err := e.codec.Job(j)
-	if err == nil && len(r.Value) > maxRecordBytes {
-		err = cferror.New("encode job", cfcore.StoreRejected, "the record has %d bytes", len(r.Value))
-	}
-	if err != nil {
-		return e.refuse(j, err.Error(), outageRetryAfter)
-	}
-	err = e.submissions.add(ctx, r)
+	err = e.appendJob(ctx, j)
 	took := e.Clock.Since(start)
 	switch {
 	case err == nil:
@@ -55,6 +46,7 @@
 		e.Scope.Counter("jobs_accepted").Inc(1)
 		return cfjob.Reply{Verdict: cfjob.VerdictDone, State: cfjob.StatePending}
 	case cferror.Is(err, cfcore.StoreRejected):
+		e.releaseMemory(ctx, j.ID, memory)
 		return e.refuse(j, err.Error(), outageRetryAfter)
 	}
 	e.Log.Warn().Str("Job", j.ID).Err(err).Dur("Took", took).Msg("job may have been accepted; outcome unknown")
@@ -62,6 +54,18 @@
 	return cfjob.Reply{Verdict: cfjob.VerdictUnknown}
 }
 
+// appendJob appends the record of a job. Its errors are those of appender.add.
+func (e *Entry) appendJob(ctx context.Context, j *cfjob.Job) error {
+	r, err := e.codec.Job(j)
+	switch {
+	case err != nil:
+		return cferror.Wrap("encode job", cfcore.StoreRejected, err)
+	case len(r.Value) > maxRecordBytes:
+		return cferror.New("encode job", cfcore.StoreRejected, "the record has %d bytes", len(r.Value))
+	}
+	return e.submissions.add(ctx, r)
+}
+
 // refuse logs and counts a refused submission, and returns the reply to it.
 func (e *Entry) refuse(j *cfjob.Job, reason string, retryAfter time.Duration) cfjob.Reply {
 	e.Log.Warn().Str("Job", j.ID).Str("Queue", j.Queue.Name).Str("Reason", reason).Msg("job refused")
@@ -127,9 +131,10 @@
 }
 
 // lookupJob returns the state of a job in the records that this entry has applied.
-func (e *Entry) lookupJob(ctx context.Context, id string) (lookupResult, error) {
+func (e *Entry) lookupJob(ctx context.Context, l lookup) (lookupResult, error) {
 	reply := make(chan lookupResult, 1)
-	e.post(ctx, lookup{id: id, reply: reply})
+	l.reply = reply
+	e.post(ctx, l)
 	select {
 	case result := <-reply:
 		return result, nil
@@ -141,7 +146,7 @@
 // lookupSynced returns the state of a job. Before it reports that a job does not exist,
 // it reads the store to its end.
 func (e *Entry) lookupSynced(ctx context.Context, id string) (lookupResult, error) {
-	result, err := e.lookupJob(ctx, id)
+	result, err := e.lookupJob(ctx, lookup{id: id})
 	for err == nil && !result.known {
 		var page cfcore.StorePage
 		if page, err = e.Store.Read(ctx, e.topic, result.next, 0); err != nil {
@@ -156,7 +161,7 @@
 		case <-applied:
 		case <-ctx.Done():
 		}
-		result, err = e.lookupJob(ctx, id)
+		result, err = e.lookupJob(ctx, lookup{id: id})
 	}
 	return result, err
 }
