--- a/internal/cfentry/convert.go
+++ b/internal/cfentry/convert.go
@@ -117,11 +117,8 @@
 	if w.Removed {
 		out.Removed = cfapi.NewOptBool(true)
 	}
-	for i := 0; ; i++ {
-		t := s.Tasks[cfcore.NewTaskID(w.Spec.Name, i)]
-		if t == nil {
-			return out
-		}
+	for _, t := range s.TasksOf(w) {
 		out.Tasks = append(out.Tasks, taskToAPI(t))
 	}
+	return out
 }
--- a/pkg/cfplan/plan.go
+++ b/pkg/cfplan/plan.go
@@ -187,15 +187,12 @@
 // countHeld returns the number of held tasks of the named workload.
 func (b *builder) countHeld(name string) int {
 	n := 0
-	for i := 0; ; i++ {
-		t := b.state.Tasks[cfcore.NewTaskID(name, i)]
-		if t == nil {
-			return n
-		}
+	for _, t := range b.state.TasksOf(b.state.Workloads[name]) {
 		if t.Status == cfstate.TaskHeld {
 			n++
 		}
 	}
+	return n
 }
 
 func (b *builder) addDrainSteps(drained, undrained []cfcore.WorkerID) {
--- a/pkg/cfstate/apply_plans.go
+++ b/pkg/cfstate/apply_plans.go
@@ -142,18 +142,20 @@
 		wl.Live++
 		rc.markPending(t, "accepted", "plan confirmed")
 	}
+	wl.index(t)
 }
 
 // dropWorkload deletes a removed workload and its tasks. All the tasks must have ended.
 func (s *State) dropWorkload(name string) {
-	for i := 0; ; i++ {
-		id := cfcore.NewTaskID(name, i)
-		if s.Tasks[id] == nil {
-			break
+	kept := make([]cfcore.TaskID, 0, len(s.EndedTasks))
+	for _, id := range s.EndedTasks {
+		if t := s.Tasks[id]; t != nil && t.Workload == name {
+			delete(s.Tasks, id)
+			continue
 		}
-		s.removeEndedTask(id)
-		delete(s.Tasks, id)
+		kept = append(kept, id)
 	}
+	s.EndedTasks = kept
 	delete(s.Workloads, name)
 }
 
@@ -170,11 +172,7 @@
 // cancelSurplus cancels the tasks of the replicas beyond the number that the workload now
 // has.
 func (rc *recordContext) cancelSurplus(wl *Workload) {
-	for i := wl.Spec.Replicas; ; i++ {
-		t := rc.state.Tasks[cfcore.NewTaskID(wl.Spec.Name, i)]
-		if t == nil {
-			return
-		}
+	for _, t := range rc.state.tasksFrom(wl, wl.Spec.Replicas) {
 		rc.cancelTask(t, "fewer replicas wanted")
 	}
 }
@@ -185,11 +183,7 @@
 	wl.Plan = p.ID
 	wl.Changed = rc.off
 	rc.addEventBy(who, p.ID, "workload removed", name, "")
-	for i := 0; ; i++ {
-		t := rc.state.Tasks[cfcore.NewTaskID(name, i)]
-		if t == nil {
-			return
-		}
+	for _, t := range rc.state.TasksOf(wl) {
 		rc.cancelTask(t, "workload removed")
 	}
 }
@@ -212,11 +206,7 @@
 // restartHeldTasks makes the held tasks of a workload pending.
 func (rc *recordContext) restartHeldTasks(name string, p *cfrecord.Plan, who string) {
 	rc.addEventBy(who, p.ID, "restart allowed", name, "")
-	for i := 0; ; i++ {
-		t := rc.state.Tasks[cfcore.NewTaskID(name, i)]
-		if t == nil {
-			return
-		}
+	for _, t := range rc.state.TasksOf(rc.state.Workloads[name]) {
 		if t.Status == TaskHeld {
 			rc.markPending(t, "restart allowed", "plan confirmed")
 		}
--- a/pkg/cfstate/snapshot.go
+++ b/pkg/cfstate/snapshot.go
@@ -42,13 +42,16 @@
 	return s, nil
 }
 
-// rebuildIndexes rebuilds Assigned, Pending, Seen and the Tasks of the workers, which are not
-// encoded.
+// rebuildIndexes rebuilds Assigned, Pending, Seen, the Tasks of the workers and the indexes of the
+// workloads, which are not encoded.
 func (s *State) rebuildIndexes() {
 	for _, w := range s.Workers {
 		w.Tasks = map[cfcore.TaskID]cfcore.Assignment{}
 	}
 	for id, t := range s.Tasks {
+		if wl := s.Workloads[t.Workload]; wl != nil {
+			wl.index(t)
+		}
 		if t.Status == TaskPending {
 			s.Pending[id] = struct{}{}
 		}
--- a/pkg/cfstate/state.go
+++ b/pkg/cfstate/state.go
@@ -133,8 +133,28 @@
 	Removed bool
 	// Live is the number of tasks that have not ended.
 	Live int
+	// indexes is above the indexes of all tasks in the state. It is not encoded; Decode rebuilds
+	// it.
+	indexes int
 }
 
+// TasksOf returns the tasks of a workload by index. Tasks that were dropped are left out.
+func (s *State) TasksOf(wl *Workload) []*Task { return s.tasksFrom(wl, 0) }
+
+// tasksFrom returns the tasks of a workload from an index on.
+func (s *State) tasksFrom(wl *Workload, index int) []*Task {
+	var tasks []*Task
+	for i := index; i < wl.indexes; i++ {
+		if t := s.Tasks[cfcore.NewTaskID(wl.Spec.Name, i)]; t != nil {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// index updates the workload's indexes for a task.
+func (wl *Workload) index(t *Task) { wl.indexes = max(wl.indexes, t.Index+1) }
+
 // Worker is the state of a worker. Its instance is the one that the last WorkerUp record
 // announced.
 type Worker struct {
