State: done and failed tasks that were dropped are not created again

Cause: nothing remembers a dropped task. A workload without live tasks was also deleted with the first of its tasks that was dropped, while others were still in the state.

Change: a workload has a bitmap of its done and failed tasks that were dropped, by index: at most 625 bytes with 5,000 replicas. It is deleted with its last task. Cancelled tasks are created again, as before.

Ruled out: keeping more ended tasks, which moves the bound only.

Limit: a workload of which all tasks were dropped is forgotten, and is a new one when it is accepted again.

--- a/pkg/cfstate/apply.go
+++ b/pkg/cfstate/apply.go
@@ -229,8 +229,8 @@
 	}
 }
 
-// dropTask deletes an ended task. It also deletes the task's workload if all tasks of the
-// workload have ended.
+// dropTask deletes an ended task. It deletes the task's workload with its last task. Until then,
+// the workload remembers which tasks were done or have failed.
 func (s *State) dropTask(id cfcore.TaskID) {
 	t := s.Tasks[id]
 	if t == nil {
@@ -238,7 +238,15 @@
 	}
 	delete(s.Tasks, id)
 	w := s.Workloads[t.Workload]
-	if w != nil && w.Live == 0 {
+	if w == nil {
+		return
+	}
+	w.Kept = max(0, w.Kept-1)
+	if w.Live == 0 && w.Kept == 0 {
 		delete(s.Workloads, t.Workload)
+		return
+	}
+	if t.Status != TaskCancelled {
+		w.setDropped(t.Index)
 	}
 }
--- a/pkg/cfstate/apply_plans.go
+++ b/pkg/cfstate/apply_plans.go
@@ -123,15 +123,18 @@
 	rc.cancelSurplus(wl)
 }
 
-// ensureTask creates the task of a replica. If the task exists and is cancelled or being
-// cancelled, ensureTask revokes the cancellation.
+// ensureTask creates the task of a replica, unless the task was done or has failed. If the task
+// exists and is cancelled or being cancelled, ensureTask revokes the cancellation.
 func (rc *recordContext) ensureTask(wl *Workload, index int) {
 	id := cfcore.NewTaskID(wl.Spec.Name, index)
 	t := rc.state.Tasks[id]
 	switch {
+	case t == nil && wl.wasDropped(index):
+		return
 	case t == nil:
 		t = &Task{ID: id, Workload: wl.Spec.Name, Index: index}
 		rc.state.Tasks[id] = t
+		wl.Kept++
 		wl.Live++
 		rc.markPending(t, "accepted", "plan confirmed")
 	case t.Cancel && !t.Status.Ended():
--- a/pkg/cfstate/apply_test.go
+++ b/pkg/cfstate/apply_test.go
@@ -242,18 +242,20 @@
 		g.Expect(used).To(Equal(w.Used))
 		g.Expect(used.Fits(w.Capacity)).To(BeTrue())
 	}
-	live := map[string]int{}
+	live, kept := map[string]int{}, map[string]int{}
 	for id, t := range s.Tasks {
 		_, placed := on[id]
 		g.Expect(placed).To(Equal(t.Status.OnWorker()), "task %s has status %s", id, t.Status)
 		_, pending := s.Pending[id]
 		g.Expect(pending).To(Equal(t.Status == cfstate.TaskPending))
+		kept[t.Workload]++
 		if !t.Status.Ended() {
 			live[t.Workload]++
 		}
 	}
 	for name, w := range s.Workloads {
 		g.Expect(w.Live).To(Equal(live[name]), name)
+		g.Expect(w.Kept).To(Equal(kept[name]), name)
 	}
 }
 
--- a/pkg/cfstate/dropped_test.go
+++ b/pkg/cfstate/dropped_test.go
@@ -81,3 +81,44 @@
 		})
 	}
 }
+
+// A workload that has ended was deleted with the first of its tasks, and accepted again as a new one.
+func TestEndedWorkloadIsKeptWithItsLastTask(t *testing.T) {
+	s := NewState()
+	rc := &recordContext{state: s}
+	w := &cfcore.Workload{Name: "b", Class: cfcore.ClassBatch, Replicas: 20}
+	p := &cfrecord.Plan{ID: "p"}
+	rc.applyWorkload(w, p, "x")
+	status := func(i int) TaskStatus { return []TaskStatus{TaskDone, TaskFailed, TaskCancelled}[i%3] }
+	for i := range 20 {
+		rc.endTask(s.Tasks[cfcore.NewTaskID("b", i)], status(i), "")
+	}
+	for i := range 19 {
+		s.dropTask(s.EndedTasks[0])
+		s.EndedTasks = s.EndedTasks[1:]
+		if s.Workloads["b"] == nil {
+			t.Fatalf("the workload was dropped with task %d of 20", i+1)
+		}
+	}
+	rc.applyWorkload(w, p, "x")
+	for i := range 20 {
+		again := s.Tasks[cfcore.NewTaskID("b", i)]
+		if created := again != nil && again.Status == TaskPending; created != (status(i) == TaskCancelled) {
+			t.Errorf("task %d was %s; created again: %t", i, status(i), created)
+		}
+	}
+	for _, id := range s.EndedTasks {
+		s.dropTask(id)
+	}
+	s.EndedTasks = nil
+	for _, task := range s.TasksOf(s.Workloads["b"]) {
+		rc.endTask(task, TaskDone, "")
+	}
+	for len(s.EndedTasks) > 0 {
+		s.dropTask(s.EndedTasks[0])
+		s.EndedTasks = s.EndedTasks[1:]
+	}
+	if len(s.Workloads) > 0 || len(s.Tasks) > 0 {
+		t.Errorf("%d workloads and %d tasks are left", len(s.Workloads), len(s.Tasks))
+	}
+}
--- a/pkg/cfstate/state.go
+++ b/pkg/cfstate/state.go
@@ -65,7 +65,8 @@
 
 // Ended reports whether a task with this status has ended. A cancelled task becomes
 // pending again if a later plan wants the replica again. Done and failed tasks keep their
-// status until they are dropped from the state (see MaxEndedTasks).
+// status until they are dropped from the state (see MaxEndedTasks), and are not created again
+// while the state contains a task of their workload.
 func (s TaskStatus) Ended() bool {
 	return s == TaskDone || s == TaskFailed || s == TaskCancelled
 }
@@ -133,11 +134,32 @@
 	Removed bool
 	// Live is the number of tasks that have not ended.
 	Live int
+	// Dropped is a bitmap of the tasks that were dropped after they were done or had failed, by
+	// index. It has at most cfintent.MaxReplicas bits.
+	Dropped []byte `cbor:",omitempty"`
+	// Kept is the number of tasks in the state. It is 0 for a workload that an earlier build has
+	// created.
+	Kept int `cbor:",omitempty"`
 	// indexes is above the indexes of all tasks in the state. It is not encoded; Decode rebuilds
 	// it.
 	indexes int
 }
 
+const bitsPerByte = 8
+
+// setDropped marks the task with an index as dropped.
+func (wl *Workload) setDropped(index int) {
+	if n := index/bitsPerByte + 1; n > len(wl.Dropped) {
+		wl.Dropped = append(wl.Dropped, make([]byte, n-len(wl.Dropped))...)
+	}
+	wl.Dropped[index/bitsPerByte] |= 1 << (index % bitsPerByte)
+}
+
+// wasDropped reports whether the task with an index was dropped after it was done or had failed.
+func (wl *Workload) wasDropped(index int) bool {
+	return index/bitsPerByte < len(wl.Dropped) && wl.Dropped[index/bitsPerByte]&(1<<(index%bitsPerByte)) != 0
+}
+
 // TasksOf returns the tasks of a workload by index. Tasks that were dropped are left out.
 func (s *State) TasksOf(wl *Workload) []*Task { return s.tasksFrom(wl, 0) }
 
