Agents: a refused repetition of a start is not stopped while its first attempt can be executed

The planner could not repeat a start under its number, since the agent had stopped the run: a worker without room refuses the repetition, and the agent bars the attempt that got no answer by a stop, after which the worker refuses the number for good.

In the incarnation that has refused it, the attempt is barred by the session's token. Tasks that last are stopped as before: they must start elsewhere in time. So are starts with an invalid ticket.

--- a/internal/cfjobagent/events.go
+++ b/internal/cfjobagent/events.go
@@ -71,6 +71,9 @@
 		// They are requested only if they are needed to determine the state of the run.
 		lists    cfcore.RunLists
 		hasLists bool
+		// waits is set for a start that the planner can repeat until an earlier attempt is over. Long-running tasks
+		// must not be away for that long.
+		waits bool
 	}
 )
 
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -192,16 +192,17 @@
 		return
 	}
 	c.inFlight[key] = true
-	c.sendStart(ctx, key, cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until, Clock: c.workerClock}, !s.IsCopy)
+	c.sendStart(ctx, key, cfcore.RunStart{Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: until, Clock: c.workerClock}, !s.IsCopy, !s.LongRunning)
 }
 
-// sendStart calls the worker to start a run. Without an answer, it repeats the call if repeats is set.
-func (c *control) sendStart(ctx context.Context, key orderKey, run cfcore.RunStart, repeats bool) {
+// sendStart calls the worker to start a run. Without an answer, it repeats the call if repeats is set. waits is
+// orderReturned.waits.
+func (c *control) sendStart(ctx context.Context, key orderKey, run cfcore.RunStart, repeats, waits bool) {
 	start, orderedAt := startKey{task: run.Task, run: run.Run}, c.bootClock.Now()
 	c.unanswered.begin(start, orderedAt)
 	call := c.present()
 	go func() {
-		ev := orderReturned{key: key, worker: call.worker}
+		ev := orderReturned{key: key, worker: call.worker, waits: waits}
 		token, err := c.fence.send(call.worker, call.incarnation, call.epoch, func() bool {
 			ev = c.withRunLists(ctx, ev, call, true)
 			return repeats && ev.hasLists && ev.lists.Born.Equal(key.born) && !inLists(&ev.lists, key)
@@ -330,6 +331,9 @@
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
+	case c.awaitsFirstAttempt(ev):
+		c.logOrder(ev)
+		return
 	case c.uncertain[ev.key] || c.bootClock.Now()-c.startedAt < cfcore.MaxOrderDelay:
 		// The worker can still carry out an earlier attempt, possibly of an earlier
 		// incarnation of this agent. A stop prevents that.
@@ -345,6 +349,15 @@
 	c.results = append(c.results, res)
 }
 
+// awaitsFirstAttempt reports whether a refused start has no result yet, since an earlier attempt can still be executed:
+// the planner repeats the order. A stop would bar the run number, and the task could then not start before that attempt
+// is over: the next incarnation of the worker would execute both numbers.
+func (c *control) awaitsFirstAttempt(ev orderReturned) bool {
+	isPassing := cferror.Is(ev.err, cfcore.ExecutorNoCapacity) || cferror.Is(ev.err, cfcore.ExecutorLeaseExpired) || cferror.Is(ev.err, cfcore.ExecutorUnhealthy)
+	s, ok := c.unanswered.starts[startKey{task: ev.key.task, run: ev.key.run}]
+	return ev.waits && isPassing && ok && c.bootClock.Now() < s.until
+}
+
 // startResult is the result of a start. refusal is empty if the run has started. at is on the boot
 // clock.
 type startResult struct {
