--- a/internal/cfjobentry/claim_test.go
+++ b/internal/cfjobentry/claim_test.go
@@ -85,11 +85,13 @@
 func TestPlannerKnowsWhetherThoseBeforeHadEndedAtItsClaim(t *testing.T) {
 	for name, test := range map[string]struct {
 		gone  cfcore.Epoch
+		own   bool
 		read  time.Duration
 		ended bool
 	}{
 		"the planner is silent":                       {gone: 3},
 		"the planner has ended":                       {gone: 4, ended: true},
+		"it was this entry's former instance":         {gone: 3, own: true, ended: true},
 		"it has ended long after its claim":           {gone: 4, read: 3 * time.Second, ended: true},
 		"it has ended while the one before can order": {gone: 4, read: time.Second},
 	} {
@@ -99,6 +101,9 @@
 			c.Store = appendingStore{}
 			c.synced.Store(true)
 			c.stored.Planner = cfjob.Claim{Epoch: 4, Instance: "other", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+			if test.own {
+				c.stored.Planner.Address = c.cfg.Inner
+			}
 			if test.read > 0 {
 				c.lastClaimRead = claimRead{epoch: 4, at: c.Clock.Now().Add(-test.read)}
 			}
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -40,7 +40,7 @@
 	}
 	now := c.Clock.Now()
 	claim := c.stored.Planner
-	gone := claim.Epoch == 0 || claim.Epoch <= c.goneEpoch || claim.Address == c.cfg.Inner
+	gone := claim.Epoch == 0 || c.hasEnded(claim)
 	wait := time.Duration(c.rank()) * rankDelay
 	if claim.Epoch == 0 {
 		wait += firstClaimDelay
@@ -57,6 +57,12 @@
 	c.appendClaim(ctx, claim.Epoch+1)
 }
 
+// hasEnded reports whether the planner of a claim is known to have resigned or ended. A planner at this entry's address
+// was its former instance.
+func (c *control) hasEnded(claim cfjob.Claim) bool {
+	return claim.Epoch <= c.goneEpoch || claim.Address == c.cfg.Inner
+}
+
 // rank returns how many recorded entries precede this one: those with more CPU, and those of the same CPU by
 // name. A planner whose entry is overloaded learns late of the ends of runs.
 func (c *control) rank() int {
@@ -124,7 +130,7 @@
 // predecessorEnded reports whether the planner before an epoch, which this entry claims, is known to have resigned or
 // ended, and those before it have no authority left.
 func (c *control) predecessorEnded(epoch cfcore.Epoch) bool {
-	if c.goneEpoch < epoch-1 {
+	if !c.hasEnded(c.stored.Planner) {
 		return false
 	}
 	read := c.lastClaimRead
