--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -667,6 +667,8 @@
 		return
 	case refusal == cfcore.ExecutorFenced:
 		return
+	case !faults.forgetUncertain && a.awaitsFirstAttempt(key, refusal):
+		return
 	case !faults.forgetUncertain && (a.uncertain[key] || a.m.now.Sub(a.startedAt) < cfcore.MaxOrderDelay):
 		a.stopRun(key.task, key.run)
 		return
--- a/pkg/cfdispatch/model_copy_test.go
+++ b/pkg/cfdispatch/model_copy_test.go
@@ -60,6 +60,12 @@
 	a.copies.starts[s] = x
 }
 
+// awaitsFirstAttempt reports whether a refused start has no result since an earlier attempt can still be carried out.
+func (a *modelAgent) awaitsFirstAttempt(k modelOrderKey, refusal cfcore.ExecutorKind) bool {
+	isPassing := refusal == cfcore.ExecutorNoCapacity || refusal == cfcore.ExecutorLeaseExpired || refusal == cfcore.ExecutorUnhealthy
+	return isPassing && !a.m.step(k.task).LongRunning && a.m.now.Before(a.copies.starts[modelStart{task: k.task, run: k.run}].until)
+}
+
 // endCopy remembers that no attempt of a start is in flight any more.
 func (a *modelAgent) endCopy(k modelOrderKey) {
 	s := modelStart{task: k.task, run: k.run}
