Model: check starts also when their orders reach an agent

The check of open starts looked at the end of a tick. A second start that a worker refused within the tick was not counted, nor one whose order and execution fell into the tick in which the first one ran already. Now the starts in an order are checked when it reaches the agent; two runs at a time, and a start after an end that counts, also violate the invariant.

--- a/pkg/cfdispatch/model_check_test.go
+++ b/pkg/cfdispatch/model_check_test.go
@@ -141,6 +141,7 @@
 		x.restarted, x.isOrphaned = true, x.isOrphaned || m.isOrphaned
 		m.checkNotListed(x, n)
 		if x.acked && !x.lapsed {
+			m.addStartOfEnded(x, w.runningStart(n))
 			m.violate(violationAcked, n, x.isOrphaned, "run %x starts on %s, run %x has ended on %s", run, w.name, x.run, x.worker)
 		}
 	}
@@ -206,6 +207,7 @@
 					m.tracef("copy of run %x of %s", other.runs[n].id, taskString(n))
 					continue
 				}
+				m.checkStartPair(other.runningStart(n), w.runningStart(n))
 				m.violate(violationTwoRuns, n, other.runs[n].isOrphaned || w.runs[n].isOrphaned, "run %x on %s and run %x on %s", other.runs[n].id, other.name, w.runs[n].id, w.name)
 			}
 			seen[n] = w
--- a/pkg/cfdispatch/model_order_test.go
+++ b/pkg/cfdispatch/model_order_test.go
@@ -28,6 +28,7 @@
 	}
 	m.traceOrders(h.p, h.a, h.o)
 	if !isHeld {
+		m.checkNewStarts(&h)
 		m.deliverOrders(h)
 		return
 	}
--- a/pkg/cfdispatch/model_starts_test.go
+++ b/pkg/cfdispatch/model_starts_test.go
@@ -27,6 +27,8 @@
 
 const (
 	sourceRuns startSource = "runs"
+	// sourceNew is a start that reaches the agent now.
+	sourceNew startSource = "is ordered"
 	// sourceLate is an attempt without an answer that the worker carries out late.
 	sourceLate startSource = "late"
 	// sourceRepeated is an attempt without an answer that the agent can repeat.
@@ -84,6 +86,23 @@
 
 // checkOpenStarts checks the invariant. It reports each task once for each kind of violation.
 func (m *model) checkOpenStarts() {
+	m.findOpenStarts()
+	m.checkOpenFrom(0)
+}
+
+// checkNewStarts checks the starts in orders that reach an agent now. The worker possibly refuses them at once.
+func (m *model) checkNewStarts(h *heldOrder) {
+	if len(h.o.Starts) == 0 || h.isOutdated() {
+		return
+	}
+	m.findOpenStarts()
+	first := len(m.open)
+	m.addAgentStarts(h.a, h.o.Starts, sourceNew)
+	m.checkOpenFrom(first)
+}
+
+// findOpenStarts finds the starts that can still be executed.
+func (m *model) findOpenStarts() {
 	m.open = m.open[:0]
 	m.addLateStarts()
 	for _, a := range m.agents {
@@ -91,20 +110,22 @@
 		m.addAgentStarts(a, a.waitingStarts, sourceWaits)
 	}
 	m.addOrderedStarts()
-	for i := range m.open {
-		s := &m.open[i]
-		if m.step(s.task).Duplicable {
-			continue
+}
+
+// checkOpenFrom checks the open starts from an index on.
+func (m *model) checkOpenFrom(first int) {
+	for i := first; i < len(m.open); i++ {
+		if !m.step(m.open[i].task).Duplicable {
+			m.checkOpenStart(&m.open[i], m.open[:i])
 		}
-		m.checkOpenStart(s, m.open[:i])
 	}
 }
 
 // checkOpenStart checks a start that can be executed against runs, other starts and ends of its task.
 func (m *model) checkOpenStart(s *openStart, others []openStart) {
 	for _, w := range m.workers {
-		if r := w.runs[s.task]; r != nil {
-			m.checkStartPair(&openStart{task: s.task, run: r.id, w: w, source: sourceRuns}, s)
+		if w.runs[s.task] != nil {
+			m.checkStartPair(w.runningStart(s.task), s)
 		}
 	}
 	for i := range others {
@@ -114,11 +135,20 @@
 	}
 	for _, x := range m.ends[m.endKey(s.task)] {
 		if (x.acked || x.listed) && !x.lapsed {
-			m.addSecondStart(violationStartOfEnded, s, fmt.Sprintf("an end of run %x on %s counts", x.run, x.worker), s.describe(), x.isOrphaned)
+			m.addStartOfEnded(x, s)
 		}
 	}
 }
 
+func (m *model) addStartOfEnded(x *modelEnd, s *openStart) {
+	m.addSecondStart(violationStartOfEnded, s, fmt.Sprintf("an end of run %x on %s counts", x.run, x.worker), s.describe(), x.isOrphaned)
+}
+
+// runningStart returns the start of a run.
+func (w *modelWorker) runningStart(n cfcore.TaskName) *openStart {
+	return &openStart{task: n, run: w.runs[n].id, w: w, source: sourceRuns}
+}
+
 func (m *model) checkStartPair(a, b *openStart) {
 	if a.isSame(b) {
 		return
