Agents: do not send a start that the worker has barred

A start can reach the agent, on a former connection or after it has waited for another call, when the agent has reported that the worker refuses its run: a stop was answered, or a start with old. The planner has then started the task again, possibly on another worker. The present incarnation refuses the late start. If the worker has restarted and the agent has not noticed, the next one executes it. The agent remembered other refusals of starts, but not these.

Evidence: TestStartThatAStopHasBarredIsNotSent failed in both cases before.

--- a/internal/cfjobagent/control_test.go
+++ b/internal/cfjobagent/control_test.go
@@ -353,3 +353,31 @@
 	a.startRun(t.Context(), order)
 	g.Eventually(w.started).Should(Receive(HaveField("Run", BeEquivalentTo(8))))
 }
+
+// The planner drops a start that a stop has barred, and starts the task again. An order for the first start can arrive
+// later, on a former connection, or after it has waited for another call: if the worker has restarted and the agent has
+// not noticed it, the worker's next incarnation executed the start as well.
+func TestStartThatAStopHasBarredIsNotSent(t *testing.T) {
+	for name, refusal := range map[string]cfcore.ExecutorKind{"after a stop": "", "after an answer that it is old": cfcore.ExecutorStale} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, w := newTestControl()
+			clock := fakeBootClock(time.Hour)
+			a.bootClock, a.grantedAt, a.startedAt, a.answeredAt = &clock, time.Hour, 0, time.Hour
+			a.handleHeartbeat(workerState(born))
+			order := cfwire.JobStart{Worker: "w", Born: born, Task: cfcore.TaskName{Job: "j"}, Run: 7}
+			if w.refusal = refusal; refusal == "" {
+				a.stopRun(t.Context(), cfwire.JobStop{Task: order.Task, Run: 7})
+			} else {
+				a.startRun(t.Context(), order)
+			}
+			a.handleEvent(t.Context(), <-a.events)
+			barred := cfwire.JobOrderResult{Task: order.Task, Run: 7, Refusal: cfcore.ExecutorStale}
+			g.Expect(a.takeReport().Results).To(ConsistOf(barred))
+			w.refusal = ""
+			a.startRun(t.Context(), order)
+			g.Consistently(w.started, "20ms").ShouldNot(Receive())
+			g.Expect(a.takeReport().Results).To(ConsistOf(barred), "the planner possibly has not received the first one")
+		})
+	}
+}
--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -317,6 +317,7 @@
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
+		c.recordBarred(ev.key)
 	case ev.err == nil:
 		c.recordStartResult(ev.key, "")
 	case cferror.Is(ev.err, cfcore.ExecutorOutcomeUnknown):
@@ -331,6 +332,7 @@
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
+		c.recordBarred(ev.key)
 	case c.awaitsFirstAttempt(ev):
 		c.logOrder(ev)
 		return
@@ -375,6 +377,13 @@
 	c.startResults[key] = startResult{refusal: refusal, at: now}
 }
 
+// recordBarred remembers that the present incarnation of the worker refuses a run. An order to start it that arrives
+// later is not sent: the planner has given the start up, and the next incarnation would execute it.
+func (c *control) recordBarred(key orderKey) {
+	key.stop = false
+	c.recordStartResult(key, cfcore.ExecutorStale)
+}
+
 // logOrder logs the outcome of an order, also if the order failed.
 func (c *control) logOrder(ev orderReturned) {
 	l := c.Log.Info()
--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -658,6 +658,7 @@
 			return
 		}
 		res.Refusal = cfcore.ExecutorStale
+		a.startResults[modelOrderKey{task: key.task, run: key.run, born: key.born}] = cfcore.ExecutorStale
 	case refusal == "":
 		a.startResults[key] = refusal
 	case refusal == cfcore.ExecutorOutcomeUnknown && faults.reportUncertain:
