Model: full workers whose starts get no answer and that restart, in series (fails)

Now a phase joins them; the starts of the tick are the first calls that fail, and late ones are often carried out after the restart. New scopes only: the others draw the same histories as before.

Also a check, in these scopes, that a worker can carry out starts of a task late under one number only.

--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -165,7 +165,7 @@
 // loseCall draws whether a call without an answer is carried out late.
 func (a *modelAgent) loseCall(kind string, late bool, call func()) {
 	if late && rapid.Bool().Draw(a.m.t, kind) {
-		after := min(a.m.ticks(7, "late"), maxOrderDelay)
+		after := a.lateBy()
 		a.m.tracef("%s: %s is carried out after %s", a.name, kind, after)
 		a.m.lateOrders = append(a.m.lateOrders, lateOrder{at: a.m.now.Add(after), worker: a.name, run: call, start: a.sending})
 	}
--- a/pkg/cfdispatch/model_disruption_test.go
+++ b/pkg/cfdispatch/model_disruption_test.go
@@ -23,7 +23,7 @@
 	}
 	m.jobs[id] = e
 	m.taskTicks[id] = shortTask
-	if m.oneIn(2, "long") {
+	if !m.scope.fullPhases && m.oneIn(2, "long") {
 		m.taskTicks[id] = longTask
 	}
 	for i, p := range m.planners {
@@ -130,8 +130,7 @@
 			last = loseCalls
 		}
 		d := first + disturbance(m.uniform(4, "disturbance")%(int(last-first)+1))
-		*m.links[a.name] = modelLink{disturbedUntil: until, disturbance: d}
-		m.tracef("%s: calls to the worker are disturbed until %.1f, %s", a.name, until.Sub(epochStart).Seconds(), []string{"some get no answer", "none gets an answer", "none arrives"}[d])
+		m.disturb(w, until, d)
 	case kind == 2 && s.leaves:
 		a.leaveWorker(w.born)
 		m.links[a.name] = &modelLink{disturbedUntil: m.now.Add(m.ticks(5, "gone")), disturbance: loseCalls}
--- a/pkg/cfdispatch/model_run_test.go
+++ b/pkg/cfdispatch/model_run_test.go
@@ -253,7 +253,7 @@
 		"drains": drains, "allDrains": allDrains, "clockSteps": clockSteps, "clockStepsAndTakeovers": clockStepsAndTakeovers, "formerLivesAndLate": formerLivesAndLate,
 		"fullWorkers": fullWorkers, "fullWorkersAndRestarts": fullWorkersAndRestarts, "answersAfterTimeout": answersAfterTimeout, "checkpoints": checkpointScope, "allWithCheckpoints": allWithCheckpoints,
 	}[os.Getenv("MODEL_SCOPE")]
-	for _, scopes := range []map[string]modelScope{linkScopes, lossScopes, lastingScopes, supersededScopes} {
+	for _, scopes := range []map[string]modelScope{linkScopes, lossScopes, lastingScopes, supersededScopes, fullScopes} {
 		if s, ok := scopes[os.Getenv("MODEL_SCOPE")]; ok {
 			scope = s
 		}
--- a/pkg/cfdispatch/model_starts_test.go
+++ b/pkg/cfdispatch/model_starts_test.go
@@ -307,7 +307,7 @@
 // A history can violate the invariant although no worker executes both starts.
 func TestModelHasNoSecondStart(t *testing.T) {
 	for name, scope := range map[string]modelScope{
-		"late starts": lateStarts, "full workers": fullWorkersAndRestarts, "kinds of jobs": jobKinds, "held orders": heldOrders,
+		"late starts": lateStarts, "full workers": fullWorkersAndRestarts, "full workers, in series": fullWorkersLateAndRestarts, "kinds of jobs": jobKinds, "held orders": heldOrders,
 		"checkpoints and flapping workers": checkpointScope, "all disruptions": allDisruptions, "former incarnations": formerLivesAndLate,
 		"tasks that last": lasting, "tasks that last, and drains": lastingAndDrains, "tasks that last, and former incarnations": lastingAndFormer,
 	} {
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -109,6 +109,8 @@
 	oneWayCuts, pausedPlanners bool
 	// losses lets machines be lost, and planners be replaced in series soon after.
 	losses bool
+	// fullPhases lets workers be full, be cut from their agents and restart, in series.
+	fullPhases bool
 	// lasting lets some jobs have a task that lasts.
 	lasting bool
 	// superseded lets agents and workers restart while a superseded planner still orders starts from them.
@@ -307,6 +309,8 @@
 	loseCalls
 )
 
+var disturbanceText = []string{"some get no answer", "none gets an answer", "none arrives"}
+
 // model is a random simulation of planners, agents and workers that advances in ticks.
 // Planners are replaced while earlier ones still have leadership. Each agent can be
 // disconnected from each planner separately.
@@ -467,6 +471,7 @@
 	for _, a := range m.agents {
 		a.advance()
 	}
+	m.advanceFullPhases()
 	if newest := m.planners[len(m.planners)-1]; newest.pause == nil && !newest.hasEnded {
 		newest.confirmedAt = m.now
 	}
@@ -628,7 +633,7 @@
 	}
 	m.electPlanner()
 	for i := range modelTicks {
-		if i%10 == 0 {
+		if i%m.submitTicks() == 0 {
 			m.submit(i)
 		}
 		if !m.scope.rare || m.oneIn(3, "disrupted") {
--- a/pkg/cfdispatch/model_worker_test.go
+++ b/pkg/cfdispatch/model_worker_test.go
@@ -63,6 +63,7 @@
 	// maxRuns is how many runs have room until fullUntil.
 	maxRuns   int
 	fullUntil time.Time
+	phase     modelFullPhase
 }
 
 // maxLease is the maximum duration of a lease. The worker shortens a longer one.
