--- a/pkg/cfdispatch/model_agent_test.go
+++ b/pkg/cfdispatch/model_agent_test.go
@@ -608,6 +608,10 @@
 
 // handleOrder handles the outcome of an order.
 func (a *modelAgent) handleOrder(key modelOrderKey, token cfcore.FencingToken, refusal cfcore.ExecutorKind) {
+	if a.renumbers(key, refusal) {
+		a.stopRun(key.task, key.run)
+		return
+	}
 	if a.m.scope.lateBeyondTimeout && refusal != cfcore.ExecutorOutcomeUnknown {
 		a.handleLateOrder(key, token, refusal)
 		return
--- a/pkg/cfdispatch/model_copy_test.go
+++ b/pkg/cfdispatch/model_copy_test.go
@@ -21,6 +21,8 @@
 type modelCopies struct {
 	starts       map[modelStart]modelCopy
 	unknownUntil time.Time
+	// renumbered holds other numbers of starts, see modelFaults.renumberRefused.
+	renumbered map[modelStart]uint64
 }
 
 type modelCopy struct {
@@ -102,7 +104,7 @@
 		if c.inFlight > 0 {
 			c.until = now.Add(cfcore.MaxOrderDelay)
 		}
-		r.Unanswered = append(r.Unanswered, cfwire.JobUnansweredStart{Task: s.task, Run: s.run, For: c.until.Add(lease).Sub(now), IsLate: isLate})
+		r.Unanswered = append(r.Unanswered, cfwire.JobUnansweredStart{Task: s.task, Run: a.reportedNumber(s), For: c.until.Add(lease).Sub(now), IsLate: isLate})
 	}
 	if !a.copies.unknownUntil.IsZero() {
 		r.UnknownStarts = a.copies.unknownUntil.Add(lease).Sub(now)
--- a/pkg/cfdispatch/model_second_test.go
+++ b/pkg/cfdispatch/model_second_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"cranberryford/pkg/cfcore"
 )
 
 // fullWorkersLateAndRestarts lets full workers leave starts unanswered, and restart under their ID while no call is
@@ -88,6 +90,30 @@
 	return min(after, maxOrderDelay)
 }
 
+// renumbers reports whether a planner with the fault renumberRefused gives a start another number, since the worker refuses
+// the repetition. The agent then stops it, and reports it under that number, which the planner uses for the next start.
+// That one gets another number as well if it is refused.
+func (a *modelAgent) renumbers(k modelOrderKey, refusal cfcore.ExecutorKind) bool {
+	const step = 1 << 16
+	first := modelStart{task: k.task, run: k.run &^ (0xff * step)}
+	if !a.m.faults.renumberRefused || k.stop || refusal != cfcore.ExecutorNoCapacity || a.copies.starts[first].until.IsZero() {
+		return false
+	}
+	if a.copies.renumbered == nil {
+		a.copies.renumbered = map[modelStart]uint64{}
+	}
+	a.copies.renumbered[first] = k.run + step
+	if k.run != first.run {
+		return false
+	}
+	delete(a.inFlight, k)
+	a.endCopy(k)
+	return true
+}
+
+// reportedNumber returns the number under which a start is reported.
+func (a *modelAgent) reportedNumber(s modelStart) uint64 { return max(s.run, a.copies.renumbered[s]) }
+
 // disturb disturbs the calls to a worker for a while.
 func (m *model) disturb(w *modelWorker, until time.Time, d disturbance) {
 	*m.links[w.name] = modelLink{disturbedUntil: until, disturbance: d}
@@ -110,3 +136,24 @@
 		t.Run(event, func(t *testing.T) { NewWithT(t).Expect(trace.String()).To(MatchRegexp(event)) })
 	}
 }
+
+// The invariant is violated far more often than a worker executes both starts.
+func TestModelFindsSecondNumbersOfRefusedStarts(t *testing.T) {
+	for name, isFound := range map[string]func(*model) bool{
+		"the start under the first number can be executed": func(m *model) bool { return m.hasSecondStart(violationSecondStart) },
+		"a worker executes both": func(m *model) bool {
+			return slices.ContainsFunc(m.violations, func(v violation) bool { return v.kind == violationTwoRuns || v.kind == violationAcked })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			for seed := 1; seed <= 3000 && found == 0; seed++ {
+				if isFound(modelHistory(seed, fullWorkersLateAndRestarts, modelFaults{renumberRefused: true})) && !isFound(modelHistory(seed, fullWorkersLateAndRestarts, modelFaults{})) {
+					found = seed
+				}
+			}
+			t.Logf("found with seed %d", found)
+			NewWithT(t).Expect(found).NotTo(BeZero())
+		})
+	}
+}
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -243,6 +243,8 @@
 	answerAbsent, trustAbsences bool
 	// trustRecords makes new planners take agents' records for complete, also for starts after their claims.
 	trustRecords bool
+	// renumberRefused makes planners give a refused start that got no answer before another number.
+	renumberRefused bool
 	// keepGrants makes agents keep their permissions although the worker has not responded.
 	keepGrants bool
 }
