--- a/integration/jobs/site_test.go
+++ b/integration/jobs/site_test.go
@@ -65,22 +65,32 @@
 	}...)
 }
 
+// siteKind describes the faults and the load of a site.
+type siteKind struct {
+	// faults returns the faults for a number of workers, job the body of job n.
+	faults func(workers int) []soakFault
+	job    func(rng *rand.Rand, n, workers int) string
+	// isLasting reports whether the tasks of job n run until the job is cancelled.
+	isLasting func(n int) bool
+	prepare   func(f *fleet)
+}
+
 // siteJob returns the body of a job with a task for every second worker. A worker has room for twelve of
 // the tasks.
-func siteJob(rng *rand.Rand, workers int) string {
+func siteJob(rng *rand.Rand, _, workers int) string {
 	d := randomDuration(rng, 100*time.Millisecond, 1000*time.Millisecond).Truncate(time.Millisecond)
 	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1250,"mem_mb":10,"estimated_ms":%d}]}`, d, workers/2+1, d.Milliseconds())
 }
 
 // submitSiteJobs submits jobs until done is closed. A job counts as accepted if an attempt was.
-func (s *soak) submitSiteJobs(rng *rand.Rand, done <-chan struct{}) {
+func (s *soak) submitSiteJobs(k siteKind, rng *rand.Rand, done <-chan struct{}) {
 	for n := 1; ; n++ {
 		select {
 		case <-done:
 			return
 		case <-time.After(randomDuration(rng, 30*time.Millisecond, 90*time.Millisecond)):
 		}
-		body := siteJob(rng, len(s.workers))
+		body := k.job(rng, n, len(s.workers))
 		for attempt := range 3 {
 			if status, _ := s.call((n+attempt)%len(s.entries), http.MethodPost, queuePrefix+jobID(n), body); status == http.StatusOK {
 				s.accepted = append(s.accepted, n)
@@ -91,7 +101,7 @@
 }
 
 // runSite runs a site with a seed. New faults begin for the duration d.
-func runSite(seed uint64, workers int, d time.Duration) {
+func runSite(k siteKind, seed uint64, workers int, d time.Duration) {
 	GinkgoHelper()
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var p *proxies
@@ -99,14 +109,15 @@
 		p = newProxies()
 	}
 	s := &soak{fleet: startFleet(siteEntries, workers, p), rng: rng, faulted: map[string]bool{}}
+	k.prepare(s.fleet)
 	done, loadDone := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer GinkgoRecover()
 		defer close(loadDone)
-		s.submitSiteJobs(rand.New(rand.NewPCG(seed, 3)), done)
+		s.submitSiteJobs(k, rand.New(rand.NewPCG(seed, 3)), done)
 	}()
 	time.Sleep(2 * time.Second)
-	s.injectFaults(siteFaults(workers), d)
+	s.injectFaults(k.faults(workers), d)
 	time.Sleep(time.Second)
 	close(done)
 	<-loadDone
@@ -118,12 +129,17 @@
 	s.expectNoOverlap()
 	Expect(len(s.accepted)).To(BeNumerically(">", 10))
 	for _, n := range s.accepted {
+		if k.isLasting(n) {
+			Eventually(func() int { return s.runningCount(n) }, settleBound, 100*time.Millisecond).Should(Equal(lastingTasks), "long-running job %d", n)
+			continue
+		}
 		s.expectCompleted(n, settleBound)
 	}
 	s.expectNoOverlap()
 }
 
 var _ = Describe("a site whose workers restart in bursts with the same IDs while they execute starts late", func() {
+	site := siteKind{faults: siteFaults, job: siteJob, isLasting: func(int) bool { return false }, prepare: func(*fleet) {}}
 	workers := envInt(siteWorkersVar, 12)
 	d := time.Duration(envInt(siteTimeVar, 12)) * time.Second
 	firstSeed := envInt(siteSeedVar, 1)
@@ -133,6 +149,6 @@
 		if os.Getenv(siteWorkersVar) != "" {
 			name += fmt.Sprintf(" and %d workers", workers)
 		}
-		It(name, func() { runSite(seed, workers, d) })
+		It(name, func() { runSite(site, seed, workers, d) })
 	}
 })
--- a/integration/jobs/soak_faults_test.go
+++ b/integration/jobs/soak_faults_test.go
@@ -132,7 +132,11 @@
 
 // lateOrder returns a fault of one order, which is executed after a random delay.
 func (s *soak) lateOrder(rng *rand.Rand) standin.OrderFault {
-	fault := lateOrder(rng, minOrderDelay, maxOrderDelay)
+	return s.recordLate(lateOrder(rng, minOrderDelay, maxOrderDelay))
+}
+
+// recordLate counts a fault of an order that is executed late.
+func (s *soak) recordLate(fault standin.OrderFault) standin.OrderFault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lateOrders++
