Planners: no wait for the authority of a planner that has ended

Cause: each new planner waits for the authority of the one before it (A, 2.4 s with its margins) and then for the leases (7.6 s). Here that planner had ended: its port refuses connections. The entry knows it (goneEpoch), uses it for its claim, and not for this wait.

Change: if the planner of the epoch before has resigned or ended, its authority counts until 0.3 s after that was known. The authority of the planners before it still counts until A after its claim was read. A silent planner, one whose claim this entry has not read, and one that an older epoch names are waited for as before. Sound as far as the users' page says that a port without a listener resets the channel, and that a machine behind a partition or without power doesn't respond; an entry that shuts down closes that port after it has resigned. Not covered: a planner whose machine loses power (it is silent).

--- a/internal/cfjobentry/claim_test.go
+++ b/internal/cfjobentry/claim_test.go
@@ -105,7 +105,7 @@
 				c.stored.Planner.Address = c.cfg.Inner
 			}
 			if test.read > 0 {
-				c.lastClaimRead = claimRead{epoch: 4, at: c.Clock.Now().Add(-test.read)}
+				c.newestClaimRead = claimRead{epoch: 4, at: c.Clock.Now().Add(-test.read)}
 			}
 			c.goneEpoch = test.gone
 			c.appendClaim(t.Context(), 5)
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -38,8 +38,12 @@
 	// plannerSeenAt is when a message of the current planner last arrived, or when this
 	// entry began to wait for one.
 	plannerSeenAt time.Time
-	// goneEpoch is the newest epoch whose planner is known to have resigned or ended.
+	// goneEpoch is the newest epoch whose planner is known to have resigned or ended, goneAt when this entry
+	// learned of it.
 	goneEpoch cfcore.Epoch
+	goneAt    time.Time
+	// newestClaimRead and claimReadBefore are the last two claims that this entry has read.
+	newestClaimRead, claimReadBefore claimRead
 	// resignations are recorded no earlier than noResignationBefore on the boot clock.
 	resignations        resignations
 	noResignationBefore time.Duration
@@ -56,7 +60,6 @@
 	// once a graceful shutdown has begun; this entry then claims no more epochs.
 	claimInFlight bool
 	sentClaim     sentClaim
-	lastClaimRead claimRead
 	claimsStopped bool
 	// stopWatching ends the goroutine that keeps a connection to the current planner. It
 	// does nothing if there is none.
@@ -221,7 +224,7 @@
 		c.polls.handlePollAnswered(ev, c.plan)
 		c.recordPeerVersion(ev.link.conn, ev.answer.Config)
 	case plannerGone:
-		c.goneEpoch = max(c.goneEpoch, ev.epoch)
+		c.markPlannerGone(ev.epoch)
 	case resignationRecorded:
 		c.handleResignationRecorded(ev)
 	case configPart:
@@ -254,6 +257,7 @@
 	c.markResigned()
 	c.plannerSeenAt = c.Clock.Now()
 	if old.Epoch != c.stored.Planner.Epoch || !c.synced.Load() {
+		c.recordClaimRead(!c.synced.Load())
 		c.handlePlannerChange(ctx)
 	}
 	for id, e := range c.stored.Jobs {
@@ -329,7 +333,7 @@
 			}
 		}
 	case change.Planner:
-		c.lastClaimRead = claimRead{epoch: c.stored.Planner.Epoch, at: c.Clock.Now()}
+		c.recordClaimRead(false)
 		c.handlePlannerChange(ctx)
 	case change.Resigned:
 		c.markResigned()
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -121,20 +121,14 @@
 	return time.Time{}
 }
 
-// claimRead is when this entry read a claim after its start.
-type claimRead struct {
-	epoch cfcore.Epoch
-	at    time.Time
-}
-
 // predecessorEnded reports whether the planner before an epoch, which this entry claims, is known to have resigned or
 // ended, and those before it have no authority left.
 func (c *control) predecessorEnded(epoch cfcore.Epoch) bool {
 	if !c.hasEnded(c.stored.Planner) {
 		return false
 	}
-	read := c.lastClaimRead
-	return read.epoch != epoch-1 || c.Clock.Now().Sub(read.at) >= c.othersFor()
+	read := c.newestClaimRead
+	return read.epoch != epoch-1 || read.isRestored || c.Clock.Now().Sub(read.at) >= c.othersFor()
 }
 
 // othersFor bounds how long an earlier planner gives orders after a newer claim is in the store.
@@ -237,7 +231,7 @@
 		recordedAgents[a] = true
 	}
 	othersFor := c.othersFor()
-	until := c.Clock.Now().Add(othersFor + s.LeaseExpiryTime())
+	until := c.authorityEnd(claim.Epoch, othersFor).Add(s.LeaseExpiryTime())
 	c.ledEpoch = claim.Epoch
 	c.plan = &planning{
 		Planner: cfdispatch.New(s, agents, until), epoch: claim.Epoch, sequence: 2, recordedAgents: recordedAgents,
@@ -263,6 +257,47 @@
 	c.sendEntriesToAll()
 }
 
+// claimRead is the time at which this entry read a claim. isRestored is set if it was part of the state that the entry
+// has read at its start.
+type claimRead struct {
+	epoch      cfcore.Epoch
+	at         time.Time
+	isRestored bool
+}
+
+// recordClaimRead records that this entry has read the newest claim.
+func (c *control) recordClaimRead(isRestored bool) {
+	if epoch := c.stored.Planner.Epoch; epoch > c.newestClaimRead.epoch {
+		c.claimReadBefore, c.newestClaimRead = c.newestClaimRead, claimRead{epoch: epoch, at: c.Clock.Now(), isRestored: isRestored}
+	}
+}
+
+// markPlannerGone records that the planner of an epoch has resigned or ended.
+func (c *control) markPlannerGone(epoch cfcore.Epoch) {
+	if epoch > c.goneEpoch {
+		c.goneEpoch, c.goneAt = epoch, c.Clock.Now()
+	}
+}
+
+// authorityEnd returns until when planners of epochs before the given one, whose claim this entry has just read,
+// possibly answer agents and order starts. It is othersFor from now. But if the planner before is known to have
+// resigned or ended, only those before it count, which ended othersFor after its claim at the latest.
+func (c *control) authorityEnd(epoch cfcore.Epoch, othersFor time.Duration) time.Time {
+	end := c.Clock.Now().Add(othersFor)
+	before := c.claimReadBefore
+	if c.goneEpoch != epoch-1 || before.epoch != epoch-1 {
+		return end
+	}
+	known := c.goneAt.Add(authorityMargin)
+	if t := before.at.Add(othersFor); t.After(known) {
+		known = t
+	}
+	if known.Before(end) {
+		return known
+	}
+	return end
+}
+
 // resign ends this entry's leadership and notifies all peers, so that another entry can
 // take over without waiting.
 func (c *control) resign(reason string) {
@@ -278,7 +313,7 @@
 // announceResignation notifies all peers that this entry is not the planner of an epoch any more. It also
 // records this.
 func (c *control) announceResignation(r cfjob.Resignation) {
-	c.goneEpoch = max(c.goneEpoch, r.Epoch)
+	c.markPlannerGone(r.Epoch)
 	if r.Epoch > c.resignations.unrecorded.Epoch {
 		c.resignations.unrecorded = r
 	}
--- a/internal/cfjobentry/plannerbatch.go
+++ b/internal/cfjobentry/plannerbatch.go
@@ -217,7 +217,8 @@
 		c.plan = nil
 	case cferror.Is(ev.err, cfcore.StoreSequence):
 		c.Log.Error().Err(ev.err).Msg("no longer the planner: the store rejected the sequence number of an append")
-		c.goneEpoch, c.plan = ev.epoch, nil
+		c.plan = nil
+		c.markPlannerGone(ev.epoch)
 	default:
 		c.Log.Warn().Err(ev.err).Int("Records", len(b.records)).Msg("append of the planner's records was rejected, or its outcome is unknown; retrying")
 		b.retryAt = c.Clock.Now().Add(retryDelay)
--- a/internal/cfjobentry/resignation.go
+++ b/internal/cfjobentry/resignation.go
@@ -55,4 +55,4 @@
 }
 
 // markResigned handles a resignation in the store.
-func (c *control) markResigned() { c.goneEpoch = max(c.goneEpoch, c.stored.Resigned.Epoch) }
+func (c *control) markResigned() { c.markPlannerGone(c.stored.Resigned.Epoch) }
