Planners: the end of a gang is not acknowledged while another member's start can be executed

One member's end represents the gang. While the start of another member is bound to its worker, that worker's next incarnation executes it after the end was taken note of (TWICE).

TestEndOfAGangIsNotAcknowledgedWhileAMemberIsBound failed before.

--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -257,8 +257,7 @@
 	if len(p.bindings.byTask[n]) > 0 {
 		return true
 	}
-	j := p.jobs[n.Job]
-	if j == nil || n.Step >= len(j.Steps) || !j.Steps[n.Step].Gang {
+	if !p.isGangMember(n) {
 		return false
 	}
 	for other := range p.bindings.byTask {
@@ -269,6 +268,11 @@
 	return false
 }
 
+func (p *Planner) isGangMember(n cfcore.TaskName) bool {
+	j := p.jobs[n.Job]
+	return j != nil && n.Step < len(j.Steps) && j.Steps[n.Step].Gang
+}
+
 // awaitsUnknownStarts reports whether a task of a step possibly has a start without an answer that this
 // planner does not know of. Long-running tasks do not wait for it, as they must not be away for long.
 func (p *Planner) awaitsUnknownStarts(j *job, s int) bool {
@@ -311,12 +315,24 @@
 // are held back while the worker can still execute a start: an end that is not acknowledged may be
 // followed by another start.
 func (p *Planner) acknowledgeable(w *worker) uint64 {
-	if p.mayExecuteStarts(w) {
+	if p.mayExecuteStarts(w) || p.hasEndOfBoundGang(w) {
 		return w.ends.ackedEnd
 	}
 	return w.ends.recordedEnd
 }
 
+// hasEndOfBoundGang reports whether a gang has ended on a worker while another worker can still execute the start of a
+// member: the end represents all members.
+func (p *Planner) hasEndOfBoundGang(w *worker) bool {
+	for n := range w.gangEnds {
+		if p.isBound(n) {
+			return true
+		}
+		delete(w.gangEnds, n)
+	}
+	return false
+}
+
 // holdsManyEnds reports whether the worker lists so many ends, because none is acknowledged, that its
 // lists will soon be full. A start that is merely in flight holds ends back only until its answer.
 func (p *Planner) holdsManyEnds(w *worker) bool {
--- a/pkg/cfdispatch/binding_test.go
+++ b/pkg/cfdispatch/binding_test.go
@@ -274,6 +274,35 @@
 	f.Expect(f.runPlanner()).To(HaveLen(2))
 }
 
+// The end of one member is that of the whole gang, and the next incarnation of the other worker can execute its start.
+func TestEndOfAGangIsNotAcknowledgedWhileAMemberIsBound(t *testing.T) {
+	step := newStep(2, 100)
+	step.Gang, step.MaxPerWorker = true, 1
+	f := newFleet(t, newPlanner(), "a", "b")
+	f.add("j", step)
+	f.Expect(f.runPlanner()).To(ConsistOf(HaveSuffix("@a"), HaveSuffix("@b")))
+	report := func(agent string, isBound bool) {
+		w := f.workers[agent]
+		for _, s := range w.runs {
+			r := &cfwire.JobReport{Worker: &w.state}
+			if isBound {
+				r.Unanswered = unanswered(s).Unanswered
+			}
+			r.Results = []cfwire.JobOrderResult{{Task: s.Task, Run: s.Run}}
+			r.Lists = &cfcore.RunLists{Born: w.state.Born, Clock: time.Hour, Ended: []cfcore.EndedTask{{Number: 1, Task: s.Task, Run: s.Run, How: cfcore.EndDone}}}
+			f.ApplyReport(f.now, agent, r)
+		}
+	}
+	report("b", true)
+	report("a", false)
+	f.Expect(f.outcome("j")).To(Equal(cfjob.OutcomeCompleted))
+	f.runPlanner()
+	f.Expect(f.workers["a"].ackedEnd).To(BeZero())
+	report("b", false)
+	f.runPlanner()
+	f.Expect(f.workers["a"].ackedEnd).To(BeEquivalentTo(1))
+}
+
 // The agent is killed right after it has sent a start, and its next instance sends the start again. The
 // first attempt can still be executed by the worker's next incarnation.
 func TestEndOfAStartThatAnotherInstanceRepeatsIsNotAcknowledged(t *testing.T) {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -289,6 +289,9 @@
 
 // applyEnded applies the end of a run in the incarnation of a worker that started at born.
 func (p *Planner) applyEnded(now time.Time, w *worker, born time.Time, e cfcore.EndedTask) {
+	if e.How == cfcore.EndDone && p.isGangMember(e.Task) {
+		w.gangEnds[e.Task] = true
+	}
 	t := p.lookupTask(e.Task)
 	if t == nil {
 		return
--- a/pkg/cfdispatch/worker.go
+++ b/pkg/cfdispatch/worker.go
@@ -84,6 +84,8 @@
 	instance   int
 	bindings   map[runKey]*binding
 	listedEnds int
+	// gangEnds holds members of gangs that have ended as done on the worker, see hasEndOfBoundGang.
+	gangEnds map[cfcore.TaskName]bool
 	// isRecordedLate is set if the agent is recorded to have late starts, since lateRecordedAt.
 	isRecordedLate bool
 	lateRecordedAt time.Time
@@ -105,7 +107,7 @@
 func newWorker(agent string) *worker {
 	return &worker{
 		agent: agent, runs: map[*run]bool{}, unsettled: newUnsettledRuns(), ends: newEndedRuns(),
-		unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{},
+		unexpectedStops: map[runKey]time.Time{}, bindings: map[runKey]*binding{}, gangEnds: map[cfcore.TaskName]bool{},
 	}
 }
 
