Model: tell acknowledged from listed ends in the check of open starts

The rule counts an end 100 ms after it was listed with no disruption near. For a gang the disruption is near another member's worker: no planner can hold such an end back.

--- a/pkg/cfdispatch/model_starts_test.go
+++ b/pkg/cfdispatch/model_starts_test.go
@@ -141,7 +141,11 @@
 }
 
 func (m *model) addStartOfEnded(x *modelEnd, s *openStart) {
-	m.addSecondStart(violationStartOfEnded, s, fmt.Sprintf("an end of run %x on %s counts", x.run, x.worker), s.describe(), x.isOrphaned)
+	how := "listed"
+	if x.acked {
+		how = "acknowledged"
+	}
+	m.addSecondStart(violationStartOfEnded, s, fmt.Sprintf("an end of run %x on %s, %s, counts", x.run, x.worker, how), s.describe()+"; end "+how, x.isOrphaned)
 }
 
 // runningStart returns the start of a run.
