Model: run the scopes that no test ran, orphaned runs counted

All of the model's scopes with late starts now count them in a test; lateStarts itself is part of lateOrders.

--- a/pkg/cfdispatch/model_session_test.go
+++ b/pkg/cfdispatch/model_session_test.go
@@ -1,6 +1,7 @@
 package cfdispatch_test
 
 import (
+	"testing"
 	"time"
 
 	"cranberryford/pkg/cfcore"
@@ -108,3 +109,13 @@
 	a.holdFailed, a.holdToken, a.holdDueAt = true, 0, time.Time{}
 	return true
 }
+
+func TestModelWithClockSteps(t *testing.T) { checkModel(t, clockSteps) }
+
+func TestModelWithClockStepsAndTakeovers(t *testing.T) { checkModel(t, clockStepsAndTakeovers) }
+
+func TestModelWithFormerLivesAndLateOrders(t *testing.T) { checkModel(t, formerLivesAndLate) }
+
+func TestModelWithRestartsAndLateStarts(t *testing.T) { checkModel(t, restartsAndLateStarts) }
+
+func TestModelWithAllDisruptionsAndLateReports(t *testing.T) { checkModel(t, allWithLateReports) }
