--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -324,15 +324,29 @@
 // hasEndOfBoundGang reports whether a gang has ended on a worker while another worker can still execute the start of a
 // member: the end represents all members.
 func (p *Planner) hasEndOfBoundGang(w *worker) bool {
+	if w.ends.ackedEnd >= w.ends.recordedEnd && w.ends.recordedEnd >= w.ends.lastEnd {
+		clear(w.gangEnds)
+	}
 	for n := range w.gangEnds {
-		if p.isBound(n) {
+		j := p.jobs[n.Job]
+		if j == nil {
+			delete(w.gangEnds, n)
+			continue
+		}
+		if p.isBound(n) || j.inherited && len(p.bindings.unknown) > 0 {
 			return true
 		}
-		delete(w.gangEnds, n)
 	}
 	return false
 }
 
+// rememberGangEnd remembers that a gang has ended as done on a worker.
+func (p *Planner) rememberGangEnd(w *worker, e cfcore.EndedTask) {
+	if e.How == cfcore.EndDone && p.isGangMember(e.Task) {
+		w.gangEnds[e.Task] = true
+	}
+}
+
 // holdsManyEnds reports whether the worker lists so many ends, because none is acknowledged, that its
 // lists will soon be full. A start that is merely in flight holds ends back only until its answer.
 func (p *Planner) holdsManyEnds(w *worker) bool {
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -289,9 +289,7 @@
 
 // applyEnded applies the end of a run in the incarnation of a worker that started at born.
 func (p *Planner) applyEnded(now time.Time, w *worker, born time.Time, e cfcore.EndedTask) {
-	if e.How == cfcore.EndDone && p.isGangMember(e.Task) {
-		w.gangEnds[e.Task] = true
-	}
+	p.rememberGangEnd(w, e)
 	t := p.lookupTask(e.Task)
 	if t == nil {
 		return
