Planners: tasks that last wait 3 s for a start on a worker that has left or has not listed yet

LOST allows to wait: 9 s from the last run. A lost worker costs nothing more, as its leases last longer.

--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -198,7 +198,7 @@
 // boundWorker reports whether a task can start on one worker at most, because of starts without an answer.
 // The first result is that worker, or nil if the task cannot start. A gang does not start as long as one of
 // its members is bound.
-func (p *Planner) boundWorker(t *task) (*worker, bool) {
+func (p *Planner) boundWorker(now time.Time, t *task) (*worker, bool) {
 	if t.step.Duplicable || len(p.bindings.byTask) == 0 {
 		return nil, false
 	}
@@ -207,7 +207,7 @@
 	}
 	var w *worker
 	for _, x := range p.bindings.byTask[t.name] {
-		if t.step.LongRunning && !x.w.hasListed {
+		if t.step.LongRunning && !x.w.hasListed && now.Sub(x.since) >= longRunningWait {
 			// It must not be away for long once the leases on the worker have expired.
 			continue
 		}
--- a/pkg/cfdispatch/place.go
+++ b/pkg/cfdispatch/place.go
@@ -152,7 +152,7 @@
 // waitForWorker handles that no worker can start a task. It reports whether later tasks of the step can
 // possibly start.
 func (p *Planner) waitForWorker(now time.Time, t *task) bool {
-	if _, isBound := p.boundWorker(t); isBound {
+	if _, isBound := p.boundWorker(now, t); isBound {
 		return true
 	}
 	if t.waitsForFreeCPU() {
@@ -200,7 +200,7 @@
 // chooseWorker returns the best worker for a task, or nil. A task that is bound starts on its worker, under the number
 // of the start that the worker can still execute.
 func (p *Planner) chooseWorker(now time.Time, t *task) *worker {
-	if w, ok := p.boundWorker(t); ok {
+	if w, ok := p.boundWorker(now, t); ok {
 		isStartable := w != nil && p.canStart(now, t, w)
 		if isStartable && p.repeatableRun(t, w) != 0 {
 			return w
