--- a/internal/cfjobagent/orders.go
+++ b/internal/cfjobagent/orders.go
@@ -312,7 +312,7 @@
 	}
 	res := cfwire.JobOrderResult{Task: ev.key.task, Run: ev.key.run}
 	switch {
-	case ev.key.stop:
+	case ev.key.stop, cferror.Is(ev.err, cfcore.ExecutorStale):
 		if !ev.hasLists || mayBeListed(&ev.lists, ev.key) {
 			return
 		}
@@ -327,12 +327,6 @@
 	case cferror.Is(ev.err, cfcore.ExecutorFenced):
 		c.logOrder(ev)
 		return
-	case cferror.Is(ev.err, cfcore.ExecutorStale):
-		if !ev.hasLists || mayBeListed(&ev.lists, ev.key) {
-			return
-		}
-		res.Refusal = cfcore.ExecutorStale
-		c.recordBarred(ev.key)
 	case c.awaitsFirstAttempt(ev):
 		c.logOrder(ev)
 		return
