--- a/integration/jobs/report_test.go
+++ b/integration/jobs/report_test.go
@@ -22,7 +22,7 @@
 // reportLogs adds the logs of all processes to the report. Those of a large fleet are restricted to the
 // lines about the tasks of the first conflicts. The ends of the logs of exited processes follow.
 func (f *fleet) reportLogs() {
-	conflicts := standin.Conflicts(f.runs())
+	conflicts := standin.ConflictsBeside(f.runs(), f.isDuplicable)
 	// Those without orders to former incarnations have another cause.
 	slices.SortStableFunc(conflicts, func(a, b standin.Conflict) int { return cmp.Compare(btoi(a.IsOrphaned()), btoi(b.IsOrphaned())) })
 	var tasks []string
