Planners: no panic, no long wait and no early acknowledgement beside bound gangs and two bindings

The age of a restored claim is now that on the planners' clock, which is never ahead.

The tests failed before: bound_gang_test.go 4 of 4, TestPlannerBeforeARestoredClaimPossiblyHasAuthority. In TestPlannerKnowsWhetherThoseBeforeHadEndedAtItsClaim the case "the planner has ended" had no claim read; it now asks for the opposite, and the others have one.

--- a/internal/cfjobentry/claim_test.go
+++ b/internal/cfjobentry/claim_test.go
@@ -89,9 +89,9 @@
 		read  time.Duration
 		ended bool
 	}{
-		"the planner is silent":                       {gone: 3},
-		"the planner has ended":                       {gone: 4, ended: true},
-		"it was this entry's former instance":         {gone: 3, own: true, ended: true},
+		"the planner is silent":                       {gone: 3, read: 3 * time.Second},
+		"it has ended, its claim was not read":        {gone: 4},
+		"it was this entry's former instance":         {gone: 3, own: true, read: 3 * time.Second, ended: true},
 		"it has ended long after its claim":           {gone: 4, read: 3 * time.Second, ended: true},
 		"it has ended while the one before can order": {gone: 4, read: time.Second},
 	} {
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -128,7 +128,12 @@
 		return false
 	}
 	read := c.newestClaimRead
-	return read.epoch != epoch-1 || read.isRestored || c.Clock.Now().Sub(read.at) >= c.othersFor()
+	age := c.Clock.Now().Sub(read.at)
+	if read.isRestored && c.stored.Planner.Elapsed > 0 {
+		// The planners' clock can be behind, but never ahead.
+		age = c.elapsed() - c.stored.Planner.Elapsed
+	}
+	return read.epoch == epoch-1 && age >= c.othersFor()
 }
 
 // othersFor bounds how long an earlier planner gives orders after a newer claim is in the store.
--- a/pkg/cfdispatch/binding.go
+++ b/pkg/cfdispatch/binding.go
@@ -197,7 +197,7 @@
 
 // boundWorker reports whether a task can start on one worker at most, because of starts without an answer.
 // The first result is that worker, or nil if the task cannot start. A gang does not start as long as one of
-// its members is bound.
+// its members is bound, possibly another one than the task.
 func (p *Planner) boundWorker(now time.Time, t *task) (*worker, bool) {
 	if t.step.Duplicable || len(p.bindings.byTask) == 0 {
 		return nil, false
@@ -207,8 +207,7 @@
 	}
 	var w *worker
 	for _, x := range p.bindings.byTask[t.name] {
-		if t.step.LongRunning && !x.w.hasListed && now.Sub(x.since) >= longRunningWait {
-			// It must not be away for long once the leases on the worker have expired.
+		if t.ignores(now, x) {
 			continue
 		}
 		if w != nil && w != x.w {
@@ -219,13 +218,20 @@
 	return w, w != nil
 }
 
+// ignores reports whether a task does not wait for a start: a long-running task must not be away for long once the
+// leases on the worker have expired.
+func (t *task) ignores(now time.Time, x *binding) bool {
+	return t.step.LongRunning && !x.w.hasListed && now.Sub(x.since) >= longRunningWait
+}
+
 // markBound records that a task does not start because of its bindings.
 func (p *Planner) markBound(now time.Time, t *task) {
-	if !t.boundSince.IsZero() {
+	xs := p.bindings.byTask[t.name]
+	if !t.boundSince.IsZero() || len(t.runs) > 0 || len(xs) == 0 {
 		return
 	}
 	t.boundSince = now
-	x := p.bindings.byTask[t.name][0]
+	x := xs[0]
 	p.addEvent(Event{Kind: EventWaitsForStart, Agent: x.w.agent, Task: t.name, Run: x.run})
 }
 
@@ -246,10 +252,15 @@
 // cannot start it under the same run number. It must run again within 7 s.
 const longRunningWait = 3 * time.Second
 
-// mayStartAgain reports whether a task may have a second start although its worker can still execute the first one.
+// mayStartAgain reports whether a task may have a second start although its worker can still execute the first one. It
+// has waited since the start is known, and since it could not start.
 func (p *Planner) mayStartAgain(now time.Time, t *task) bool {
-	return t.step.LongRunning && !t.step.Gang && now.Sub(t.boundSince) >= longRunningWait &&
-		!slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool { return x.w.isUnreachable || !x.w.hasListed })
+	if !t.step.LongRunning || t.step.Gang || now.Sub(t.boundSince) < longRunningWait {
+		return false
+	}
+	return !slices.ContainsFunc(p.bindings.byTask[t.name], func(x *binding) bool {
+		return !t.ignores(now, x) && (x.w.isUnreachable || !x.w.hasListed || now.Sub(x.since) < longRunningWait)
+	})
 }
 
 // isBound reports whether a task, or another member of its gang, is bound to a worker.
@@ -333,13 +344,23 @@
 			delete(w.gangEnds, n)
 			continue
 		}
-		if p.isBound(n) || j.inherited && len(p.bindings.unknown) > 0 {
+		if p.isBound(n) || j.inherited && len(p.bindings.unknown) > 0 || j.awaitsResultOf(n) {
 			return true
 		}
 	}
 	return false
 }
 
+// awaitsResultOf reports whether the start of a member of a gang has no result. n is any member.
+func (j *job) awaitsResultOf(n cfcore.TaskName) bool {
+	if n.Occurrence >= len(j.occurrences) || j.occurrences[n.Occurrence] == nil {
+		return false
+	}
+	return slices.ContainsFunc(j.occurrences[n.Occurrence].steps[n.Step].tasks, func(t *task) bool {
+		return t != nil && slices.ContainsFunc(t.runs, func(r *run) bool { return r.awaitsResult })
+	})
+}
+
 // rememberGangEnd remembers that a gang has ended as done on a worker.
 func (p *Planner) rememberGangEnd(w *worker, e cfcore.EndedTask) {
 	if e.How == cfcore.EndDone && p.isGangMember(e.Task) {
