Test driver: answered calls count before their output arrives

No caller is concerned.

Cause: ExecutionCounts reads the calls that a worker's process prints. The driver copies that output concurrently, so an answer can arrive before the line of its call. Only this entry of the table counts right after the call that executes: the others answer from the stored answer, later.

The test failed before.

CallsOn now waits until the calls that the worker lists are printed. The checks are as strict as before: those for zero and for one execution see all calls that were answered.

--- a/internal/cfdriver/history.go
+++ b/internal/cfdriver/history.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"sort"
 	"time"
 
@@ -48,23 +49,35 @@
 // ExecutionCounts returns the number of executions of each call on all VMs together. The map
 // key is the call's Call-Key.
 func (c *Cluster) ExecutionCounts() map[string]int {
+	GinkgoHelper()
 	out := map[string]int{}
 	for _, v := range c.VMs {
-		sessions := []*gexec.Session{v.Worker.session}
+		calls := c.CallsOn(v)
 		for _, old := range v.replaced {
-			sessions = append(sessions, old.session)
+			calls = append(calls, executedCalls(old.session)...)
 		}
-		for _, s := range sessions {
-			for _, call := range executedCalls(s) {
-				out[call.Key]++
-			}
+		for _, call := range calls {
+			out[call.Key]++
 		}
 	}
 	return out
 }
 
-// CallsOn returns the calls that a VM executed in its current incarnation.
-func (c *Cluster) CallsOn(v *VMProc) []cfstandin.Call { return executedCalls(v.Worker.session) }
+// printTimeout bounds how long the output of a worker process takes to arrive.
+const printTimeout = 5 * time.Second
+
+// CallsOn returns the calls that a VM executed in its current incarnation. If the VM answers, these
+// include all calls that it has answered, although its output arrives later than its answers.
+func (c *Cluster) CallsOn(v *VMProc) []cfstandin.Call {
+	GinkgoHelper()
+	var answered, printed []cfstandin.Call
+	c.getJSON(fmt.Sprintf("http://%s/calls", v.addr), &answered)
+	c.Eventually(printTimeout, "the calls are printed", func() bool {
+		printed = executedCalls(v.Worker.session)
+		return len(printed) >= len(answered)
+	})
+	return printed
+}
 
 // executedCalls returns the calls that the targets of one worker process executed and that
 // the process printed.
