Entries: a stored claim is not repeated until it is read

What callers saw: nothing.

Cause: only failed claims had a delay; an entry of the lowest rank claims again as soon as the append has ended, since it has not read the claim yet.

The entry now waits retryDelay after a stored claim, too. After a conflict it claims at once as before: it has to read further first. The test's new case failed before.

--- a/internal/cfjobentry/claim_test.go
+++ b/internal/cfjobentry/claim_test.go
@@ -15,14 +15,15 @@
 
 // Once the planner is gone, the entry of the lowest rank claims without delay. It repeated a claim that
 // failed at once, several thousand times per second.
-func TestFailedClaimIsRepeatedAfterADelay(t *testing.T) {
+func TestClaimIsRepeatedAfterADelay(t *testing.T) {
 	for name, test := range map[string]struct {
 		kind  cfcore.StoreKind
 		delay time.Duration
 	}{
-		"no answer": {kind: cfcore.StoreOutcomeUnknown, delay: retryDelay},
-		"rejected":  {kind: cfcore.StoreRejected, delay: retryDelay},
-		"conflict":  {kind: cfcore.StoreConflict},
+		"no answer":                {kind: cfcore.StoreOutcomeUnknown, delay: retryDelay},
+		"rejected":                 {kind: cfcore.StoreRejected, delay: retryDelay},
+		"conflict":                 {kind: cfcore.StoreConflict},
+		"stored, but not read yet": {delay: retryDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -33,7 +34,11 @@
 			c.goneEpoch = 4
 			c.claimIfNoPlanner(t.Context())
 			g.Expect(c.claimInFlight).To(BeTrue())
-			c.handleEvent(t.Context(), claimAppended{offset: 0, err: cferror.New("append records", test.kind, "x")})
+			var err error
+			if test.kind != "" {
+				err = cferror.New("append records", test.kind, "x")
+			}
+			c.handleEvent(t.Context(), claimAppended{offset: 0, err: err})
 			c.stored.Next = 1
 			c.claimIfNoPlanner(t.Context())
 			g.Expect(c.claimInFlight).To(Equal(test.delay == 0))
--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -169,10 +169,10 @@
 		c.handleBatchAppended(ctx, ev)
 	case claimAppended:
 		c.claimInFlight = false
-		switch {
-		case cferror.Is(ev.err, cfcore.StoreConflict):
+		if cferror.Is(ev.err, cfcore.StoreConflict) {
 			c.conflictOffset = ev.offset
-		case ev.err != nil:
+		} else {
+			// A stored claim is possibly not read yet.
 			c.noClaimBefore = max(c.noClaimBefore, c.bootTime()+retryDelay)
 		}
 		if ev.err != nil {
