Planners: an agent's outdated record is changed if the agent can have late starts

What callers could see: a task runs twice. A planner follows after an outage of the store of more than 5 s. The record of an agent says that it has no late starts, and is not valid.

Cause: every agent whose record doesn't count was taken for recorded to have late starts, so that there seemed to be nothing to record.

--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -246,10 +246,14 @@
 	}
 	recordsValid := c.recordsValid()
 	for a, at := range c.stored.Agents {
-		if at.IsZero() {
+		switch {
+		case at.IsZero():
 			c.plan.IgnoreRecord(a)
-		} else if !c.stored.HasLateStarts(a) && recordsValid {
+		case c.stored.HasLateStarts(a):
+		case recordsValid:
 			c.plan.SetAnswered(a)
+		default:
+			c.plan.SetOutdated(a)
 		}
 	}
 	c.restoreLearned()
--- a/internal/cfjobentry/mark_test.go
+++ b/internal/cfjobentry/mark_test.go
@@ -71,3 +71,18 @@
 	c.recordLateStarts(clock.Now())
 	g.Expect(keys()).To(HaveLen(3))
 }
+
+func TestNewPlannerRecordsLateStartsOfAgentsWithOutdatedRecords(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newTestControl(t)
+	clock := c.Clock.(*clockwork.FakeClock)
+	c.stored.Agents, c.stored.MarkedAt = map[string]time.Time{"a": clock.Now()}, clock.Now()
+	clock.Advance(6 * time.Second)
+	c.becomePlanner(cfjob.Claim{Epoch: 2, Instance: "i"})
+	c.recordLateStarts(clock.Now())
+	clock.Advance(time.Second)
+	c.recordLateStarts(clock.Now())
+	late, err := c.codec.LateAgent("a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.plan.extraRecords).To(ContainElement(late))
+}
--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -40,6 +40,10 @@
 	delete(p.bindings.recordedLate, agent)
 }
 
+// SetOutdated tells a new planner that an agent had no late starts according to a record that is not valid any more. The
+// record has to be changed if the agent can have late starts.
+func (p *Planner) SetOutdated(agent string) { delete(p.bindings.recordedLate, agent) }
+
 // recordsCompleteBefore returns when an instance of an agent must have started for the records to have all late starts
 // of the instances before it. Those after the last mark of the planner before are possibly not on record, and those after
 // the claim are not: the store refuses them. The time is zero if the planner before had ended, and had marked its records
--- a/pkg/cfdispatch/model_test.go
+++ b/pkg/cfdispatch/model_test.go
@@ -404,8 +404,12 @@
 	}
 	m.tracef("planner %d elected", epoch)
 	for _, name := range names {
-		if !m.lateAgents[name] && m.now.Sub(m.markedAt) <= cfdispatch.RecordsValidFor {
+		switch {
+		case m.lateAgents[name]:
+		case m.now.Sub(m.markedAt) <= cfdispatch.RecordsValidFor:
 			p.SetAnswered(name)
+		default:
+			p.SetOutdated(name)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
--- a/pkg/cfdispatch/superseded_test.go
+++ b/pkg/cfdispatch/superseded_test.go
@@ -184,3 +184,26 @@
 	f.Expect(f.TakeAgentRecords(f.now)).To(Equal([]cfdispatch.AgentRecord{{Agent: "a", HasLateStarts: true}}))
 	f.Expect(f.AreAgentRecordsComplete()).To(BeTrue())
 }
+
+// The planner before recorded nothing for more than 5 s. A later planner takes the record for valid again.
+func TestAgentWithAnOutdatedRecordIsRecordedToHaveLateStarts(t *testing.T) {
+	for name, reports := range map[string]bool{"it is silent": false, "its instance is new": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, newPlanner(), "a", "b")
+			f.Planner = cfdispatch.New(settings, []string{"a", "b"}, f.now.Add(supersededFor+settings.LeaseExpiryTime()))
+			f.SetOutdated("a")
+			f.SetAnswered("b")
+			f.report("b")
+			f.MarkAgentRecorded("b")
+			if reports {
+				f.reportInstance("a", f.now)
+			}
+			var records []cfdispatch.AgentRecord
+			for range 11 {
+				records = append(records, f.TakeAgentRecords(f.now)...)
+				f.now = f.now.Add(100 * time.Millisecond)
+			}
+			f.Expect(records).To(Equal([]cfdispatch.AgentRecord{{Agent: "a", HasLateStarts: true}}))
+		})
+	}
+}
