Entries: the age of a claim is known although another entry sent it first

Cause: a planner takes over without the wait if the planner before has ended, and the one before that has no authority left, which depends on the age of the newest claim. An entry that has just started goes by the planners' clock for a claim in the state that it reads. If an entry that started a little earlier sends the claim first, its age counted from that message: 25 ms instead of 3 s (logged in a trial: IsRestored false, ReadAge 25 ms). The entry then believed that earlier planners still ordered starts, and if it won the claim, its tasks waited until all agents' unknown starts were over.

The age is now the larger one of both lower bounds. The planners' clock counts only if its reading is of the claim's epoch.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -257,7 +257,7 @@
 	c.markResigned()
 	c.plannerSeenAt = c.Clock.Now()
 	if old.Epoch != c.stored.Planner.Epoch || !c.synced.Load() {
-		c.recordClaimRead(!c.synced.Load())
+		c.recordClaimRead()
 		c.handlePlannerChange(ctx)
 	}
 	for id, e := range c.stored.Jobs {
@@ -333,7 +333,7 @@
 			}
 		}
 	case change.Planner:
-		c.recordClaimRead(false)
+		c.recordClaimRead()
 		c.handlePlannerChange(ctx)
 	case change.Resigned:
 		c.markResigned()
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -127,13 +127,17 @@
 	if !c.hasEnded(c.stored.Planner) {
 		return false
 	}
-	read := c.newestClaimRead
-	age := c.Clock.Now().Sub(read.at)
-	if read.isRestored && c.stored.Planner.Elapsed > 0 {
-		// The planners' clock can be behind, but never ahead.
-		age = c.elapsed() - c.stored.Planner.Elapsed
+	return c.newestClaimRead.epoch == epoch-1 && c.claimAge() >= c.othersFor()
+}
+
+// claimAge returns how old the newest claim is at least. An entry that has just started, or heard of the claim from another
+// one, goes by the planners' clock, which can be behind, but is never ahead.
+func (c *control) claimAge() time.Duration {
+	age := c.Clock.Now().Sub(c.newestClaimRead.at)
+	if claim := c.stored.Planner; claim.Elapsed > 0 && c.clock.reading.Epoch == claim.Epoch {
+		age = max(age, c.elapsed()-claim.Elapsed)
 	}
-	return read.epoch == epoch-1 && age >= c.othersFor()
+	return age
 }
 
 // othersFor bounds how long an earlier planner gives orders after a newer claim is in the store.
@@ -268,18 +272,16 @@
 	c.sendEntriesToAll()
 }
 
-// claimRead is the time at which this entry read a claim. isRestored is set if it was part of the state that the entry
-// has read at its start.
+// claimRead is the time at which this entry read a claim.
 type claimRead struct {
-	epoch      cfcore.Epoch
-	at         time.Time
-	isRestored bool
+	epoch cfcore.Epoch
+	at    time.Time
 }
 
 // recordClaimRead records that this entry has read the newest claim.
-func (c *control) recordClaimRead(isRestored bool) {
+func (c *control) recordClaimRead() {
 	if epoch := c.stored.Planner.Epoch; epoch > c.newestClaimRead.epoch {
-		c.claimReadBefore, c.newestClaimRead = c.newestClaimRead, claimRead{epoch: epoch, at: c.Clock.Now(), isRestored: isRestored}
+		c.claimReadBefore, c.newestClaimRead = c.newestClaimRead, claimRead{epoch: epoch, at: c.Clock.Now()}
 	}
 }
 
