Planners: a repeated start is as late as its first order

A repetition of a start without a result, or a stop of it, restarted the 0.2 s after which its agent is recorded to have late starts. If the agent was recorded so 5 s before, and its reports don't name the start, the record said "no late starts" for 0.2 s, in which the records were marked as complete.

--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -102,7 +102,7 @@
 
 func (p *Planner) hasLateStarts(now time.Time, w *worker) bool {
 	for r := range w.runs {
-		if r.awaitsResult && now.Sub(r.sentAt) >= lateAfter {
+		if r.awaitsResult && now.Sub(r.awaitsSince) >= lateAfter {
 			return true
 		}
 	}
--- a/pkg/cfdispatch/orders.go
+++ b/pkg/cfdispatch/orders.go
@@ -76,6 +76,9 @@
 		// An earlier instance of the agent possibly made an attempt that this one does not know of.
 		p.bindLost(r)
 	}
+	if !r.awaitsResult {
+		r.awaitsSince = now
+	}
 	r.sentAt, r.awaitsResult, r.instance = now, true, r.w.instance
 	o := p.ordersFor(r.w)
 	o.Starts = append(o.Starts, cfwire.JobStart{
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -97,8 +97,10 @@
 	// stop has not been sent yet. It is also zero for an adopted run until the first stop.
 	sentAt time.Time
 	// awaitsResult is set while the last start order has no result and the run is not listed. instance is
-	// the instance of the agent that it was sent to.
+	// the instance of the agent that it was sent to. awaitsSince is when the first start order since the last result
+	// was sent; zero if an earlier planner sent it.
 	awaitsResult bool
+	awaitsSince  time.Time
 	instance     int
 	// isRestored is set for a run that is known from an Absence, and that its worker has not listed since. A result
 	// of its start does not show that it still runs.
