Planners: late starts of a worker that has left are recorded

The agent of a worker that has left stays on record as long as the worker's next incarnation can execute starts, but its record was not changed any more. Until the agent's absence was recorded, a second later, the records were marked as complete without the start. Found by reading (review); the test failed before.

--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -91,7 +91,7 @@
 	}
 	for _, w := range p.fleet {
 		isLate := p.hasLateStarts(now, w)
-		if !w.isRecorded || isLate == w.isRecordedLate || !isLate && now.Sub(w.lateRecordedAt) < minLateRecord {
+		if !w.isOnRecord() || isLate == w.isRecordedLate || !isLate && now.Sub(w.lateRecordedAt) < minLateRecord {
 			continue
 		}
 		w.isRecordedLate, w.lateRecordedAt = isLate, now
