Planners: an agent's new record replaces what is known of the old one

A worker leaves after a late start of it was recorded, its agent's record is deleted, and another worker is there: the agent's new record says "no late starts", but the planner took it for recorded as late for up to 5 s and longer, and recorded no late start. The records were marked as complete nevertheless. Found by reading (review); the test failed before.

The model kept its record of late starts over the deletion, unlike the entry; it now deletes it as well.

--- a/pkg/cfdispatch/model_store_test.go
+++ b/pkg/cfdispatch/model_store_test.go
@@ -86,6 +86,7 @@
 	for _, name := range gone {
 		if isNewest {
 			delete(m.recordedAgents, name)
+			delete(m.lateAgents, name)
 		}
 	}
 	m.dropBusy(isNewest)
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -485,7 +485,7 @@
 	p.expireBindings(now, confirmed)
 	for _, w := range slices.Clone(p.fleet) {
 		if w.isGone && !p.mayExecuteStarts(w) {
-			w.isGone = false
+			w.isGone, w.isRecordedLate = false, false
 			gone = append(gone, GoneAgent{Agent: w.agent, HasLeft: true})
 		}
 		if !confirmed.After(w.newbornUntil) {
