Planners: a restored start without a result is as late as its agent's last report

A start that was handed over got the time zero, so that its agent was recorded to have late starts at once, for 5 s at least, with each change of the planner.

--- a/pkg/cfdispatch/absence.go
+++ b/pkg/cfdispatch/absence.go
@@ -213,7 +213,7 @@
 		return
 	}
 	r := &run{
-		task: t, id: ar.Run, w: w, phase: running, born: w.state.Born, startedAt: now, sentAt: w.reportedAt,
+		task: t, id: ar.Run, w: w, phase: running, born: w.state.Born, startedAt: now, sentAt: w.reportedAt, awaitsSince: w.reportedAt,
 		awaitsResult: ar.AwaitsResult, isRestored: true, speedPercent: unknownPercent,
 	}
 	if ar.AwaitsResult {
--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -98,7 +98,7 @@
 	sentAt time.Time
 	// awaitsResult is set while the last start order has no result and the run is not listed. instance is
 	// the instance of the agent that it was sent to. awaitsSince is when the first start order since the last result
-	// was sent; zero if an earlier planner sent it.
+	// was sent; if an earlier planner sent it, when that planner last heard of the agent.
 	awaitsResult bool
 	awaitsSince  time.Time
 	instance     int
