Entries: records count for all instances only after a mark of the planner that has ended; they age in full while this entry alone was down

- Epoch 3 marks its records, is superseded, and orders starts for 2.4 s more, which are not on record.
The planner of epoch 4 ends within its first second, without a mark.
That it has ended was taken to make the records complete, so that epoch 5 starts tasks whose starts by epoch 3 can be executed.
The last mark must now be younger than the claim of the planner that has ended.
- An entry that restarts takes the time before its start for time in which all processes were down, up to 10 s.
If only this entry was down, and the planner went on without the store, records of up to 15 s counted as valid.
The entry now does so only until it has heard the planner.

--- a/internal/cfjobentry/control.go
+++ b/internal/cfjobentry/control.go
@@ -38,6 +38,8 @@
 	// plannerSeenAt is when a message of the current planner last arrived, or when this
 	// entry began to wait for one.
 	plannerSeenAt time.Time
+	// heardPlanner is set once a message of a planner has arrived.
+	heardPlanner bool
 	// goneEpoch is the newest epoch whose planner is known to have resigned or ended, goneAt when this entry
 	// learned of it.
 	goneEpoch cfcore.Epoch
@@ -212,7 +214,7 @@
 		c.handleReportReceived(ev)
 	case plannerMessage:
 		if ev.epoch == c.stored.Planner.Epoch {
-			c.plannerSeenAt = c.Clock.Now()
+			c.plannerSeenAt, c.heardPlanner = c.Clock.Now(), true
 		}
 	case pollReceived:
 		if ev.poll.Epoch >= c.newestClaim().Epoch {
--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -87,7 +87,7 @@
 	c.claimInFlight = true
 	c.plannerSeenAt = c.Clock.Now()
 	offset := c.stored.Next
-	c.sentClaim.send(epoch, offset, c.Clock.Now(), c.predecessorEnded(epoch))
+	c.sentClaim.send(sentClaim{epoch: epoch, offset: offset, sentAt: c.Clock.Now(), predecessorEnded: c.predecessorEnded(epoch), predecessorMarked: c.predecessorMarked()})
 	c.Log.Info().Uint64("Epoch", uint64(epoch)).Int64("At", offset).Bool("PredecessorEnded", c.sentClaim.predecessorEnded).Msg("appending a claim to the planner role")
 	go func() {
 		_, err := c.Store.Append(ctx, c.topic, []cfcore.KeyedRecord{r}, cfcore.AppendOptions{
@@ -98,18 +98,19 @@
 }
 
 // sentClaim is the last claim that this entry sent, and since when the store possibly has it. predecessorEnded is set
-// if the planners before had ended by then.
+// if the planners before had ended by then, and predecessorMarked if the last of them had marked the records as complete.
 type sentClaim struct {
-	epoch            cfcore.Epoch
-	offset           int64
-	sentAt           time.Time
-	predecessorEnded bool
+	epoch             cfcore.Epoch
+	offset            int64
+	sentAt            time.Time
+	predecessorEnded  bool
+	predecessorMarked bool
 }
 
 // send remembers that a claim is sent. One at the same offset whose outcome is unknown is possibly in the store.
-func (s *sentClaim) send(epoch cfcore.Epoch, offset int64, now time.Time, predecessorEnded bool) {
-	if s.epoch != epoch || s.offset != offset {
-		*s = sentClaim{epoch: epoch, offset: offset, sentAt: now, predecessorEnded: predecessorEnded}
+func (s *sentClaim) send(sent sentClaim) {
+	if s.epoch != sent.epoch || s.offset != sent.offset {
+		*s = sent
 	}
 }
 
@@ -130,6 +131,10 @@
 	return c.newestClaimRead.epoch == epoch-1 && c.claimAge() >= c.othersFor()
 }
 
+// predecessorMarked reports whether the newest claim is followed by a mark. An older mark says nothing of the starts that
+// a superseded planner has ordered since.
+func (c *control) predecessorMarked() bool { return c.recordsAge() < c.claimAge() }
+
 // claimAge returns how old the newest claim is at least. An entry that has just started, or heard of the claim from another
 // one, goes by the planners' clock, which can be behind, but is never ahead.
 func (c *control) claimAge() time.Duration {
@@ -231,7 +236,7 @@
 func (c *control) becomePlanner(claim cfjob.Claim) {
 	s := cfdispatch.Settings{
 		Epoch: claim.Epoch, ClaimedAt: c.claimedAt(claim), RecordedAt: c.Clock.Now().Add(-c.recordsAge()),
-		PredecessorEnded: c.sentClaim.epoch == claim.Epoch && c.sentClaim.predecessorEnded, GrantTime: c.cfg.Lease.Grant, LeaseTime: c.cfg.Lease.Lease,
+		PredecessorEnded: c.sentClaim.epoch == claim.Epoch && c.sentClaim.predecessorEnded && c.sentClaim.predecessorMarked, GrantTime: c.cfg.Lease.Grant, LeaseTime: c.cfg.Lease.Lease,
 		ResendAfter: c.cfg.Planning.Resend, SuspectAfter: c.cfg.Suspect,
 	}
 	agents := make([]string, 0, len(c.stored.Agents))
--- a/internal/cfjobentry/mark.go
+++ b/internal/cfjobentry/mark.go
@@ -6,7 +6,7 @@
 	"cranberryford/pkg/cfdispatch"
 )
 
-// maxDownTime is how long before its start an entry assumes that the planner was down as well.
+// maxDownTime is how long before its start an entry that has heard no planner assumes that the planner was down as well.
 const maxDownTime = 10 * time.Second
 
 // readMark is the newest mark of valid records, and when this entry read it by its boot clock.
@@ -31,7 +31,7 @@
 func (c *control) recordsAge() time.Duration {
 	c.observeMark()
 	now, since := c.Clock.Now(), c.stored.MarkedAt
-	if down := c.startedAt.Sub(since); down > 0 {
+	if down := c.startedAt.Sub(since); down > 0 && !c.heardPlanner {
 		since = since.Add(min(down, maxDownTime))
 	}
 	return max(now.Sub(since).Abs(), c.bootTime()-c.mark.readAt)
