Planners: no copy by a planner that is possibly superseded

Callers saw nothing of it yet; the model did: a copy of a task with allow_duplicates started over a second after another planner had acknowledged an end of the task (TWICE).

Cause: a superseded planner keeps its authority for 2 s, and needsCopy asked only whether the agent of the run that it knows had reported lately. The planner now orders a copy only while it is certain, by the time that ExpireLeases is told, that no newer planner was in force 0.5 s before. With the other agent's 0.45 s, a copy is sent within the second of the rule.

TestNoCopyByAPlannerThatIsPossiblySuperseded failed before. Three tests of copies tell the planner now that it is in force; without the rule on reports, TestNoCopyOfARunWhoseAgentDoesNotReport still fails.

--- a/pkg/cfdispatch/planner.go
+++ b/pkg/cfdispatch/planner.go
@@ -278,8 +278,10 @@
 	// TakeOrders. lastResendScan is when runs were last scanned for orders to repeat.
 	pendingStops   []*run
 	lastResendScan time.Time
-	// lastExpiryScan is when workers were last scanned for expired leases.
+	// lastExpiryScan is when workers were last scanned for expired leases. confirmedAt is the newest time for which it
+	// is certain that no newer planner was in force, see ExpireLeases.
 	lastExpiryScan time.Time
+	confirmedAt    time.Time
 	// noFit holds the demands that were found to fit on no worker in the current planning
 	// pass. searchOffset is an index in fleet. A search for a worker starts there if the fleet
 	// has more workers than the search may score. Each such search first moves searchOffset
--- a/pkg/cfdispatch/planner_test.go
+++ b/pkg/cfdispatch/planner_test.go
@@ -329,6 +329,7 @@
 			w.extraPercent++
 		}
 		f.report()
+		f.ExpireLeases(f.now, f.now)
 		copies = append(copies, f.runPlanner()...)
 	}
 	f.Expect(copies).To(ConsistOf(HavePrefix("twice.0@")))
--- a/pkg/cfdispatch/report.go
+++ b/pkg/cfdispatch/report.go
@@ -475,8 +475,10 @@
 // confirmed found no valid lease to extend. ExpireLeases returns the agents of these
 // workers, and the agents whose workers have left since the previous call. The planner waits
 // until confirmed is after expectedUntil for the run lists of the agents that were passed to
-// New. After that, ExpireLeases also returns, once, those agents that have not reported.
+// New. After that, ExpireLeases also returns, once, those agents that have not reported. The planner orders copies
+// only while confirmed is recent.
 func (p *Planner) ExpireLeases(now, confirmed time.Time) []GoneAgent {
+	p.confirmedAt = confirmed
 	if now.Sub(p.lastExpiryScan) < scanInterval {
 		return nil
 	}
--- a/pkg/cfdispatch/stragglers.go
+++ b/pkg/cfdispatch/stragglers.go
@@ -26,6 +26,10 @@
 	// Otherwise the first run has possibly ended, and a newer planner has recorded its end. Agents
 	// report every 300 ms.
 	copyContact = 400 * time.Millisecond
+	// A task gets a second run only if no newer planner was in force copyAuthority ago. One that was has possibly
+	// recorded an end of the task. The copy starts up to 0.45 s after the order (see cfjobagent), and must not start
+	// over a second after such a record.
+	copyAuthority = 500 * time.Millisecond
 )
 
 // updateProgress records the reported progress of a run.
@@ -86,7 +90,7 @@
 	if !t.step.Duplicable || t.step.Gang || len(t.runs) != 1 || t.runs[0].phase != running {
 		return false
 	}
-	if p.copyCount*runsPerCopy > p.runCount || now.Sub(t.runs[0].w.reportedAt) > copyContact {
+	if p.copyCount*runsPerCopy > p.runCount || now.Sub(t.runs[0].w.reportedAt) > copyContact || now.Sub(p.confirmedAt) > copyAuthority {
 		return false
 	}
 	expected := p.durationRatios.expectedDuration(t.j.queue.Name, t.step.Estimate)
