Planners: records are complete as soon as all agents have reported; the first planner has none before it

Cause: since no planner marks its records in its first second, nor do records count for young instances if it has ended within 2.4 s of its claim, because of the planners before it. The first planner has none.

A planner now marks its records once each agent has reported or is on record as late, at the latest after a second as before; epoch 1 counts as ended without regard to its age.

--- a/internal/cfjobentry/leadership.go
+++ b/internal/cfjobentry/leadership.go
@@ -24,6 +24,9 @@
 // records.
 const firstClaimDelay = 300 * time.Millisecond
 
+// firstEpoch is the epoch of a planner that has none before it.
+const firstEpoch = 1
+
 // authorityMargin is added to the time for which an earlier planner possibly gives orders. It
 // covers the time from a check of its authority to the sending of the orders.
 const authorityMargin = 300 * time.Millisecond
@@ -128,12 +131,14 @@
 	if !c.hasEnded(c.stored.Planner) {
 		return false
 	}
-	return c.newestClaimRead.epoch == epoch-1 && c.claimAge() >= c.othersFor()
+	return c.newestClaimRead.epoch == epoch-1 && (epoch-1 == firstEpoch || c.claimAge() >= c.othersFor())
 }
 
 // predecessorMarked reports whether the newest claim is followed by a mark. An older mark says nothing of the starts that
 // a superseded planner has ordered since.
-func (c *control) predecessorMarked() bool { return c.recordsAge() < c.claimAge() }
+func (c *control) predecessorMarked() bool {
+	return c.stored.Planner.Epoch == firstEpoch || c.recordsAge() < c.claimAge()
+}
 
 // claimAge returns how old the newest claim is at least. An entry that has just started, or heard of the claim from another
 // one, goes by the planners' clock, which can be behind, but is never ahead.
--- a/internal/cfjobentry/restored_claim_test.go
+++ b/internal/cfjobentry/restored_claim_test.go
@@ -55,3 +55,14 @@
 	c.markPlannerGone(4)
 	g.Expect(c.predecessorEnded(5)).To(BeTrue())
 }
+
+func TestFirstPlannerHasEndedAlthoughItsClaimIsNew(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newTestControl(t)
+	c.stored.Planner = cfjob.Claim{Epoch: 1, Instance: "other", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+	c.recordClaimRead()
+	g.Expect(c.predecessorEnded(2)).To(BeFalse())
+	c.markPlannerGone(1)
+	g.Expect(c.predecessorEnded(2)).To(BeTrue())
+	g.Expect(c.predecessorMarked()).To(BeTrue())
+}
--- a/pkg/cfdispatch/agentrecord.go
+++ b/pkg/cfdispatch/agentrecord.go
@@ -60,9 +60,20 @@
 }
 
 // AreAgentRecordsComplete reports whether TakeAgentRecords has returned all late starts that earlier planners can have
-// left: those of agents that have not reported in time are on record as well.
+// left. Those of an agent that does not report are on record after silentAfter.
 func (p *Planner) AreAgentRecordsComplete() bool {
-	return !p.recordingSince.IsZero() && p.lastRecordScan.Sub(p.recordingSince) >= silentAfter
+	if p.recordingSince.IsZero() {
+		return false
+	}
+	if p.lastRecordScan.Sub(p.recordingSince) >= silentAfter {
+		return true
+	}
+	for a := range p.bindings.unknown {
+		if w := p.workers[a]; w == nil && !p.bindings.recordedLate[a] || w != nil && !w.isRecordedLate {
+			return false
+		}
+	}
+	return true
 }
 
 // IgnoreRecord tells a new planner that an agent's record cannot be decoded: it was written by another
--- a/pkg/cfdispatch/superseded_test.go
+++ b/pkg/cfdispatch/superseded_test.go
@@ -207,3 +207,9 @@
 		})
 	}
 }
+
+func TestRecordsOfAgentsAreCompleteAtOnceIfNoneIsInherited(t *testing.T) {
+	f := newFleet(t, newPlanner(), "a")
+	f.Expect(f.TakeAgentRecords(f.now)).To(BeEmpty())
+	f.Expect(f.AreAgentRecordsComplete()).To(BeTrue())
+}
